--- /dev/null
+++ b/crates/wirehost/src/main.rs
@@ -0,0 +1,134 @@
+//! Hosts instances of the decisions on the bench's wire: one batch in, one reply out. Decides nothing.
+
+mod setup;
+mod wire;
+
+use std::collections::BTreeMap;
+use std::io::{BufWriter, Read, Write};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::process::ExitCode;
+
+use setup::Columns;
+use sparlug::event::Action;
+use sparlug::policy::Balancer;
+use sparlug::time::Time;
+use wire::{Reader, Record, Reply, Tables, HEADER};
+
+struct Instance {
+    balancer: Balancer,
+    columns: Columns,
+}
+
+#[derive(Default)]
+struct Host {
+    instances: BTreeMap<u16, Instance>,
+    tables: Tables,
+    actions: Vec<Action>,
+    reply: Reply,
+}
+
+impl Host {
+    /// Runs one record and writes what its instance does about it.
+    fn run(&mut self, now: Time, number: u16, record: Record) -> Result<(), String> {
+        let actions = &mut self.actions;
+        actions.clear();
+        let ran = match record {
+            Record::Start { seed, setup } => {
+                let (settings, columns) = setup::decode(setup)?;
+                let start = AssertUnwindSafe(|| Balancer::new(settings, seed, now, actions));
+                catch_unwind(start).map(|balancer| {
+                    self.instances.insert(number, Instance { balancer, columns });
+                })
+            }
+            Record::Stop => {
+                self.instances.remove(&number);
+                return Ok(());
+            }
+            Record::Event(event) => match self.instances.get_mut(&number) {
+                None => return Ok(()),
+                Some(instance) => {
+                    catch_unwind(AssertUnwindSafe(|| instance.balancer.handle(now, event, actions)))
+                }
+            },
+        };
+        for action in &self.actions {
+            self.reply.add(number, action);
+        }
+        if let Err(panic) = ran {
+            let text = panic.downcast_ref::<String>().map(String::as_str);
+            let text = text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("panic without a text");
+            self.reply.fault(number, text);
+            self.instances.remove(&number);
+        }
+        Ok(())
+    }
+
+    fn batch(&mut self, count: u32, now: Time, body: &[u8]) -> Result<(), String> {
+        let mut reader = Reader::new(body);
+        for place in 0..count {
+            let instances = &self.instances;
+            let columns = |number| instances.get(&number).map_or(Columns::default(), |i| i.columns);
+            let read = wire::record(&mut reader, &mut self.tables, columns);
+            let ran = read.and_then(|record| match record {
+                Some((number, record)) => self.run(now, number, record),
+                None => Ok(()),
+            });
+            ran.map_err(|e| format!("record {place}: {e}"))?;
+        }
+        match body.len() - reader.at() {
+            0 => Ok(()),
+            left => Err(format!("{left} bytes left over after {count} records")),
+        }
+    }
+}
+
+/// Fills `buffer`, or tells that the input ended before its first byte.
+fn fill(input: &mut impl Read, buffer: &mut [u8]) -> Result<bool, String> {
+    let mut filled = 0;
+    while filled < buffer.len() {
+        match input.read(&mut buffer[filled..]) {
+            Ok(0) if filled == 0 => return Ok(false),
+            Ok(0) => return Err(format!("input ends after {filled} of {} bytes", buffer.len())),
+            Ok(n) => filled += n,
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(format!("cannot read: {e}")),
+        }
+    }
+    Ok(true)
+}
+
+fn serve(mut input: impl Read, output: impl Write) -> Result<(), String> {
+    let (mut host, mut output) = (Host::default(), BufWriter::new(output));
+    let (mut header, mut body) = ([0; HEADER], Vec::new());
+    for batch in 0_u64.. {
+        let at = |e: String| format!("batch {batch}: {e}");
+        if !fill(&mut input, &mut header).map_err(at)? {
+            break;
+        }
+        let mut fields = Reader::new(&header);
+        let (count, length) = (fields.u32().map_err(at)?, fields.u32().map_err(at)? as usize);
+        let now = Time::from_ms(fields.f64().map_err(at)?);
+        let Some(rest) = length.checked_sub(HEADER - 8) else {
+            return Err(at(format!("length {length} leaves no room for the clock")));
+        };
+        body.clear();
+        let read = input.by_ref().take(rest as u64).read_to_end(&mut body).map_err(|e| at(e.to_string()))?;
+        if read < rest {
+            return Err(at(format!("input ends after {read} of {rest} bytes")));
+        }
+        host.batch(count, now, &body).map_err(at)?;
+        host.reply.finish(&mut output).map_err(|e| at(format!("cannot write: {e}")))?;
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    std::panic::set_hook(Box::new(|_| {}));
+    match serve(std::io::stdin().lock(), std::io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("sparlug-wirehost: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/wirehost/src/setup.rs
@@ -0,0 +1,170 @@
+//! The settings text of an instance, decoded into what the decisions read.
+
+use serde::Deserialize;
+use sparlug::id::ZoneId;
+use sparlug::settings::{Cold, Effect, Group, Settings, Tariff};
+use sparlug::time::Span;
+
+/// Where in a load report the figures stand that the decisions read.
+#[derive(Clone, Copy, Default)]
+pub struct Columns {
+    pub held: Option<usize>,
+    pub waiting: Option<usize>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Setup {
+    tier: usize,
+    balancers: usize,
+    #[serde(default)]
+    locality: u16,
+    round_ms: f64,
+    discovery: Discovery,
+    tariffs: Vec<SetupTariff>,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+    #[serde(default = "one")]
+    beyond_share_value: f64,
+    allowed: Allowed,
+    obligations: Obligations,
+    #[serde(default)]
+    penalties: Penalties,
+    #[serde(default)]
+    report: Report,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Discovery {
+    Pushed,
+    OnRequest,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct SetupTariff {
+    latency_goal_ms: f64,
+    cut_off_ms: f64,
+    #[serde(default)]
+    aim_stretch: f64,
+    value: f64,
+    #[serde(default)]
+    late_value: f64,
+    effect: SetupEffect,
+    group: Option<SetupGroup>,
+    window_ms: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum SetupEffect {
+    Pure,
+    Token,
+    SideEffect,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum SetupGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Tenant {
+    allowance_per_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Allowed {
+    max_forwards: u16,
+    #[serde(default)]
+    cancelling: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Obligations {
+    cold_share: f64,
+    ramp_time_ms: f64,
+    fall_multiple: f64,
+    tip_after_ms: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Penalties {
+    #[serde(default)]
+    cross_zone: f64,
+}
+
+#[derive(Default, Deserialize)]
+struct Report {
+    #[serde(default)]
+    columns: Vec<String>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl SetupTariff {
+    fn decode(self) -> Result<Tariff, String> {
+        let effect = match self.effect {
+            SetupEffect::Pure => Effect::Reissuable,
+            SetupEffect::SideEffect => Effect::AtMostOnce,
+            SetupEffect::Token => Effect::Numbered {
+                group: match self.group.ok_or("a tariff with effect token lacks group")? {
+                    SetupGroup::All => Group::All,
+                    SetupGroup::Zone => Group::Zone,
+                    SetupGroup::Cell => Group::Pod,
+                },
+                window: Span::from_ms(self.window_ms.ok_or("a tariff with effect token lacks windowMs")?),
+            },
+        };
+        Ok(Tariff {
+            goal: Span::from_ms(self.latency_goal_ms),
+            goal_stretch: self.aim_stretch,
+            cut_off: Span::from_ms(self.cut_off_ms),
+            value: self.value,
+            late_value: self.late_value,
+            effect,
+        })
+    }
+}
+
+pub fn decode(text: &[u8]) -> Result<(Settings, Columns), String> {
+    let setup: Setup = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let place = |name: &str| setup.report.columns.iter().position(|column| column == name);
+    let columns = Columns { held: place("busy_reqs"), waiting: place("pending") };
+    let tariffs = setup.tariffs.into_iter().map(SetupTariff::decode).collect::<Result<_, _>>();
+    let settings = Settings {
+        tier: setup.tier,
+        instances: setup.balancers.max(1),
+        zone: ZoneId(setup.locality),
+        crossing_priced: setup.penalties.cross_zone > 0.0,
+        round: Span::from_ms(setup.round_ms),
+        tariffs: tariffs.map_err(|e| format!("settings: {e}"))?,
+        allowances: setup.tenants.iter().map(|tenant| tenant.allowance_per_s).collect(),
+        beyond_share: setup.beyond_share_value,
+        list_on_request: matches!(setup.discovery, Discovery::OnRequest),
+        max_forwards: setup.allowed.max_forwards,
+        cancelling: setup.allowed.cancelling,
+        max_backoff: setup.allowed.retry_after.then(|| Span::from_ms(setup.allowed.max_retry_after_ms)),
+        cold: Cold {
+            share: setup.obligations.cold_share,
+            ramp: Span::from_ms(setup.obligations.ramp_time_ms),
+            multiple: setup.obligations.fall_multiple,
+            window: Span::from_ms(setup.obligations.tip_after_ms),
+        },
+    };
+    Ok((settings, columns))
+}
--- /dev/null
+++ b/crates/wirehost/src/wire.rs
@@ -0,0 +1,306 @@
+//! The wire's frames and records, to and from the decisions' own words.
+
+use sparlug::event::{Action, Condition, Ended, Event, Exchange, Listing, Load, Outcome};
+use sparlug::id::{BackendId, ExchangeId, ForwardNo, PeerId, PodId, TariffId, TenantId, TimerMark, ZoneId};
+use sparlug::time::{Span, Time};
+
+use crate::setup::Columns;
+
+pub const HEADER: usize = 16;
+const TABLES: usize = 16;
+const PEERS_ALL: u16 = u16::MAX;
+const COST_VALID: u16 = 1;
+
+pub type Result<T> = std::result::Result<T, String>;
+
+/// Reads fields one after another and says where it stands when one is missing.
+pub struct Reader<'a> {
+    bytes: &'a [u8],
+    at: usize,
+}
+
+impl<'a> Reader<'a> {
+    pub fn new(bytes: &'a [u8]) -> Reader<'a> {
+        Reader { bytes, at: 0 }
+    }
+
+    pub fn at(&self) -> usize {
+        self.at
+    }
+
+    pub fn take(&mut self, n: usize) -> Result<&'a [u8]> {
+        let end = self.at.checked_add(n).filter(|end| *end <= self.bytes.len());
+        let Some(end) = end else {
+            return Err(format!("{n} bytes wanted at byte {}, {} left", self.at, self.bytes.len() - self.at));
+        };
+        let taken = &self.bytes[self.at..end];
+        self.at = end;
+        Ok(taken)
+    }
+
+    fn array<const N: usize>(&mut self) -> Result<[u8; N]> {
+        let mut array = [0; N];
+        array.copy_from_slice(self.take(N)?);
+        Ok(array)
+    }
+
+    pub fn u8(&mut self) -> Result<u8> {
+        Ok(self.array::<1>()?[0])
+    }
+
+    pub fn u16(&mut self) -> Result<u16> {
+        Ok(u16::from_le_bytes(self.array()?))
+    }
+
+    pub fn u32(&mut self) -> Result<u32> {
+        Ok(u32::from_le_bytes(self.array()?))
+    }
+
+    pub fn u64(&mut self) -> Result<u64> {
+        Ok(u64::from_le_bytes(self.array()?))
+    }
+
+    pub fn f64(&mut self) -> Result<f64> {
+        let at = self.at;
+        let number = f64::from_le_bytes(self.array()?);
+        if number.is_finite() {
+            Ok(number)
+        } else {
+            Err(format!("{number} is no number, at byte {at}"))
+        }
+    }
+
+    fn f32(&mut self) -> Result<f32> {
+        Ok(f32::from_le_bytes(self.array()?))
+    }
+
+    fn backend(&mut self) -> Result<BackendId> {
+        Ok(BackendId { address: self.array()?, port: self.u16()? })
+    }
+
+    fn span(&mut self) -> Result<Span> {
+        Ok(Span::from_ms(self.f64()?))
+    }
+
+    fn outcome(&mut self) -> Result<Outcome> {
+        let at = self.at;
+        Ok(match self.u16()? {
+            0 => Outcome::Error,
+            1 => Outcome::Honoured,
+            2 => Outcome::Full,
+            3 => Outcome::TimedOut,
+            4 => Outcome::ConnectFailed,
+            5 => Outcome::Broken,
+            6 => Outcome::Cancelled,
+            7 => Outcome::NotSent,
+            other => return Err(format!("unknown status {other} at byte {at}")),
+        })
+    }
+
+    fn load(&mut self, columns: Columns) -> Result<Load> {
+        let mut load = Load::default();
+        for place in 0..usize::from(self.u8()?) {
+            let value = Some(f64::from(self.f32()?)).filter(|v| v.is_finite() && *v >= 0.0);
+            if columns.held == Some(place) {
+                load.held = value;
+            } else if columns.waiting == Some(place) {
+                load.waiting = value;
+            }
+        }
+        Ok(load)
+    }
+
+    fn listing(&mut self) -> Result<Listing> {
+        let _kind = self.u16()?;
+        let zone = ZoneId(self.u16()?);
+        let _share = self.f32()?;
+        let at = self.at;
+        let condition = match self.u8()? {
+            0 => Condition::Gone,
+            1 => Condition::Ready,
+            2 => Condition::Draining,
+            other => return Err(format!("unknown condition {other} at byte {at}")),
+        };
+        let backend = self.backend()?;
+        let started = Some(self.f64()?).filter(|ms| *ms != 0.0).map(Time::from_ms);
+        Ok(Listing { backend, zone, pod: PodId(self.u16()?), condition, started })
+    }
+}
+
+/// A record of a batch. `Event` is for one instance, whose report columns must be known to read it.
+pub enum Record<'a> {
+    Start { seed: u64, setup: &'a [u8] },
+    Stop,
+    Event(Event),
+}
+
+/// The lists that records of this process point at.
+#[derive(Default)]
+pub struct Tables([Option<Vec<Listing>>; TABLES]);
+
+impl Tables {
+    fn define(&mut self, r: &mut Reader) -> Result<()> {
+        let (at, number) = (r.at(), r.u32()? as usize);
+        let rows = r.u32()? as usize;
+        let slot = self.0.get_mut(number).ok_or(format!("list number {number} at byte {at}"))?;
+        let mut listings = Vec::new();
+        for _ in 0..rows {
+            listings.push(r.listing()?);
+        }
+        *slot = Some(listings);
+        Ok(())
+    }
+
+    fn listed(&self, form: u8, number: u32, at: usize) -> Result<Event> {
+        if form == 3 {
+            return Ok(Event::ListFailed);
+        }
+        if form > 3 {
+            return Err(format!("unknown form of list {form} at byte {at}"));
+        }
+        let table = self.0.get(number as usize).and_then(Option::as_ref);
+        let listings = table.ok_or(format!("list {number} was never defined, at byte {at}"))?.clone();
+        Ok(Event::Listed { whole: form != 0, listings })
+    }
+}
+
+/// Reads one record; `None` is one that concerns no instance.
+pub fn record<'a>(
+    r: &mut Reader<'a>,
+    tables: &mut Tables,
+    columns: impl Fn(u16) -> Columns,
+) -> Result<Option<(u16, Record<'a>)>> {
+    let at = r.at();
+    let code = r.u8()?;
+    if code == 110 {
+        tables.define(r)?;
+        return Ok(None);
+    }
+    if ![10, 20, 30, 40, 50, 60, 70, 80, 90, 100].contains(&code) {
+        return Err(format!("unknown event code {code} at byte {at}"));
+    }
+    let instance = r.u16()?;
+    let event = match code {
+        10 => {
+            let seed = r.u64()?;
+            let length = r.u32()? as usize;
+            return Ok(Some((instance, Record::Start { seed, setup: r.take(length)? })));
+        }
+        100 => return Ok(Some((instance, Record::Stop))),
+        20 => {
+            let (form, _epoch, number) = (r.u8()?, r.u64()?, r.u32()?);
+            tables.listed(form, number, at)?
+        }
+        30 => {
+            let (id, tariff, tenant) = (ExchangeId(r.u32()?), TariffId(r.u16()?), TenantId(r.u32()?));
+            let _key = r.u64()?;
+            let cut_off = Time::from_ms(r.f64()?);
+            let cost = r.span()?;
+            let cost = (r.u16()? & COST_VALID != 0).then_some(cost);
+            Event::Taken(Exchange { id, tariff, tenant, cut_off, cost })
+        }
+        40 => {
+            let (exchange, _forward, backend) = (ExchangeId(r.u32()?), r.u16()?, r.backend()?);
+            Event::Began { exchange, backend, took: r.span()? }
+        }
+        50 => {
+            let exchange = ExchangeId(r.u32()?);
+            let (outcome, backend, last) = (r.outcome()?, r.backend()?, r.u8()?);
+            let (forward, took, load) = (ForwardNo(r.u16()?), r.span()?, r.load(columns(instance))?);
+            Event::Ended(Ended { exchange, forward, backend, outcome, answered: last != 0, took, load })
+        }
+        60 => Event::Left(ExchangeId(r.u32()?)),
+        70 => Event::Timer(TimerMark(r.u64()?)),
+        80 => {
+            let (backend, outcome, took) = (r.backend()?, r.outcome()?, r.span()?);
+            Event::Checked { backend, outcome, took, load: r.load(columns(instance))? }
+        }
+        _ => {
+            let from = PeerId(r.u32()? as u16);
+            let length = usize::from(r.u16()?);
+            Event::PeerSaid { from, bytes: r.take(length)?.to_vec() }
+        }
+    };
+    Ok(Some((instance, Record::Event(event))))
+}
+
+/// A reply under way: its records and how many there are.
+#[derive(Default)]
+pub struct Reply {
+    records: Vec<u8>,
+    count: u32,
+}
+
+impl Reply {
+    fn begin(&mut self, code: u8, instance: u16) -> &mut Vec<u8> {
+        self.count += 1;
+        self.records.push(code);
+        self.records.extend(instance.to_le_bytes());
+        &mut self.records
+    }
+
+    pub fn add(&mut self, instance: u16, action: &Action) {
+        match action {
+            Action::Forward { exchange, backend, time_out } => {
+                let record = self.begin(50, instance);
+                record.extend(exchange.0.to_le_bytes());
+                put_backend(record, *backend);
+                record.extend(time_out.ms().to_le_bytes());
+            }
+            Action::TurnBack { exchange, backoff } => {
+                let record = self.begin(10, instance);
+                record.extend(exchange.0.to_le_bytes());
+                record.extend(backoff.unwrap_or_default().ms().to_le_bytes());
+            }
+            Action::Forfeit { exchange } => self.begin(20, instance).extend(exchange.0.to_le_bytes()),
+            Action::Cancel { exchange, forward } => {
+                let record = self.begin(60, instance);
+                record.extend(exchange.0.to_le_bytes());
+                record.extend(forward.0.to_le_bytes());
+            }
+            Action::Timer { after, mark } => {
+                let record = self.begin(100, instance);
+                record.extend(after.ms().to_le_bytes());
+                record.extend(mark.0.to_le_bytes());
+            }
+            Action::Check { backend } => put_backend(self.begin(80, instance), *backend),
+            Action::CloseIdle { backend } => put_backend(self.begin(120, instance), *backend),
+            Action::Tell { to, bytes } => {
+                let record = self.begin(110, instance);
+                record.extend(to.map_or(PEERS_ALL, |peer| peer.0).to_le_bytes());
+                put_text(record, bytes);
+            }
+            Action::Watch { on } => self.begin(90, instance).push(u8::from(*on)),
+            Action::FetchList => {
+                self.begin(70, instance);
+            }
+            Action::Log(text) => put_text(self.begin(30, instance), text.as_bytes()),
+        }
+    }
+
+    /// Tells that the decisions of an instance broke.
+    pub fn fault(&mut self, instance: u16, text: &str) {
+        put_text(self.begin(40, instance), text.as_bytes());
+    }
+
+    /// Moves the finished frame to `out` and starts anew.
+    pub fn finish(&mut self, out: &mut impl std::io::Write) -> std::io::Result<()> {
+        out.write_all(&self.count.to_le_bytes())?;
+        out.write_all(&(self.records.len() as u32).to_le_bytes())?;
+        out.write_all(&self.records)?;
+        self.records.clear();
+        self.count = 0;
+        out.flush()
+    }
+}
+
+fn put_backend(record: &mut Vec<u8>, backend: BackendId) {
+    record.extend(backend.address);
+    record.extend(backend.port.to_le_bytes());
+}
+
+fn put_text(record: &mut Vec<u8>, text: &[u8]) {
+    let text = &text[..text.len().min(usize::from(u16::MAX))];
+    record.extend((text.len() as u16).to_le_bytes());
+    record.extend(text);
+}
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,142 @@
+//! What an instance hears and what it may do.
+
+use crate::id::{BackendId, ExchangeId, ForwardNo, PeerId, PodId, TariffId, TenantId, TimerMark, ZoneId};
+use crate::time::{Span, Time};
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The list of backends: all of it, or only what changed.
+    Listed {
+        whole: bool,
+        listings: Vec<Listing>,
+    },
+    /// A call for the list failed, or the watch on it ended.
+    ListFailed,
+    Taken(Exchange),
+    /// The answer of a streamed exchange has begun; the client holds this forward from here on.
+    Began {
+        exchange: ExchangeId,
+        backend: BackendId,
+        took: Span,
+    },
+    Ended(Ended),
+    /// The client no longer waits; no answer is owed.
+    Left(ExchangeId),
+    Timer(TimerMark),
+    Checked {
+        backend: BackendId,
+        outcome: Outcome,
+        took: Span,
+        load: Load,
+    },
+    PeerSaid {
+        from: PeerId,
+        bytes: Vec<u8>,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub backend: BackendId,
+    pub zone: ZoneId,
+    pub pod: PodId,
+    pub condition: Condition,
+    /// When its process last started; `None` is long ago.
+    pub started: Option<Time>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Exchange {
+    pub id: ExchangeId,
+    pub tariff: TariffId,
+    pub tenant: TenantId,
+    /// When the client gives this try up.
+    pub cut_off: Time,
+    /// A rough guess of its work.
+    pub cost: Option<Span>,
+}
+
+/// How a forward ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    pub exchange: ExchangeId,
+    pub forward: ForwardNo,
+    pub backend: BackendId,
+    pub outcome: Outcome,
+    /// The exchange has its final answer, by this outcome or earlier.
+    pub answered: bool,
+    pub took: Span,
+    pub load: Load,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Honoured,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Broken,
+    Cancelled,
+    NotSent,
+}
+
+impl Outcome {
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent)
+    }
+}
+
+/// A backend's own report of how many exchanges it holds and how many of them wait, if it says so.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub held: Option<f64>,
+    pub waiting: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Forward {
+        exchange: ExchangeId,
+        backend: BackendId,
+        time_out: Span,
+    },
+    TurnBack {
+        exchange: ExchangeId,
+        backoff: Option<Span>,
+    },
+    Forfeit {
+        exchange: ExchangeId,
+    },
+    Cancel {
+        exchange: ExchangeId,
+        forward: ForwardNo,
+    },
+    Timer {
+        after: Span,
+        mark: TimerMark,
+    },
+    Check {
+        backend: BackendId,
+    },
+    CloseIdle {
+        backend: BackendId,
+    },
+    /// Tell one peer, or all of them.
+    Tell {
+        to: Option<PeerId>,
+        bytes: Vec<u8>,
+    },
+    Watch {
+        on: bool,
+    },
+    FetchList,
+    Log(String),
+}
--- /dev/null
+++ b/src/id.rs
@@ -0,0 +1,44 @@
+//! A type of its own for each kind of id.
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ExchangeId(pub u32);
+
+/// Which forward of an exchange, counted from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ForwardNo(pub u16);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BackendId {
+    pub address: [u8; 4],
+    pub port: u16,
+}
+
+impl std::fmt::Display for BackendId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let [a, b, c, d] = self.address;
+        write!(f, "{a}.{b}.{c}.{d}:{}", self.port)
+    }
+}
+
+/// A place in the settings' list of tariffs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TariffId(pub u16);
+
+/// A place in the settings' list of tenants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TenantId(pub u32);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ZoneId(pub u16);
+
+/// A small group of backends that know each other's marks against repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PodId(pub u16);
+
+/// Another instance of the same tier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PeerId(pub u16);
+
+/// Chosen by the decisions when they ask for a timer, and handed back when it is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimerMark(pub u64);
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,40 @@
+//! sparlug decides, for one caller's proxy, where each exchange goes, when it waits and when it is
+//! turned back. It does no input or output: a host hands it [`event::Event`]s and carries out the
+//! [`event::Action`]s it returns.
+//!
+//! ```
+//! use sparlug::event::{Action, Condition, Event, Exchange, Listing};
+//! use sparlug::id::{BackendId, ExchangeId, PodId, TariffId, TenantId, ZoneId};
+//! use sparlug::policy::Balancer;
+//! use sparlug::settings::{Effect, Settings, Tariff};
+//! use sparlug::time::{Span, Time};
+//!
+//! let tariff = Tariff::new(Span::from_ms(200.0), Span::from_ms(500.0), Effect::Reissuable);
+//! let settings = Settings::for_tariffs(vec![tariff]);
+//! let (start, mut actions) = (Time::from_ms(1000.0), Vec::new());
+//! let mut balancer = Balancer::new(settings, 7, start, &mut actions);
+//! let backend = BackendId { address: [10, 0, 0, 1], port: 80 };
+//! let listing = Listing {
+//!     backend,
+//!     zone: ZoneId(0),
+//!     pod: PodId(0),
+//!     condition: Condition::Ready,
+//!     started: None,
+//! };
+//! balancer.handle(start, Event::Listed { whole: true, listings: vec![listing] }, &mut actions);
+//! let exchange = Exchange {
+//!     id: ExchangeId(1),
+//!     tariff: TariffId(0),
+//!     tenant: TenantId(0),
+//!     cut_off: start + Span::from_ms(500.0),
+//!     cost: None,
+//! };
+//! balancer.handle(start, Event::Taken(exchange), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Forward { backend: b, .. } if *b == backend)));
+//! ```
+
+pub mod event;
+pub mod id;
+pub mod policy;
+pub mod settings;
+pub mod time;
--- /dev/null
+++ b/src/policy/tests.rs
@@ -0,0 +1,1 @@
+use super::*;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,97 @@
+//! The settings that the decisions read, decoded once when an instance starts.
+
+use crate::id::ZoneId;
+use crate::time::Span;
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// How many tiers lie above the one that this instance calls.
+    pub tier: usize,
+    /// Instances of this tier, this one included.
+    pub instances: usize,
+    pub zone: ZoneId,
+    /// Crossing zones has a price.
+    pub crossing_priced: bool,
+    /// The shortest time between two batches of events.
+    pub round: Span,
+    pub tariffs: Vec<Tariff>,
+    /// Exchanges a second that each tenant may ask of all instances together.
+    pub allowances: Vec<f64>,
+    /// What an exchange beyond its tenant's share is worth, as a part of its value.
+    pub beyond_share: f64,
+    /// The list must be asked for.
+    pub list_on_request: bool,
+    pub max_forwards: u16,
+    pub cancelling: bool,
+    /// The longest backoff that clients heed; `None` where they are not told any.
+    pub max_backoff: Option<Span>,
+    pub cold: Cold,
+}
+
+/// What a backend that has just started can bear.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    pub share: f64,
+    pub ramp: Span,
+    pub multiple: f64,
+    pub window: Span,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Tariff {
+    pub goal: Span,
+    /// The latency goal grows by this multiple of the exchange's own work.
+    pub goal_stretch: f64,
+    pub cut_off: Span,
+    pub value: f64,
+    /// What an answer after the goal still earns, as a part of the value.
+    pub late_value: f64,
+    pub effect: Effect,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Reissuable,
+    Numbered { group: Group, window: Span },
+    AtMostOnce,
+}
+
+/// The backends that drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Pod,
+}
+
+impl Tariff {
+    pub fn new(goal: Span, cut_off: Span, effect: Effect) -> Tariff {
+        Tariff { goal, goal_stretch: 0.0, cut_off, value: 1.0, late_value: 0.0, effect }
+    }
+}
+
+impl Settings {
+    /// One instance in one zone, told of every change of the list, with no tenants.
+    pub fn for_tariffs(tariffs: Vec<Tariff>) -> Settings {
+        Settings {
+            tier: 0,
+            instances: 1,
+            zone: ZoneId(0),
+            crossing_priced: false,
+            round: Span::from_millis(1),
+            tariffs,
+            allowances: Vec::new(),
+            beyond_share: 1.0,
+            list_on_request: false,
+            max_forwards: 3,
+            cancelling: true,
+            max_backoff: Some(Span::from_millis(1000)),
+            cold: Cold {
+                share: 0.2,
+                ramp: Span::from_millis(10_000),
+                multiple: 3.0,
+                window: Span::from_millis(2000),
+            },
+        }
+    }
+}
