--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,57 +1,60 @@
 //! All decisions of an instance: where an exchange goes, when it waits, when it is turned back.
 //!
-//! Make one [`Balancer`] with the instance's settings, then hand it every event in order; it appends what is to
-//! be done. Its interface is `event.rs` (what it hears and does) and `settings.rs` (what it is told at start).
+//! Make one [`Balancer`] with the instance's settings, then hand it every event in order; it appends what is
+//! to be done. Its interface is `event.rs` (what it hears and does) and `settings.rs` (what it is told).
 //!
 //! The ordinary path is the design of `docs/design.md`: one Vegas limit for the tier, a baseline reset by
-//! correlation, bands of waiting and refusal in multiples of the limit, and a pick of two random ready backends.
+//! correlation, bands of waiting and refusal in multiples of the limit, a pick of two random ready backends.
 //! Beside it stand six mechanisms:
 //!
-//! 1. Health: a backend that fails or falls silent while its peers answer is out until a trial forward is honoured.
+//! 1. Health: a backend that fails or falls silent while its peers answer is out until a trial is honoured.
 //! 2. Further forwards: time-outs that leave room for another, paid from a purse that first forwards fill.
 //! 3. Turn-backs: what can no longer be answered in time gets its final answer at once.
 //! 4. Fairness: within the refusal band, what lies beyond its tenant's share goes first.
 //! 5. Cold cap: a fresh backend's forwards are capped in flight and in rate, and grow with its answers.
 //! 6. Following the list: departures bind at once; a lost watch is asked for again with a growing wait.
 //!
-//! Each backend is an actor, and so are the tier's limit and the desk that holds the exchanges. They change each
-//! other only by notes, which the loop in [`Balancer::handle`] takes from their inboxes, oldest first.
+//! Each backend is an actor, and so are the tier's limit and the desk that holds the exchanges. They change
+//! each other only by notes put into inboxes, which the loop in [`Balancer::handle`] empties.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::mem::take;
 
 use oorandom::Rand32;
 
 use crate::event::{Action, Condition, Ended, Event, Exchange, Listing, Outcome};
 use crate::id::{BackendId, ExchangeId, ForwardNo, PodId, TimerMark, ZoneId};
-use crate::settings::{Cold, Effect, Group, Settings};
+use crate::settings::{Cold, Effect, Group, Settings, Tariff};
 use crate::time::{Span, Time};
 
 #[cfg(test)]
 mod tests;
 
-/// The limit's update interval.
+/// The limit's update interval, in seconds too.
 const BEAT: Span = Span::from_millis(100);
-/// A window of samples is at least this long and this full, and never older than the last figure.
+const BEAT_S: f64 = 0.1;
+/// A window of samples is at least this long and this full; none of it is older than the last figure.
 const WINDOW: Span = Span::from_millis(2000);
 const WINDOW_SAMPLES: usize = 50;
 const WINDOW_MOST: Span = Span::from_millis(30_000);
 /// Weight of a new window in the smoothed p90.
 const SMOOTHING: f64 = 0.2;
-/// Update intervals over which in-flight and throughput are compared.
+/// Update intervals over which in flight and throughput are compared.
 const CORRELATED: usize = 50;
-/// Calls per ready backend, over all instances of the tier, at which the limit starts and which bounds it.
+/// Calls for each ready backend, over all instances of the tier, at which the limit starts and ends.
 const CALLS_PER_READY: f64 = 5.0;
 const LIMIT_FLOOR: f64 = 4.0;
-/// Bands, in multiples of the limit: above the first refusals begin, above the second nothing is taken.
+/// Bands in multiples of the limit: above the first refusals begin, above the second nothing is taken.
 const BAND_CHANCE: f64 = 2.0;
 const BAND_ALL: f64 = 3.0;
-/// Further forwards that may have run before, for each first forward; and the most that is saved up.
+/// Further forwards of what may have run, for each first forward; and the most that is saved up.
 const PURSE_SHARE: f64 = 0.1;
 const PURSE_MOST: f64 = 10.0;
 /// Strikes in a row that put a backend out.
 const STRIKES_OUT: f64 = 2.0;
 /// At most this part of the ready backends is out, so that the rest is not overrun.
 const OUT_MOST: f64 = 0.34;
+/// How long a backend is out at first, and how often that doubles.
 const OUT_FIRST: Span = Span::from_millis(1000);
 const OUT_DOUBLINGS: u32 = 3;
 const MARK_BEAT: TimerMark = TimerMark(u64::MAX);
@@ -64,31 +67,24 @@
     Desk(DeskNote),
 }
 
-enum To {
-    Backend(BackendId),
-    Tier,
-    Desk,
-}
-
 enum BackendNote {
     Listed(Listing),
     Sent,
     Began(Span),
-    Ended { ended: Ended, streamed: bool },
+    /// The outcome, and whether its answer had begun before.
+    Ended(Ended, bool),
     Beat,
 }
 
 enum TierNote {
     Sent,
-    /// A latency sample, and whether it ended well.
-    Sample(Span),
-    Verdict {
-        failed: bool,
-    },
-    Beat {
-        in_flight: u32,
-        ready: usize,
-    },
+    /// A change of what is in flight.
+    InFlight(f64),
+    /// A latency, and whether it is that of an answer.
+    Sample(Span, bool),
+    /// 1 for a forward that failed, 0 for one that did not.
+    Verdict(f64),
+    Beat(Counts),
 }
 
 enum DeskNote {
@@ -101,27 +97,33 @@
     Serve,
 }
 
+/// How many backends are listed as ready, and how many of those are out.
+#[derive(Clone, Copy, Default)]
+struct Counts {
+    ready: f64,
+    out: f64,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Standing {
     In,
     /// Gets nothing until then, and after that one trial forward at a time.
-    Out {
-        until: Time,
-        times: u32,
-    },
+    Out(Time),
 }
 
 /// The one record of a backend.
 struct Backend {
-    inbox: VecDeque<BackendNote>,
+    inbox: Vec<BackendNote>,
     listing: Listing,
     standing: Standing,
-    in_flight: u32,
+    /// How often it was put out, or stayed out, in a row.
+    outs: u32,
+    strikes: f64,
+    in_flight: f64,
     /// Most forwards in flight; grows with answers while the backend is fresh.
     cap: f64,
     /// Forwards that a cold backend may still be sent.
     credit: f64,
-    strikes: f64,
     /// Smoothed answer time in ms.
     took: Option<f64>,
     /// When it last answered, or was sent its first forward while idle.
@@ -130,27 +132,26 @@
     others: Option<(Time, f64)>,
 }
 
-/// What a backend needs to know of its peers to judge itself.
-struct Peers<'a> {
+/// What a backend is told of its surroundings when it reads a note.
+struct Around<'a> {
     now: Time,
     tier: &'a Tier,
     cold: &'a Cold,
     instances: f64,
-    /// Another backend may be put out.
-    spare: bool,
     chance: f64,
 }
 
 impl Backend {
     fn new(listing: Listing, now: Time) -> Backend {
         Backend {
-            inbox: VecDeque::new(),
-            listing: Listing { started: None, ..listing },
+            inbox: Vec::new(),
+            listing,
             standing: Standing::In,
-            in_flight: 0,
+            outs: 0,
+            strikes: 0.0,
+            in_flight: 0.0,
             cap: f64::INFINITY,
             credit: 0.0,
-            strikes: 0.0,
             took: None,
             heard: now,
             others: None,
@@ -166,16 +167,16 @@
 
     fn ready(&self, now: Time, cold: &Cold, room: f64) -> bool {
         let standing = match self.standing {
-            Standing::In => f64::from(self.in_flight) < self.cap.min(room),
-            Standing::Out { until, .. } => now >= until && self.in_flight == 0,
+            Standing::In => self.in_flight < self.cap.min(room),
+            Standing::Out(until) => now >= until && self.in_flight < 1.0,
         };
-        let affords = self.credit >= 1.0 || self.warmth(now, cold) >= 1.0;
-        self.listing.condition == Condition::Ready && standing && affords
+        let bears = self.credit >= 1.0 || self.warmth(now, cold) >= 1.0;
+        self.listing.condition == Condition::Ready && standing && bears
     }
 
     /// How many times as long as its peers it takes; small differences do not count.
     fn pace(&self, tier: &Tier) -> f64 {
-        let relative = self.took.map_or(1.0, |took| took / tier.took.max(1.0));
+        let relative = self.took.map_or(1.0, |took| took / tier.took().max(1.0));
         (relative / 1.2).clamp(1.0, 8.0)
     }
 
@@ -184,130 +185,145 @@
         self.others.map_or(mean, |(at, said)| mean + (said - mean) * (-now.since(at).ms() / fade).exp())
     }
 
-    fn act(&mut self, note: BackendNote, peers: &Peers, mail: &mut Vec<Letter>, out: &mut Vec<Action>) {
+    fn act(&mut self, note: BackendNote, around: &Around, mail: &mut Vec<Letter>, out: &mut Vec<Action>) {
         match note {
-            BackendNote::Listed(listing) => self.listed(listing, peers),
+            BackendNote::Listed(listing) => self.listed(listing, around, mail),
             BackendNote::Sent => {
-                if self.in_flight == 0 {
-                    self.heard = peers.now;
-                }
-                self.in_flight += 1;
+                self.heard = if self.in_flight < 1.0 { around.now } else { self.heard };
                 self.credit -= 1.0;
+                self.hold(1.0, mail);
             }
             BackendNote::Began(took) => {
-                self.heard = peers.now;
-                self.sample(took, mail);
-            }
-            BackendNote::Ended { ended, streamed } => self.ended(&ended, streamed, peers, mail, out),
-            BackendNote::Beat => {
-                // Guards against a cold backend being pushed over by all instances together: each sends it
-                // its part of what its warmth bears, measured by what its warm peers carry.
-                let floor = 2.0 / (peers.instances * (peers.cold.window.ms() / 1000.0).max(0.1));
-                let bears = self.warmth(peers.now, peers.cold) * peers.cold.multiple * 0.5 * peers.tier.rate;
-                self.credit = (self.credit + bears.max(floor) * BEAT.ms() / 1000.0).min(1.5);
-                if let Some(took) = self.took.as_mut() {
-                    *took += (peers.tier.took - *took) * 0.01;
-                }
-                // Guards against a hung backend that answers nothing, not even an error.
-                let silent = self.in_flight > 0 && peers.now.since(self.heard).ms() > 3.0 * peers.tier.p90();
-                if silent && self.standing == Standing::In && peers.spare {
-                    self.put_out("silent", peers, out);
-                }
+                self.heard = around.now;
+                self.sample(took, true, mail);
             }
+            BackendNote::Ended(ended, began) => self.ended(&ended, began, around, mail, out),
+            BackendNote::Beat => self.beat(around, mail, out),
         }
     }
 
-    fn listed(&mut self, listing: Listing, peers: &Peers) {
+    /// Guards against a hung backend's forwards using up the limit: while it is out they do not count.
+    fn hold(&mut self, change: f64, mail: &mut Vec<Letter>) {
+        self.in_flight += change;
+        if self.standing == Standing::In {
+            mail.push(Letter::Tier(TierNote::InFlight(change)));
+        }
+    }
+
+    /// Guards against a hung backend moving the limit: once it is out, it says nothing about the others.
+    fn sample(&self, took: Span, answer: bool, mail: &mut Vec<Letter>) {
+        if self.standing == Standing::In {
+            mail.push(Letter::Tier(TierNote::Sample(took, answer)));
+        }
+    }
+
+    fn listed(&mut self, listing: Listing, around: &Around, mail: &mut Vec<Letter>) {
         if listing.started != self.listing.started {
-            let new = Backend { listing, ..Backend::new(listing, peers.now) };
-            let warm = new.warmth(peers.now, peers.cold) >= 1.0;
-            // Guards against a start that all instances hear of at once: each begins at a point of its own.
-            let (cap, credit) = if warm { (f64::INFINITY, 0.0) } else { (1.0, peers.chance) };
-            let (inbox, in_flight) = (std::mem::take(&mut self.inbox), self.in_flight);
-            *self = Backend { inbox, in_flight, cap, credit, ..new };
+            self.stand(Standing::In, mail);
+            (self.outs, self.strikes, self.took, self.others) = (0, 0.0, None, None);
         }
+        let news = listing.started != self.listing.started || self.cap == f64::INFINITY;
         self.listing = listing;
+        if news && self.warmth(around.now, around.cold) < 1.0 {
+            // Guards against a start that all instances hear of at once: each begins at a time of its own.
+            (self.cap, self.credit) = (1.0, around.chance);
+        }
     }
 
-    fn sample(&mut self, took: Span, mail: &mut Vec<Letter>) {
-        // Guards against a hung or failing backend moving the limit of the whole tier: once it is out,
-        // what it does says nothing about the others.
-        if self.standing == Standing::In {
-            mail.push(Letter::Tier(TierNote::Sample(took)));
+    fn beat(&mut self, around: &Around, mail: &mut Vec<Letter>, out: &mut Vec<Action>) {
+        // Guards against a cold backend being pushed over by all instances together: each sends it its part
+        // of what its warmth bears, measured by what its peers carry.
+        let floor = 2.0 / (around.instances * (around.cold.window.ms() / 1000.0).max(0.1));
+        let bears = self.warmth(around.now, around.cold) * around.cold.multiple * 0.5 * around.tier.rate;
+        self.credit = (self.credit + bears.max(floor) * BEAT_S).min(1.5);
+        // What was slow is forgotten with time, so that it is tried again.
+        self.took = self.took.map(|took| took + (around.tier.took() - took) * 0.01);
+        let silence = around.now.since(self.heard).ms();
+        if self.in_flight > 0.0 && silence > 3.0 * around.tier.p90() {
+            self.put_out("silent", around, mail, out);
         }
     }
 
     fn ended(
         &mut self,
         e: &Ended,
-        streamed: bool,
-        peers: &Peers,
+        began: bool,
+        around: &Around,
         mail: &mut Vec<Letter>,
         out: &mut Vec<Action>,
     ) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        self.heard = peers.now;
+        self.hold(-1.0, mail);
+        self.heard = around.now;
         if let Some(held) = e.load.held.or(e.load.waiting) {
-            self.others = Some((peers.now, (held - f64::from(self.in_flight)).max(0.0)));
-        }
-        // Guards against blaming one backend for what all of them suffer, such as errors from the tier below.
-        let blame = (1.0 - 3.0 * peers.tier.failing).max(0.0);
-        let strike = match e.outcome {
-            Outcome::Honoured => 0.0,
-            Outcome::Error | Outcome::Broken | Outcome::TimedOut => blame,
-            Outcome::ConnectFailed => STRIKES_OUT,
-            Outcome::Full if !streamed => {
-                return self.sample(e.took.max(Span::from_ms(peers.tier.p90())), mail)
+            self.others = Some((around.now, (held - self.in_flight).max(0.0)));
+        }
+        let honoured = e.outcome == Outcome::Honoured;
+        match e.outcome {
+            Outcome::Cancelled | Outcome::NotSent => return,
+            Outcome::Full => return self.sample(e.took.max(Span::from_ms(around.tier.p90())), false, mail),
+            Outcome::Honoured | Outcome::TimedOut if !began => {
+                self.sample(e.took, honoured, mail);
+                self.took = blend(self.took, e.took.ms(), 0.2);
             }
-            Outcome::Full | Outcome::Cancelled | Outcome::NotSent => return,
-        };
-        mail.push(Letter::Tier(TierNote::Verdict { failed: strike > 0.0 || e.outcome != Outcome::Honoured }));
-        if matches!(e.outcome, Outcome::Honoured | Outcome::TimedOut) && !streamed {
-            self.sample(e.took, mail);
-            let took = e.took.ms();
-            self.took = Some(self.took.map_or(took, |mean| mean + (took - mean) * 0.2));
+            _ => {}
         }
-        if e.outcome == Outcome::Honoured {
+        mail.push(Letter::Tier(TierNote::Verdict(if honoured { 0.0 } else { 1.0 })));
+        if honoured {
             self.strikes = 0.0;
             self.cap += 1.0;
             self.credit = (self.credit + 1.0).min(1.5);
             if self.standing != Standing::In {
-                self.standing = Standing::In;
-                self.cap = 1.0;
+                self.stand(Standing::In, mail);
+                (self.cap, self.outs) = (1.0, 0);
                 out.push(Action::Log(format!("{} back in, took {:.0}", e.backend, e.took.ms())));
             }
             return;
         }
-        self.strikes += strike;
-        match self.standing {
-            Standing::Out { times, .. } => self.out_until(times + 1, peers),
-            Standing::In if self.strikes >= STRIKES_OUT && peers.spare => self.put_out("failing", peers, out),
-            Standing::In => {}
+        // Guards against blaming one backend for what all suffer, such as errors from the tier below.
+        let blame = (1.0 - 3.0 * around.tier.failing).max(0.0);
+        self.strikes += if e.outcome == Outcome::ConnectFailed { STRIKES_OUT } else { blame };
+        if self.strikes >= STRIKES_OUT || self.standing != Standing::In {
+            self.put_out("failing", around, mail, out);
         }
     }
 
-    fn out_until(&mut self, times: u32, peers: &Peers) {
-        let wait = OUT_FIRST.scaled(f64::from(1 << times.min(OUT_DOUBLINGS)) * (0.75 + 0.5 * peers.chance));
-        self.standing = Standing::Out { until: peers.now + wait, times };
+    fn put_out(&mut self, why: &str, around: &Around, mail: &mut Vec<Letter>, out: &mut Vec<Action>) {
+        if self.standing == Standing::In {
+            let Counts { ready, out: gone } = around.tier.counts;
+            if gone + 1.0 > (OUT_MOST * ready).max(1.0) || ready < 2.0 {
+                return;
+            }
+            let (id, strikes, failing) = (self.listing.backend, self.strikes, around.tier.failing);
+            let silence = around.now.since(self.heard).ms();
+            out.push(Action::Log(format!(
+                "{id} out, {why}: strikes {strikes:.1}, silent {silence:.0}, tier failing {failing:.2}"
+            )));
+        }
+        let times = f64::from(1 << self.outs.min(OUT_DOUBLINGS)) * (0.75 + 0.5 * around.chance);
+        self.outs += 1;
+        self.stand(Standing::Out(around.now + OUT_FIRST.scaled(times)), mail);
     }
 
-    fn put_out(&mut self, why: &str, peers: &Peers, out: &mut Vec<Action>) {
-        self.out_until(0, peers);
-        out.push(Action::Log(format!(
-            "{} out, {why}: strikes {:.1}, in flight {}, heard {:.0} ago, tier failing {:.2}",
-            self.listing.backend,
-            self.strikes,
-            self.in_flight,
-            peers.now.since(self.heard).ms(),
-            peers.tier.failing
-        )));
+    fn stand(&mut self, standing: Standing, mail: &mut Vec<Letter>) {
+        let was_in = self.standing == Standing::In;
+        self.standing = standing;
+        match standing {
+            Standing::In if !was_in => mail.push(Letter::Tier(TierNote::InFlight(self.in_flight))),
+            Standing::Out(_) if was_in => mail.push(Letter::Tier(TierNote::InFlight(-self.in_flight))),
+            _ => {}
+        }
     }
 }
 
 /// The Vegas limit of the tier, and what else is known of the tier as a whole.
+#[derive(Default)]
 struct Tier {
-    inbox: VecDeque<TierNote>,
+    inbox: Vec<TierNote>,
     limit: f64,
+    /// Own forwards in flight, but for those at backends that are out.
+    in_flight: f64,
+    counts: Counts,
+    /// Smoothed p90 and its baseline, in ms.
     smooth: Option<f64>,
     baseline: Option<f64>,
     samples: VecDeque<(Time, f64)>,
@@ -317,56 +333,41 @@
     sent: f64,
     /// Own forwards a second for each ready backend.
     rate: f64,
-    /// Mean answer time in ms.
-    took: f64,
+    took: Option<f64>,
     /// Part of the forwards that fail.
     failing: f64,
 }
 
 impl Tier {
-    fn new() -> Tier {
-        Tier {
-            inbox: VecDeque::new(),
-            limit: 0.0,
-            smooth: None,
-            baseline: None,
-            samples: VecDeque::new(),
-            intervals: VecDeque::new(),
-            answers: 0.0,
-            sent: 0.0,
-            rate: 0.0,
-            took: 0.0,
-            failing: 0.0,
-        }
-    }
-
     /// The smoothed p90 in ms; a second before any is known.
     fn p90(&self) -> f64 {
         self.smooth.unwrap_or(1000.0)
     }
 
+    /// Mean answer time in ms.
+    fn took(&self) -> f64 {
+        self.took.unwrap_or(0.0)
+    }
+
     fn act(&mut self, note: TierNote, now: Time, instances: f64) {
         match note {
             TierNote::Sent => self.sent += 1.0,
-            TierNote::Sample(took) => {
+            TierNote::InFlight(change) => self.in_flight += change,
+            TierNote::Verdict(failed) => self.failing += (failed - self.failing) * 0.05,
+            TierNote::Sample(took, answer) => {
                 self.samples.push_back((now, took.ms()));
-                self.answers += 1.0;
-                let weight = if self.took == 0.0 { 1.0 } else { 0.05 };
-                self.took += (took.ms() - self.took) * weight;
-            }
-            TierNote::Verdict { failed } => {
-                self.failing += (f64::from(u8::from(failed)) - self.failing) * 0.05;
-            }
-            TierNote::Beat { in_flight, ready } => {
-                let ready = ready as f64;
-                let per_second = self.sent * 1000.0 / BEAT.ms() / ready.max(1.0);
-                self.rate += (per_second - self.rate) * 0.05;
-                self.intervals.push_back((f64::from(in_flight), self.answers));
-                if self.intervals.len() > CORRELATED {
-                    self.intervals.pop_front();
+                if answer {
+                    self.answers += 1.0;
+                    self.took = blend(self.took, took.ms(), 0.05);
                 }
-                (self.sent, self.answers) = (0.0, 0.0);
-                let top = (CALLS_PER_READY * ready / instances).max(LIMIT_FLOOR);
+            }
+            TierNote::Beat(counts) => {
+                self.counts = counts;
+                let rate = take(&mut self.sent) / BEAT_S / counts.ready.max(1.0);
+                self.rate += (rate - self.rate) * 0.05;
+                self.intervals.push_back((self.in_flight, take(&mut self.answers)));
+                self.intervals.drain(..self.intervals.len().saturating_sub(CORRELATED));
+                let top = (CALLS_PER_READY * counts.ready / instances).max(LIMIT_FLOOR);
                 self.limit = if self.limit == 0.0 { top } else { self.limit.min(top) };
                 self.update(now, top);
             }
@@ -374,51 +375,54 @@
     }
 
     fn update(&mut self, now: Time, top: f64) {
-        while let Some((at, _)) = self.samples.front() {
-            let age = now.since(*at);
-            let spare = self.samples.len() > WINDOW_SAMPLES && age > WINDOW;
-            if !spare && age <= WINDOW_MOST {
-                break;
-            }
+        let age = |sample: Option<&(Time, f64)>| sample.map_or(Span::ZERO, |(at, _)| now.since(*at));
+        while age(self.samples.front()) > WINDOW_MOST
+            || self.samples.len() > WINDOW_SAMPLES && age(self.samples.front()) > WINDOW
+        {
             self.samples.pop_front();
         }
-        let full = self.samples.len() >= WINDOW_SAMPLES
-            && self.samples.front().is_some_and(|(at, _)| now.since(*at) >= WINDOW);
-        if !full {
+        if self.samples.len() < WINDOW_SAMPLES || age(self.samples.front()) < WINDOW {
             // Guards against an instance with few calls being stuck at a low limit: it rises while unjudged.
-            self.limit = (self.limit + BEAT.ms() / 1000.0).min(top);
+            self.limit = (self.limit + BEAT_S).min(top);
             return;
         }
         let mut took: Vec<f64> = self.samples.iter().map(|(_, ms)| *ms).collect();
         let place = took.len() * 9 / 10;
         let p90 = *took.select_nth_unstable_by(place, f64::total_cmp).1;
-        let smooth = self.smooth.map_or(p90, |s| s + (p90 - s) * SMOOTHING);
+        let smooth = self.smooth.map_or(p90, |smooth| smooth + (p90 - smooth) * SMOOTHING);
         self.smooth = Some(smooth);
         if self.baseline.is_none() || correlation(&self.intervals) > 0.0 {
-            self.baseline = Some(smooth);
+            self.baseline = self.smooth;
         }
         let queued = self.limit * (1.0 - self.baseline.unwrap_or(smooth) / smooth.max(0.001));
-        let step = self.limit.log10().max(1.0);
-        if queued < 3.0 * self.limit.log10() {
-            self.limit = (self.limit + step).min(top);
-        } else if queued > 6.0 * self.limit.log10() {
-            self.limit = (self.limit - step).max(LIMIT_FLOOR);
+        let step = self.limit.log10();
+        if queued < 3.0 * step {
+            self.limit = (self.limit + step.max(1.0)).min(top);
+        } else if queued > 6.0 * step {
+            self.limit = (self.limit - step.max(1.0)).max(LIMIT_FLOOR);
         }
     }
 }
 
-/// Pearson's correlation of in flight and throughput, once all intervals are in; nothing before.
+/// Moves a mean towards a value; the first value is taken whole.
+fn blend(mean: Option<f64>, value: f64, weight: f64) -> Option<f64> {
+    Some(mean.map_or(value, |mean| mean + (value - mean) * weight))
+}
+
+/// Pearson's correlation of in flight and throughput; nothing before all intervals are in.
 fn correlation(intervals: &VecDeque<(f64, f64)>) -> f64 {
     if intervals.len() < CORRELATED {
         return 0.0;
     }
     let n = intervals.len() as f64;
     let (x, y) = intervals.iter().fold((0.0, 0.0), |(x, y), (a, b)| (x + a / n, y + b / n));
-    let mut sums = (0.0, 0.0, 0.0);
+    let (mut xy, mut xx, mut yy) = (0.0, 0.0, 0.0);
     for (a, b) in intervals {
-        sums = (sums.0 + (a - x) * (b - y), sums.1 + (a - x).powi(2), sums.2 + (b - y).powi(2));
+        xy += (a - x) * (b - y);
+        xx += (a - x).powi(2);
+        yy += (b - y).powi(2);
     }
-    sums.0 / (sums.1 * sums.2).sqrt().max(1e-9)
+    xy / (xx * yy).sqrt().max(1e-9)
 }
 
 /// Where and since when an exchange may have run.
@@ -437,21 +441,23 @@
     due: Time,
     beyond_share: bool,
     sent: u16,
-    /// The forward that is out, and where.
-    out: Option<(BackendId, Bound)>,
+    /// Where the forward that is out may be running.
+    out: Option<Bound>,
     /// The first forward that may have run.
     ran: Option<Bound>,
     tried: Option<BackendId>,
     began: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum Mode {
+    #[default]
     Ordinary,
     Waiting,
     Refusing,
 }
 
+#[derive(Default)]
 struct Desk {
     inbox: VecDeque<DeskNote>,
     held: BTreeMap<ExchangeId, Held>,
@@ -471,42 +477,21 @@
     tier: Tier,
     desk: Desk,
     mail: Vec<Letter>,
-    due: VecDeque<To>,
     list_failures: u32,
 }
 
 impl Balancer {
     pub fn new(settings: Settings, seed: u64, now: Time, out: &mut Vec<Action>) -> Balancer {
         let mut rng = Rand32::new(seed);
-        out.push(Action::Timer {
-            after: BEAT.scaled(0.1 + 0.9 * f64::from(rng.rand_float())),
-            mark: MARK_BEAT,
-        });
+        out.push(Action::Timer { after: BEAT.scaled(rng.rand_float().into()), mark: MARK_BEAT });
         if settings.list_on_request {
-            let after = Span::from_millis(1500).scaled(f64::from(rng.rand_float()));
+            let after = Span::from_millis(1500).scaled(rng.rand_float().into());
             out.push(Action::Timer { after, mark: MARK_WATCH });
         }
         let shares = settings.allowances.iter().map(|a| a / settings.instances as f64).collect();
-        let desk = Desk {
-            inbox: VecDeque::new(),
-            held: BTreeMap::new(),
-            first: Vec::new(),
-            further: Vec::new(),
-            purse: PURSE_MOST / 2.0,
-            shares,
-            mode: Mode::Ordinary,
-        };
-        Balancer {
-            settings,
-            rng,
-            now,
-            backends: BTreeMap::new(),
-            tier: Tier::new(),
-            desk,
-            mail: Vec::new(),
-            due: VecDeque::new(),
-            list_failures: 0,
-        }
+        let desk = Desk { purse: PURSE_MOST / 2.0, shares, ..Desk::default() };
+        let (backends, tier, mail) = (BTreeMap::new(), Tier::default(), Vec::new());
+        Balancer { settings, rng, now, backends, tier, desk, mail, list_failures: 0 }
     }
 
     /// Takes one event and appends what is to be done about it now.
@@ -521,82 +506,57 @@
                 self.mail.push(Letter::Desk(DeskNote::Began(exchange)));
             }
             Event::Ended(ended) => {
-                let streamed = self.desk.held.get(&ended.exchange).is_some_and(|held| held.began);
-                self.mail.push(Letter::Backend(ended.backend, BackendNote::Ended { ended, streamed }));
+                let began = self.desk.held.get(&ended.exchange).is_some_and(|held| held.began);
+                self.mail.push(Letter::Backend(ended.backend, BackendNote::Ended(ended, began)));
                 self.mail.push(Letter::Desk(DeskNote::Ended(ended)));
             }
             Event::Left(exchange) => self.mail.push(Letter::Desk(DeskNote::Left(exchange))),
             Event::Timer(MARK_BEAT) => self.beat(out),
             Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
-            Event::Timer(TimerMark(mark)) => {
-                self.mail.push(Letter::Desk(DeskNote::Overdue(ExchangeId(mark as u32))));
+            Event::Timer(mark) => {
+                self.mail.push(Letter::Desk(DeskNote::Overdue(ExchangeId(mark.0 as u32))));
             }
             Event::Checked { .. } | Event::PeerSaid { .. } => {}
         }
-        self.mail.push(Letter::Desk(DeskNote::Serve));
         self.run(out);
     }
 
-    /// Empties the inboxes, oldest note first.
+    /// Empties the inboxes until no note is left. The desk reads one note at a time, so that what it has
+    /// sent is known to the backends before it picks again.
     fn run(&mut self, out: &mut Vec<Action>) {
         loop {
+            let mut called = Vec::new();
             for letter in self.mail.drain(..) {
                 match letter {
                     Letter::Backend(id, note) => {
                         if let Some(backend) = self.backends.get_mut(&id) {
-                            backend.inbox.push_back(note);
-                            self.due.push_back(To::Backend(id));
+                            backend.inbox.push(note);
+                            called.push(id);
                         }
                     }
-                    Letter::Tier(note) => {
-                        self.tier.inbox.push_back(note);
-                        self.due.push_back(To::Tier);
-                    }
-                    Letter::Desk(note) => {
-                        self.desk.inbox.push_back(note);
-                        self.due.push_back(To::Desk);
-                    }
+                    Letter::Tier(note) => self.tier.inbox.push(note),
+                    Letter::Desk(note) => self.desk.inbox.push_back(note),
                 }
             }
-            match self.due.pop_front() {
-                None => return,
-                Some(To::Backend(id)) => self.run_backend(id, out),
-                Some(To::Tier) => {
-                    let instances = self.settings.instances as f64;
-                    if let Some(note) = self.tier.inbox.pop_front() {
-                        self.tier.act(note, self.now, instances);
-                    }
-                }
-                Some(To::Desk) => {
-                    if let Some(note) = self.desk.inbox.pop_front() {
-                        self.run_desk(note, out);
-                    }
+            let (now, cold, instances) = (self.now, &self.settings.cold, self.settings.instances as f64);
+            for id in called {
+                let Some(backend) = self.backends.get_mut(&id) else { continue };
+                let chance = self.rng.rand_float().into();
+                let around = Around { now, tier: &self.tier, cold, instances, chance };
+                for note in take(&mut backend.inbox) {
+                    backend.act(note, &around, &mut self.mail, out);
                 }
             }
+            for note in take(&mut self.tier.inbox) {
+                self.tier.act(note, now, instances);
+            }
+            if self.mail.is_empty() {
+                let Some(note) = self.desk.inbox.pop_front() else { return };
+                self.desk_act(note, out);
+            }
         }
     }
 
-    fn run_backend(&mut self, id: BackendId, out: &mut Vec<Action>) {
-        let outs = self.listed_ready().filter(|b| b.standing != Standing::In).count() as f64;
-        let spare = outs + 1.0 <= (OUT_MOST * self.listed_ready().count() as f64).max(1.0);
-        let peers = Peers {
-            now: self.now,
-            tier: &self.tier,
-            cold: &self.settings.cold,
-            instances: self.settings.instances as f64,
-            spare,
-            chance: f64::from(self.rng.rand_float()),
-        };
-        let Some(backend) = self.backends.get_mut(&id) else { return };
-        if let Some(note) = backend.inbox.pop_front() {
-            backend.act(note, &peers, &mut self.mail, out);
-        }
-    }
-
-    fn listed_ready(&self) -> impl Iterator<Item = &Backend> {
-        self.backends.values().filter(|b| b.listing.condition == Condition::Ready)
-    }
-
     fn list(&mut self, whole: bool, listings: Vec<Listing>) {
         self.list_failures = 0;
         if whole {
@@ -611,6 +571,7 @@
             self.backends.entry(listing.backend).or_insert_with(|| Backend::new(listing, self.now));
             self.mail.push(Letter::Backend(listing.backend, BackendNote::Listed(listing)));
         }
+        self.mail.push(Letter::Desk(DeskNote::Serve));
     }
 
     fn list_failed(&mut self, out: &mut Vec<Action>) {
@@ -622,32 +583,43 @@
 
     fn beat(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { after: BEAT, mark: MARK_BEAT });
-        self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.in_flight > 0);
+        self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.in_flight > 0.0);
         self.mail.extend(self.backends.keys().map(|id| Letter::Backend(*id, BackendNote::Beat)));
-        let (in_flight, ready) = (self.in_flight(), self.listed_ready().count());
-        self.mail.push(Letter::Tier(TierNote::Beat { in_flight, ready }));
+        self.mail.push(Letter::Tier(TierNote::Beat(self.counts())));
         self.mail.push(Letter::Desk(DeskNote::Beat));
     }
 
-    /// Own forwards in flight. What a backend that is out still holds does not use up the limit.
-    fn in_flight(&self) -> u32 {
-        self.backends.values().filter(|b| b.standing == Standing::In).map(|b| b.in_flight).sum()
+    fn counts(&self) -> Counts {
+        let mut counts = Counts::default();
+        for backend in self.backends.values().filter(|b| b.listing.condition == Condition::Ready) {
+            counts.ready += 1.0;
+            counts.out += if backend.standing == Standing::In { 0.0 } else { 1.0 };
+        }
+        counts
     }
 
     fn limit(&self) -> f64 {
-        let start = CALLS_PER_READY * self.listed_ready().count() as f64 / self.settings.instances as f64;
         if self.tier.limit > 0.0 {
-            self.tier.limit
-        } else {
-            start.max(LIMIT_FLOOR)
+            return self.tier.limit;
         }
+        (CALLS_PER_READY * self.counts().ready / self.settings.instances as f64).max(LIMIT_FLOOR)
+    }
+
+    fn tariff(&self, held: &Held) -> &Tariff {
+        &self.settings.tariffs[usize::from(held.exchange.tariff.0)]
+    }
+
+    /// Time that an answer will likely take.
+    fn need(&self) -> Span {
+        Span::from_ms(self.tier.took() * 0.8)
     }
 
-    fn waiting(&self) -> usize {
-        self.desk.first.len() + self.desk.further.len()
+    /// In flight and waiting, in multiples of the limit.
+    fn load(&self) -> f64 {
+        (self.tier.in_flight + (self.desk.first.len() + self.desk.further.len()) as f64) / self.limit()
     }
 
-    fn run_desk(&mut self, note: DeskNote, out: &mut Vec<Action>) {
+    fn desk_act(&mut self, note: DeskNote, out: &mut Vec<Action>) {
         match note {
             DeskNote::Taken(exchange) => self.taken(exchange, out),
             DeskNote::Began(id) => {
@@ -661,102 +633,84 @@
                     self.give_up(id, out);
                 }
             }
-            DeskNote::Left(id) => {
-                self.drop_held(id, out);
-            }
+            DeskNote::Left(id) => drop(self.release(id, out)),
             DeskNote::Beat => self.desk_beat(out),
-            DeskNote::Serve => self.serve(out),
+            DeskNote::Serve => {}
         }
+        self.serve(out);
     }
 
     fn desk_beat(&mut self, out: &mut Vec<Action>) {
-        let instances = self.settings.instances as f64;
         for (share, allowance) in self.desk.shares.iter_mut().zip(&self.settings.allowances) {
-            let rate = allowance / instances;
-            *share = (*share + rate * BEAT.ms() / 1000.0).min(rate);
+            let rate = allowance / self.settings.instances as f64;
+            *share = (*share + rate * BEAT_S).min(rate);
         }
-        let (in_flight, waiting) = (self.in_flight(), self.waiting());
-        let held = (f64::from(in_flight) + waiting as f64) / self.limit();
-        let mode = match waiting {
+        let mode = match self.desk.first.len() {
             0 => Mode::Ordinary,
-            _ if held <= BAND_CHANCE => Mode::Waiting,
+            _ if self.load() <= BAND_CHANCE => Mode::Waiting,
             _ => Mode::Refusing,
         };
         if mode != self.desk.mode {
             self.desk.mode = mode;
-            let (limit, p90, base) = (self.limit(), self.tier.p90(), self.tier.baseline.unwrap_or(0.0));
+            let (limit, load, p90) = (self.limit(), self.load(), self.tier.p90());
+            let base = self.tier.baseline.unwrap_or(0.0);
             out.push(Action::Log(format!(
-                "mode {mode:?}: limit {limit:.1}, in flight {in_flight}, waiting {waiting}, p90 {p90:.0}, base {base:.0}"
+                "{mode:?}: limit {limit:.1}, load {load:.2}, p90 {p90:.0}/{base:.0}"
             )));
         }
     }
 
     fn taken(&mut self, exchange: Exchange, out: &mut Vec<Action>) {
-        let Some(tariff) = self.settings.tariffs.get(usize::from(exchange.tariff.0)) else { return };
+        let id = exchange.id;
+        let Some(tariff) = self.settings.tariffs.get(usize::from(exchange.tariff.0)) else {
+            return out.push(Action::TurnBack { exchange: id, backoff: None });
+        };
         // Room for the time between two batches, and for the answer's way back.
         let margin = self.settings.round.scaled(2.0) + Span::from_millis(2);
         let stretch = exchange.cost.unwrap_or_default().scaled(tariff.goal_stretch);
-        let goal = (self.now + tariff.goal + stretch).min(self.now + tariff.cut_off) - margin;
         let last = exchange.cut_off - margin;
-        let due = if tariff.late_value > 0.0 { last } else { last.min(goal) };
-        // The share is one of the first tier's clients; further down it has been dealt with.
-        let share = self.desk.shares.get_mut(exchange.tenant.0 as usize).filter(|_| self.settings.tier == 0);
-        let beyond_share = share.is_some_and(|share| {
-            *share -= 1.0;
-            *share < 0.0 && {
-                *share = 0.0;
-                true
-            }
-        });
-        let id = exchange.id;
-        let (goal, out_now) = (goal.min(last), None);
-        let held = Held {
-            exchange,
-            goal,
-            due,
-            beyond_share,
-            sent: 0,
-            out: out_now,
-            ran: None,
-            tried: None,
-            began: false,
-        };
+        let goal = last.min(self.now + tariff.cut_off.min(tariff.goal + stretch) - margin);
+        let due = if tariff.late_value > 0.0 { last } else { goal };
+        // Shares are those of the first tier's clients; below it they have been dealt with.
+        let mut beyond_share = false;
+        if let Some(share) = self.desk.shares.get_mut(exchange.tenant.0 as usize) {
+            beyond_share = self.settings.tier == 0 && *share < 1.0;
+            *share -= if beyond_share { 0.0 } else { 1.0 };
+        }
+        out.push(Action::Timer { after: due.since(self.now), mark: TimerMark(id.0.into()) });
+        let (out_at, ran, tried) = (None, None, None);
+        let held = Held { exchange, goal, due, beyond_share, sent: 0, out: out_at, ran, tried, began: false };
         self.desk.held.insert(id, held);
-        out.push(Action::Timer { after: due.since(self.now), mark: TimerMark(u64::from(id.0)) });
-        let over = (f64::from(self.in_flight()) + self.waiting() as f64) / self.limit();
+        let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
         self.desk.first.push(id);
-        let chance = (over - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
-        if chance > f64::from(self.rng.rand_float()) {
-            // Guards against one tenant's flood: within the band, what lies beyond a share is refused first.
+        if chance > self.rng.rand_float().into() {
+            // Guards against one tenant's flood: within the band, what lies beyond a share goes first.
             let beyond = self.desk.first.iter().find(|id| self.desk.held[id].beyond_share);
-            let refused = beyond.copied().unwrap_or(id);
-            self.give_up(refused, out);
+            self.give_up(beyond.copied().unwrap_or(id), out);
         }
     }
 
     fn ended(&mut self, e: &Ended, out: &mut Vec<Action>) {
-        let need = self.need();
+        let ready_by = self.now + self.need();
         let Some(held) = self.desk.held.get_mut(&e.exchange) else { return };
-        let bound = held.out.take().map(|(_, bound)| bound);
+        let bound = held.out.take();
         if e.answered || held.began {
             self.desk.held.remove(&e.exchange);
             return;
         }
-        if !e.outcome.proves_not_run() {
-            held.ran = held.ran.or(bound);
-        }
+        let proven = e.outcome.proves_not_run();
+        held.ran = held.ran.or(bound.filter(|_| !proven));
         held.tried = Some(e.backend);
-        let tariff = &self.settings.tariffs[usize::from(held.exchange.tariff.0)];
-        let end = if tariff.late_value > 0.0 { held.due } else { held.goal };
+        let held = &self.desk.held[&e.exchange];
         // Guards against an effect that happens twice: only what has not run, or may be repeated, goes again.
-        let allowed = match (tariff.effect, held.ran) {
+        let allowed = match (self.tariff(held).effect, held.ran) {
             (Effect::Reissuable, _) | (_, None) => true,
             (Effect::Numbered { window, .. }, Some(bound)) => self.now < bound.since + window,
             (Effect::AtMostOnce, Some(_)) => false,
         };
-        let time_left = self.now + need < end && held.sent < self.settings.max_forwards;
-        let cost = if e.outcome.proves_not_run() { 0.0 } else { 1.0 };
-        if allowed && time_left && e.outcome != Outcome::NotSent && self.desk.purse >= cost {
+        let cost = if proven { 0.0 } else { 1.0 };
+        let in_time = ready_by < held.due && held.sent < self.settings.max_forwards;
+        if allowed && in_time && e.outcome != Outcome::NotSent && self.desk.purse >= cost {
             self.desk.purse -= cost;
             self.desk.further.push(e.exchange);
         } else {
@@ -764,12 +718,8 @@
         }
     }
 
-    /// Time that an answer will likely take.
-    fn need(&self) -> Span {
-        Span::from_ms(self.tier.took * 0.8)
-    }
-
-    fn drop_held(&mut self, id: ExchangeId, out: &mut Vec<Action>) -> Option<Held> {
+    /// Lets go of an exchange, and of its forward that is out.
+    fn release(&mut self, id: ExchangeId, out: &mut Vec<Action>) -> Option<Held> {
         let held = self.desk.held.remove(&id)?;
         self.desk.first.retain(|waiting| *waiting != id);
         self.desk.further.retain(|waiting| *waiting != id);
@@ -781,52 +731,35 @@
 
     /// The final answer, at once: a turn-back where the tariff allows it, else a forfeit.
     fn give_up(&mut self, id: ExchangeId, out: &mut Vec<Action>) {
-        let Some(held) = self.drop_held(id, out) else { return };
-        let tariff = &self.settings.tariffs[usize::from(held.exchange.tariff.0)];
-        let harmless = match tariff.effect {
+        let Some(held) = self.release(id, out) else { return };
+        let harmless = match self.tariff(&held).effect {
             Effect::Reissuable | Effect::Numbered { group: Group::All, .. } => true,
             Effect::Numbered { .. } | Effect::AtMostOnce => held.ran.is_none() && held.out.is_none(),
         };
         if !harmless {
-            out.push(Action::Forfeit { exchange: id });
-            return;
+            return out.push(Action::Forfeit { exchange: id });
         }
-        let spread = 0.5 + f64::from(self.rng.rand_float());
-        let drained = Span::from_ms(self.tier.took * spread);
-        let backoff = self.settings.max_backoff.map(|most| {
-            if self.now + self.need() >= held.goal {
-                most
-            } else {
-                drained.min(most)
-            }
-        });
+        let late = self.now + self.need() >= held.goal;
+        let soon = Span::from_ms(self.tier.took() * (0.5 + f64::from(self.rng.rand_float())));
+        let backoff = self.settings.max_backoff.map(|most| if late { most } else { soon.min(most) });
         out.push(Action::TurnBack { exchange: id, backoff });
     }
 
     /// Sends the next exchange that waits, if the limit has room; first forwards before further ones.
     fn serve(&mut self, out: &mut Vec<Action>) {
-        let latest = self.now + self.need();
-        let (first, further) = (std::mem::take(&mut self.desk.first), std::mem::take(&mut self.desk.further));
-        let hopeless = |desk: &Desk, id: &ExchangeId| {
-            desk.held.get(id).is_none_or(|held| latest >= held.goal.max(held.due.min(held.goal)))
-        };
-        let (gone, first): (Vec<_>, Vec<_>) = first.into_iter().partition(|id| hopeless(&self.desk, id));
-        (self.desk.first, self.desk.further) = (first, further);
-        for id in gone {
+        let ready_by = self.now + self.need();
+        let late = |id: &&ExchangeId| ready_by >= self.desk.held[id].goal;
+        for id in self.desk.first.iter().filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
         }
-        if f64::from(self.in_flight()) >= self.limit() {
+        if self.tier.in_flight >= self.limit() {
             return;
         }
         let order = |id: &&ExchangeId| (self.desk.held[id].beyond_share, self.desk.held[id].goal);
-        let next = self.desk.first.iter().min_by_key(order).copied();
-        let further = self.desk.further.iter().copied();
-        let found = next.into_iter().chain(further).collect::<Vec<_>>();
-        for id in found {
+        let first = self.desk.first.iter().min_by_key(order).copied();
+        for id in first.into_iter().chain(self.desk.further.iter().copied()).collect::<Vec<_>>() {
             if let Some(backend) = self.pick(id) {
-                self.forward(id, backend, out);
-                self.mail.push(Letter::Desk(DeskNote::Serve));
-                return;
+                return self.forward(id, backend, out);
             }
         }
     }
@@ -834,52 +767,40 @@
     /// Of two random ready backends the one with less to do.
     fn pick(&mut self, id: ExchangeId) -> Option<BackendId> {
         let held = &self.desk.held[&id];
-        let effect = self.settings.tariffs[usize::from(held.exchange.tariff.0)].effect;
-        let ready = self.listed_ready().count().max(1) as f64;
-        let room = (2.0 * self.limit() / ready).ceil().max(2.0);
+        let effect = self.tariff(held).effect;
+        let room = (2.0 * self.limit() / self.tier.counts.ready.max(1.0)).ceil().max(2.0);
         let (now, cold) = (self.now, &self.settings.cold);
         let in_group = |b: &Backend| match (effect, held.ran) {
             (Effect::Numbered { group: Group::Zone, .. }, Some(bound)) => b.listing.zone == bound.zone,
             (Effect::Numbered { group: Group::Pod, .. }, Some(bound)) => b.listing.pod == bound.pod,
             _ => true,
         };
-        let mut all: Vec<(BackendId, &Backend)> = Vec::with_capacity(self.backends.len());
-        let open = self.backends.iter().filter(|(_, b)| b.ready(now, cold, room) && in_group(b));
-        all.extend(open.map(|(id, b)| (*id, b)));
+        let open = |b: &&Backend| b.ready(now, cold, room) && in_group(b);
+        let mut all: Vec<&Backend> = self.backends.values().filter(open).collect();
         if all.len() > 1 {
-            all.retain(|(id, _)| Some(*id) != held.tried);
-        }
-        if all.is_empty() {
-            return None;
+            all.retain(|b| Some(b.listing.backend) != held.tried);
         }
-        let said: Vec<f64> = all.iter().filter_map(|(_, b)| b.others.map(|(_, others)| others)).collect();
-        let mean = said.iter().sum::<f64>() / said.len().max(1) as f64;
-        let fade = self.tier.took.max(1.0);
+        let (sum, count) =
+            all.iter().filter_map(|b| b.others).fold((0.0, 0.0), |(s, n), (_, o)| (s + o, n + 1.0));
+        let (mean, fade) = (sum / f64::max(count, 1.0), self.tier.took().max(1.0));
         let (zone, priced) = (self.settings.zone, self.settings.crossing_priced);
         let load = |b: &Backend| {
             let crossing = if priced && b.listing.zone != zone { 1.0 } else { 0.0 };
-            (f64::from(b.in_flight) + b.others(now, mean, fade) + 1.0) * b.pace(&self.tier) + crossing
+            (b.in_flight + b.others(now, mean, fade) + 1.0) * b.pace(&self.tier) + crossing
         };
         let rng = &mut self.rng;
-        let mut two = |from: &[(BackendId, &Backend)]| {
-            let one = rng.rand_range(0..from.len() as u32) as usize;
-            let step = if from.len() > 1 { 1 + rng.rand_range(0..from.len() as u32 - 1) as usize } else { 0 };
-            let other = (one + step) % from.len();
-            let (a, b) = (load(from[one].1), load(from[other].1));
-            if a <= b {
-                (from[one].0, a)
-            } else {
-                (from[other].0, b)
-            }
+        let mut two = |from: &[&Backend]| {
+            let n = from.len() as u32;
+            let one = (n > 0).then(|| rng.rand_range(0..n))?;
+            let other = if n > 1 { (one + 1 + rng.rand_range(0..n - 1)) % n } else { one };
+            let drawn = [from[one as usize], from[other as usize]].map(|b| (b.listing.backend, load(b)));
+            drawn.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))
         };
-        let best = two(&all);
+        let best = two(&all)?;
         if priced {
             // Where crossing zones has a price, two of the own zone are drawn as well.
-            all.retain(|(_, b)| b.listing.zone == zone);
-            if !all.is_empty() {
-                let near = two(&all);
-                return Some(if near.1 <= best.1 { near.0 } else { best.0 });
-            }
+            all.retain(|b| b.listing.zone == zone);
+            return Some(two(&all).filter(|near| near.1 <= best.1).unwrap_or(best).0);
         }
         Some(best.0)
     }
@@ -887,25 +808,25 @@
     fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) {
         self.desk.first.retain(|waiting| *waiting != id);
         self.desk.further.retain(|waiting| *waiting != id);
+        let Listing { pod, zone, .. } = self.backends[&backend].listing;
         let need = self.need();
         let Some(held) = self.desk.held.get_mut(&id) else { return };
-        let tariff = &self.settings.tariffs[usize::from(held.exchange.tariff.0)];
         if held.sent == 0 {
             self.desk.purse = (self.desk.purse + PURSE_SHARE).min(PURSE_MOST);
         }
-        let Listing { pod, zone, .. } = self.backends[&backend].listing;
-        held.out = Some((backend, Bound { pod, zone, since: self.now }));
+        held.out = Some(Bound { pod, zone, since: self.now });
         held.sent += 1;
-        // Guards against a hung backend using up the caller's time: where another forward would be allowed
-        // and affordable, this one is given up while there is time for the other.
-        let again = tariff.effect != Effect::AtMostOnce
-            && held.sent < self.settings.max_forwards
-            && self.desk.purse >= 1.0;
+        let (sent, due, goal) = (held.sent, held.due, held.goal);
+        // Guards against a hung backend using up the caller's time: where another forward is allowed and
+        // paid for, this one is given up while there is time for the other.
+        let once = self.tariff(&self.desk.held[&id]).effect == Effect::AtMostOnce;
         let patience = Span::from_ms(2.0 * self.tier.p90());
-        let left = held.due.since(self.now);
-        let time_out = if again && self.now + patience + need < held.goal { patience } else { left };
+        let again = !once && sent < self.settings.max_forwards && self.desk.purse >= 1.0;
+        let early = again && self.now + patience + need < goal;
+        let time_out = if early { patience } else { due.since(self.now) };
         out.push(Action::Forward { exchange: id, backend, time_out });
         self.mail.push(Letter::Backend(backend, BackendNote::Sent));
         self.mail.push(Letter::Tier(TierNote::Sent));
+        self.mail.push(Letter::Desk(DeskNote::Serve));
     }
 }
