--- a/src/event.rs
+++ b/src/event.rs
@@ -35,7 +35,7 @@
     },
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listing {
     pub backend: BackendId,
     pub zone: ZoneId,
@@ -45,8 +45,9 @@
     pub started: Option<Time>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Condition {
+    #[default]
     Ready,
     Draining,
     Gone,
--- a/src/id.rs
+++ b/src/id.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ForwardNo(pub u16);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BackendId {
     pub address: [u8; 4],
     pub port: u16,
@@ -28,11 +28,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TenantId(pub u32);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub u16);
 
 /// A small group of backends that know each other's marks against repeats.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PodId(pub u16);
 
 /// Another instance of the same tier.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,4 +37,5 @@
 pub mod id;
 pub mod policy;
 pub mod settings;
+pub mod stats;
 pub mod time;
--- /dev/null
+++ b/src/stats.rs
@@ -0,0 +1,79 @@
+//! Plain measures over what was observed; they decide nothing.
+
+use std::collections::VecDeque;
+
+use crate::time::{Span, Time};
+
+/// An exponentially smoothed mean, whose first value is taken whole.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Mean(Option<f64>);
+
+impl Mean {
+    pub fn add(&mut self, value: f64, weight: f64) {
+        self.0 = Some(self.0.map_or(value, |mean| mean + (value - mean) * weight));
+    }
+
+    pub fn or(&self, none: f64) -> f64 {
+        self.0.unwrap_or(none)
+    }
+
+    pub fn known(&self) -> Option<f64> {
+        self.0
+    }
+}
+
+/// Samples of the latest while: at least `least` long and `full` many, where there are as many at all.
+#[derive(Debug, Default)]
+pub struct Window(VecDeque<(Time, f64)>);
+
+impl Window {
+    pub fn add(&mut self, at: Time, value: f64) {
+        self.0.push_back((at, value));
+    }
+
+    /// Lets go of what is older than `most`, or older than `least` and not needed for `full` samples.
+    /// Then the 90th percentile, if the window is as long and as full as wanted.
+    pub fn p90(&mut self, now: Time, least: Span, most: Span, full: usize) -> Option<f64> {
+        while let Some((at, _)) = self.0.front() {
+            let age = now.since(*at);
+            if age <= most && (age <= least || self.0.len() <= full) {
+                break;
+            }
+            self.0.pop_front();
+        }
+        let (oldest, _) = self.0.front()?;
+        if self.0.len() < full || now.since(*oldest).scaled(1.1) < least {
+            return None;
+        }
+        let mut values: Vec<f64> = self.0.iter().map(|(_, value)| *value).collect();
+        let place = values.len() * 9 / 10;
+        Some(*values.select_nth_unstable_by(place, f64::total_cmp).1)
+    }
+}
+
+/// The last pairs of two figures, and how far they go together.
+#[derive(Debug, Default)]
+pub struct Trend(VecDeque<(f64, f64)>);
+
+impl Trend {
+    pub fn add(&mut self, x: f64, y: f64, most: usize) {
+        self.0.push_back((x, y));
+        self.0.drain(..self.0.len().saturating_sub(most));
+    }
+
+    /// Pearson's correlation; nothing before `full` pairs are in, or if either figure stands still.
+    pub fn correlation(&self, full: usize) -> f64 {
+        if self.0.len() < full {
+            return 0.0;
+        }
+        let n = self.0.len() as f64;
+        let (mean_x, mean_y) = self.0.iter().fold((0.0, 0.0), |(x, y), (a, b)| (x + a / n, y + b / n));
+        let (mut xy, mut xx, mut yy) = (0.0, 0.0, 0.0);
+        for (x, y) in &self.0 {
+            xy += (x - mean_x) * (y - mean_y);
+            xx += (x - mean_x).powi(2);
+            yy += (y - mean_y).powi(2);
+        }
+        xy / (xx * yy).sqrt().max(1e-9)
+    }
+}
