--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,32 +31,24 @@
 #[cfg(test)]
 mod tests;
 
-/// The limit's update interval.
-const BEAT: Span = Span::from_millis(100);
+const BEAT: Span = Span::from_millis(100); // the limit's update interval
 const BEATS_PER_S: f64 = 10.0;
-/// A window of samples is at least this long and this full; none of it is older than the last figure.
-const WINDOW: Span = Span::from_millis(2000);
-const WINDOW_SAMPLES: usize = 50;
-const WINDOW_MOST: Span = Span::from_millis(30_000);
-/// Weight of a new window in the smoothed p90.
-const SMOOTHING: f64 = 0.2;
-/// Update intervals over which in flight and throughput are compared.
-const CORRELATED: usize = 50;
-/// Calls for each ready backend, over all instances of the tier, at which the limit starts and ends.
-const CALLS_PER_READY: f64 = 5.0;
+const WINDOW: Span = Span::from_millis(2000); // a window of samples is at least this long
+const WINDOW_SAMPLES: usize = 50; // and this full
+const WINDOW_MOST: Span = Span::from_millis(30_000); // and holds nothing older
+const SMOOTHING: f64 = 0.2; // weight of a new window in the smoothed p90
+const CORRELATED: usize = 50; // update intervals over which in flight and throughput are compared
+const CALLS_START: f64 = 3.0; // for each ready backend, of all instances together
+const CALLS_MOST: f64 = 8.0;
 const LIMIT_FLOOR: f64 = 4.0;
-/// Bands in multiples of the limit: above the first refusals begin, above the second nothing is taken.
-const BAND_CHANCE: f64 = 2.0;
-const BAND_ALL: f64 = 3.0;
-/// Further forwards of what may have run, for each first forward; and the most that is saved up.
-const PURSE_SHARE: f64 = 0.1;
-const PURSE_MOST: f64 = 10.0;
-/// Strikes in a row that put a backend out; the part of the ready that may be out without overrunning the rest.
-const STRIKES_OUT: f64 = 2.0;
-const OUT_MOST: f64 = 0.34;
-/// How long a backend is out at first, and how often that doubles.
-const OUT_FIRST: Span = Span::from_millis(1000);
-const OUT_DOUBLINGS: u32 = 3;
+const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
+const BAND_ALL: f64 = 3.0; // above this one nothing is taken
+const PURSE_SHARE: f64 = 0.1; // repeats of what may have run, for each first forward
+const PURSE_MOST: f64 = 10.0; // and the most that are saved up
+const STRIKES_OUT: f64 = 2.0; // strikes in a row that put a backend out
+const OUT_MOST: f64 = 0.34; // part of the ready that may be out, so that the rest is not overrun
+const OUT_FIRST: Span = Span::from_millis(1000); // how long a backend is out at first
+const OUT_DOUBLINGS: u32 = 3; // and how often that doubles
 const MARK_BEAT: TimerMark = TimerMark(u64::MAX);
 const MARK_WATCH: TimerMark = TimerMark(u64::MAX - 1);
 
@@ -64,18 +56,14 @@
     Listed(Listing),
     Sent,
     Began(Span),
-    /// An outcome, and whether it tells an answer time: that of a stream does not.
-    Ended(Ended, bool),
+    Ended(Ended, bool), // an outcome, and whether it tells an answer time: that of a stream does not
     Beat,
 }
 
 enum TierNote {
-    /// A latency, and whether it is that of an answer.
-    Sample(Span, bool),
-    /// 1 for a forward that failed, 0 for one that did not.
-    Verdict(f64),
-    /// What is in flight, and how many backends are ready and out.
-    Beat(f64, f64, f64),
+    Sample(Span, bool),  // a latency, and whether it is that of an answer
+    Verdict(f64),        // 1 for a forward that failed, 0 for one that did not
+    Beat(f64, f64, f64), // what is in flight, and how many backends are ready and out
 }
 
 enum Letter {
@@ -98,44 +86,30 @@
 struct Backend {
     inbox: Vec<BackendNote>,
     listing: Listing,
-    /// While out it gets nothing until then, and after that one trial forward at a time.
-    out: Option<Time>,
-    /// How often it was put out, or stayed out, in a row.
-    outs: u32,
+    out: Option<Time>, // while out it gets nothing until then, and after that one trial forward at a time
+    outs: u32,         // how often it was put out, or stayed out, in a row
     strikes: f64,
     in_flight: f64,
-    /// Most forwards in flight while it is fresh; grows with its answers.
-    cap: Option<f64>,
-    /// Forwards that a cold backend may still be sent.
-    credit: f64,
-    /// Answer time in ms.
-    took: Mean,
-    /// When it last answered, or was sent its first forward while idle.
-    heard: Option<Time>,
-    /// What it last said it holds for others, and when.
-    others: Option<(Time, f64)>,
+    cap: Option<f64>, // most forwards in flight while it is fresh; grows with its answers
+    credit: f64,      // forwards that a cold backend may still be sent
+    took: Mean,       // answer time in ms
+    heard: Time,      // when it last answered, or was sent its first forward while idle
+    others: Option<(Time, f64)>, // what it last said it holds for others, and when
 }
 
 impl Backend {
-    /// The part of its full capacity that it surely has; 1 once it is warm.
-    fn warmth(&self, now: Time, settings: &Settings) -> f64 {
-        let Some(started) = self.listing.started else { return 1.0 };
-        let (share, age) = (settings.cold.share, now.since(started).ms() / settings.cold.ramp.ms().max(1.0));
-        (share + (1.0 - share) * age).min(1.0)
-    }
-
     fn ready(&self, now: Time, settings: &Settings, room: f64) -> bool {
         let free = match self.out {
             None => self.in_flight < self.cap.map_or(room, |cap| cap.min(room)),
             Some(until) => now >= until && self.in_flight < 1.0,
         };
-        let bears = self.credit >= 1.0 || self.warmth(now, settings) >= 1.0;
+        let bears = self.credit >= 1.0 || settings.cold.warmth(self.listing.started, now) >= 1.0;
         self.listing.condition == Condition::Ready && free && bears
     }
 
     /// How many times as long as its peers it takes; small differences do not count.
     fn pace(&self, tier: &Tier) -> f64 {
-        (self.took.or(tier.took()) / tier.took().max(1.0) / 1.2).clamp(1.0, 8.0)
+        (self.took.or(tier.took.or(0.0)) / tier.took.or(0.0).max(1.0) / 1.2).clamp(1.0, 8.0)
     }
 
     /// What others have in flight here: its report, which fades towards the mean of all reports with age.
@@ -143,27 +117,22 @@
         self.others.map_or(mean, |(at, said)| mean + (said - mean) * (-now.since(at).ms() / fade).exp())
     }
 
-    fn silence(&self, now: Time) -> f64 {
-        self.heard.map_or(0.0, |heard| now.since(heard).ms())
-    }
-
     fn act(&mut self, note: BackendNote, around: &mut Around) {
         match note {
             BackendNote::Listed(listing) => {
-                let fresh = listing.started != self.listing.started || self.heard.is_none();
+                let fresh = listing.started != self.listing.started || self.heard == Time::default();
                 if fresh {
                     let (inbox, in_flight) = (take(&mut self.inbox), self.in_flight);
-                    *self =
-                        Backend { inbox, listing, in_flight, heard: Some(around.now), ..Backend::default() };
+                    *self = Backend { inbox, listing, in_flight, heard: around.now, ..Backend::default() };
                 }
                 self.listing = listing;
-                if fresh && self.warmth(around.now, around.settings) < 1.0 {
+                if fresh && around.settings.cold.warmth(listing.started, around.now) < 1.0 {
                     // Guards against a start that all instances hear of at once: each begins at its own time.
                     (self.cap, self.credit) = (Some(1.0), around.chance);
                 }
             }
             BackendNote::Sent => {
-                self.heard = if self.in_flight < 1.0 { Some(around.now) } else { self.heard };
+                self.heard = if self.in_flight < 1.0 { around.now } else { self.heard };
                 self.in_flight += 1.0;
                 self.credit -= 1.0;
             }
@@ -174,7 +143,7 @@
     }
 
     fn answered(&mut self, took: Span, answer: bool, around: &mut Around) {
-        self.heard = Some(around.now);
+        self.heard = around.now;
         self.took.add(took.ms(), 0.2);
         // Guards against a hung backend moving the limit: once it is out, it says nothing about the others.
         if self.out.is_none() {
@@ -187,11 +156,11 @@
         // of what its warmth bears, measured by what its peers carry.
         let cold = &around.settings.cold;
         let floor = 2.0 / (around.settings.instances as f64 * (cold.window.ms() / 1000.0).max(0.1));
-        let bears = self.warmth(around.now, around.settings) * cold.multiple * 0.5 * around.tier.rate;
+        let bears = cold.warmth(self.listing.started, around.now) * cold.multiple * 0.5 * around.tier.rate;
         self.credit = (self.credit + bears.max(floor) / BEATS_PER_S).min(1.5);
         // What was slow is forgotten with time, so that it is tried again.
-        self.took.add(around.tier.took(), 0.01);
-        if self.in_flight > 0.0 && self.silence(around.now) > 3.0 * around.tier.p90.or(1000.0) {
+        self.took.add(around.tier.took.or(0.0), 0.01);
+        if self.in_flight > 0.0 && around.now.since(self.heard).ms() > 3.0 * around.tier.p90.or(1000.0) {
             self.put_out("silent", around);
         }
     }
@@ -209,7 +178,7 @@
                 return around.mail.push(Letter::Tier(TierNote::Sample(took, false)));
             }
             Outcome::Honoured | Outcome::TimedOut if timed => self.answered(e.took, honoured, around),
-            _ => self.heard = Some(around.now),
+            _ => self.heard = around.now,
         }
         around.mail.push(Letter::Tier(TierNote::Verdict(if honoured { 0.0 } else { 1.0 })));
         if honoured {
@@ -236,7 +205,8 @@
             if out + 1.0 > (OUT_MOST * ready).max(1.0) || ready < 2.0 {
                 return;
             }
-            let (strikes, silence, failing) = (self.strikes, self.silence(around.now), around.tier.failing);
+            let (strikes, silence, failing) =
+                (self.strikes, around.now.since(self.heard).ms(), around.tier.failing);
             around.out.push(Action::Log(format!(
                 "{} out, {why}: strikes {strikes:.1}, silent {silence:.0}, tier failing {failing:.2}",
                 self.listing.backend
@@ -258,22 +228,14 @@
     p90: Mean,
     baseline: Mean,
     samples: Window,
-    /// In flight and answers of the last update intervals.
-    intervals: Trend,
+    intervals: Trend, // in flight and answers of the last update intervals
     answers: f64,
-    /// Own answers a second for each ready backend.
-    rate: f64,
-    /// Answer time in ms.
-    mean: Mean,
-    /// Part of the forwards that fail.
-    failing: f64,
+    rate: f64,    // own answers a second for each ready backend
+    took: Mean,   // answer time in ms
+    failing: f64, // part of the forwards that fail
 }
 
 impl Tier {
-    fn took(&self) -> f64 {
-        self.mean.or(0.0)
-    }
-
     fn act(&mut self, note: TierNote, now: Time, instances: f64) {
         match note {
             TierNote::Verdict(failed) => self.failing += (failed - self.failing) * 0.05,
@@ -281,15 +243,16 @@
                 self.samples.add(now, took.ms());
                 if answer {
                     self.answers += 1.0;
-                    self.mean.add(took.ms(), 0.05);
+                    self.took.add(took.ms(), 0.05);
                 }
             }
             TierNote::Beat(in_flight, ready, out) => {
                 self.ready_and_out = (ready, out);
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(in_flight, take(&mut self.answers), CORRELATED);
-                let top = (CALLS_PER_READY * ready / instances).max(LIMIT_FLOOR);
-                self.limit = if self.limit == 0.0 { top } else { self.limit.min(top) };
+                let start = (CALLS_START * ready / instances).max(LIMIT_FLOOR);
+                let top = (CALLS_MOST * ready / instances).max(LIMIT_FLOOR);
+                self.limit = if self.limit == 0.0 { start } else { self.limit.min(top) };
                 self.update(now, top);
             }
         }
@@ -317,17 +280,13 @@
 }
 
 struct Held {
-    exchange: Exchange,
-    /// An answer after this is late.
-    goal: Time,
-    /// The final answer is given by then.
-    due: Time,
+    tariff: Tariff,
+    goal: Time, // an answer after this is late
+    due: Time,  // the final answer is given by then
     beyond_share: bool,
     sent: u16,
-    /// Where the forward that is out may be running, and since when.
-    out: Option<(Listing, Time)>,
-    /// The first forward that may have run.
-    ran: Option<(Listing, Time)>,
+    out: Option<(Listing, Time)>, // where the forward that is out may be running, and since when
+    ran: Option<(Listing, Time)>, // the first forward that may have run
     tried: Option<BackendId>,
 }
 
@@ -346,8 +305,7 @@
     first: Vec<ExchangeId>,
     further: Vec<ExchangeId>,
     purse: f64,
-    /// What each tenant may still send within its share.
-    shares: Vec<f64>,
+    shares: Vec<f64>, // what each tenant may still send within its share
     mode: Mode,
 }
 
@@ -497,13 +455,9 @@
             / self.tier.limit.max(1.0)
     }
 
-    fn tariff(&self, held: &Held) -> &Tariff {
-        &self.settings.tariffs[usize::from(held.exchange.tariff.0)]
-    }
-
     /// Time that an answer will likely take.
     fn need(&self) -> Span {
-        Span::from_ms(self.tier.took() * 0.8)
+        Span::from_ms(self.tier.took.or(0.0) * 0.8)
     }
 
     fn desk_act(&mut self, event: Event, out: &mut Vec<Action>) {
@@ -525,7 +479,7 @@
 
     fn taken(&mut self, exchange: Exchange, out: &mut Vec<Action>) {
         let id = exchange.id;
-        let tariff = &self.settings.tariffs[usize::from(exchange.tariff.0)];
+        let tariff = self.settings.tariffs[usize::from(exchange.tariff.0)];
         // Room for the time between two batches, and for the answer's way back.
         let margin = self.settings.round.scaled(2.0) + Span::from_millis(2);
         let stretch = exchange.cost.unwrap_or_default().scaled(tariff.goal_stretch);
@@ -540,7 +494,7 @@
         }
         out.push(Action::Timer { after: due.since(self.now), mark: TimerMark(id.0.into()) });
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
-        let held = Held { exchange, goal, due, beyond_share, sent: 0, out: None, ran: None, tried: None };
+        let held = Held { tariff, goal, due, beyond_share, sent: 0, out: None, ran: None, tried: None };
         self.desk.held.insert(id, held);
         self.desk.first.push(id);
         if chance > self.rng.rand_float().into() {
@@ -561,9 +515,8 @@
         let out_at = held.out.take();
         held.ran = held.ran.or(out_at.filter(|_| !proven));
         held.tried = Some(e.backend);
-        let held = &self.desk.held[&e.exchange];
         // Guards against an effect that happens twice: only what has not run, or may be repeated, goes again.
-        let allowed = match (self.tariff(held).effect, held.ran) {
+        let allowed = match (held.tariff.effect, held.ran) {
             (Effect::Reissuable, _) | (_, None) => true,
             (Effect::Numbered { window, .. }, Some((_, since))) => self.now < since + window,
             (Effect::AtMostOnce, Some(_)) => false,
@@ -592,7 +545,7 @@
     /// The final answer, at once: a turn-back where the tariff allows it, else a forfeit.
     fn give_up(&mut self, id: ExchangeId, out: &mut Vec<Action>) {
         let Some(held) = self.release(id, out) else { return };
-        let harmless = match self.tariff(&held).effect {
+        let harmless = match held.tariff.effect {
             Effect::Reissuable | Effect::Numbered { group: Group::All, .. } => true,
             Effect::Numbered { .. } | Effect::AtMostOnce => held.ran.is_none() && held.out.is_none(),
         };
@@ -600,7 +553,7 @@
             return out.push(Action::Forfeit { exchange: id });
         }
         let late = self.now + self.need() >= held.goal;
-        let soon = Span::from_ms(self.tier.took() * (0.5 + f64::from(self.rng.rand_float())));
+        let soon = Span::from_ms(self.tier.took.or(0.0) * (0.5 + f64::from(self.rng.rand_float())));
         let backoff = self.settings.max_backoff.map(|most| if late { most } else { soon.min(most) });
         out.push(Action::TurnBack { exchange: id, backoff });
     }
@@ -625,10 +578,9 @@
     /// Of two random ready backends the one with less to do.
     fn pick(&mut self, id: ExchangeId) -> Option<BackendId> {
         let held = &self.desk.held[&id];
-        let effect = self.tariff(held).effect;
         let room = (2.0 * self.tier.limit / self.tier.ready_and_out.0.max(1.0)).ceil().max(2.0);
         let (now, settings, tier) = (self.now, &self.settings, &self.tier);
-        let in_group = |b: &Backend| match (effect, held.ran) {
+        let in_group = |b: &Backend| match (held.tariff.effect, held.ran) {
             (Effect::Numbered { group: Group::Zone, .. }, Some((at, _))) => b.listing.zone == at.zone,
             (Effect::Numbered { group: Group::Pod, .. }, Some((at, _))) => b.listing.pod == at.pod,
             _ => true,
@@ -639,7 +591,7 @@
             all.retain(|b| Some(b.listing.backend) != held.tried);
         }
         let said: Vec<f64> = all.iter().filter_map(|b| b.others).map(|(_, others)| others).collect();
-        let (mean, fade) = (said.iter().sum::<f64>() / said.len().max(1) as f64, tier.took().max(1.0));
+        let (mean, fade) = (said.iter().sum::<f64>() / said.len().max(1) as f64, tier.took.or(0.0).max(1.0));
         let load = |b: &Backend| {
             let crossing = settings.crossing_priced && b.listing.zone != settings.zone;
             (b.in_flight + b.others(now, mean, fade) + 1.0) * b.pace(tier) + f64::from(u8::from(crossing))
@@ -670,8 +622,7 @@
         held.sent += 1;
         // Guards against a hung backend using up the caller's time: where another forward is allowed and
         // paid for, this one is given up while there is time for the other.
-        let held = &self.desk.held[&id];
-        let once = self.tariff(held).effect == Effect::AtMostOnce;
+        let once = held.tariff.effect == Effect::AtMostOnce;
         let again = !once && held.sent < self.settings.max_forwards && self.desk.purse >= 1.0;
         let patience = Span::from_ms(2.0 * self.tier.p90.or(1000.0));
         let early = again && now + patience + need < held.goal;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings that the decisions read, decoded once when an instance starts.
 
 use crate::id::ZoneId;
-use crate::time::Span;
+use crate::time::{Span, Time};
 
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -64,6 +64,14 @@
     Pod,
 }
 
+impl Cold {
+    /// The part of its full capacity that a backend surely has at `now`; 1 once it is warm.
+    pub fn warmth(&self, started: Option<Time>, now: Time) -> f64 {
+        let age = started.map_or(f64::INFINITY, |started| now.since(started).ms());
+        (self.share + (1.0 - self.share) * age / self.ramp.ms().max(1.0)).min(1.0)
+    }
+}
+
 impl Tariff {
     pub fn new(goal: Span, cut_off: Span, effect: Effect) -> Tariff {
         Tariff { goal, goal_stretch: 0.0, cut_off, value: 1.0, late_value: 0.0, effect }
--- a/src/time.rs
+++ b/src/time.rs
@@ -2,7 +2,7 @@
 
 use std::ops::{Add, Sub};
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Time(i64);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
