--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,6 +38,7 @@
 const WINDOW_MOST: Span = Span::from_millis(30_000); // and holds nothing older
 const SMOOTHING: f64 = 0.2; // weight of a new window in the smoothed p90
 const CORRELATED: usize = 50; // update intervals over which in flight and throughput are compared
+const CORRELATION: f64 = 0.3; // what chance alone hardly brings over so many intervals
 const CALLS_START: f64 = 3.0; // for each ready backend, of all instances together
 const CALLS_MOST: f64 = 8.0;
 const LIMIT_FLOOR: f64 = 4.0;
@@ -56,7 +57,7 @@
     Listed(Listing),
     Sent,
     Began(Span),
-    Ended(Ended, bool), // an outcome, and whether it tells an answer time: that of a stream does not
+    Ended(Ended, Option<Span>),
     Beat,
 }
 
@@ -136,18 +137,22 @@
                 self.in_flight += 1.0;
                 self.credit -= 1.0;
             }
-            BackendNote::Began(took) => self.answered(took, true, around),
-            BackendNote::Ended(ended, timed) => self.ended(&ended, timed, around),
+            BackendNote::Began(took) => {
+                self.heard = around.now;
+                self.sample(took, Outcome::Honoured, around);
+            }
+            BackendNote::Ended(ended, latency) => self.ended(&ended, latency, around),
             BackendNote::Beat => self.beat(around),
         }
     }
 
-    fn answered(&mut self, took: Span, answer: bool, around: &mut Around) {
-        self.heard = around.now;
-        self.took.add(took.ms(), 0.2);
+    fn sample(&mut self, latency: Span, outcome: Outcome, around: &mut Around) {
+        if outcome != Outcome::Full {
+            self.took.add(latency.ms(), 0.2);
+        }
         // Guards against a hung backend moving the limit: once it is out, it says nothing about the others.
         if self.out.is_none() {
-            around.mail.push(Letter::Tier(TierNote::Sample(took, answer)));
+            around.mail.push(Letter::Tier(TierNote::Sample(latency, outcome == Outcome::Honoured)));
         }
     }
 
@@ -165,21 +170,19 @@
         }
     }
 
-    fn ended(&mut self, e: &Ended, timed: bool, around: &mut Around) {
+    fn ended(&mut self, e: &Ended, latency: Option<Span>, around: &mut Around) {
         self.in_flight -= 1.0;
         if let Some(held) = e.load.held.or(e.load.waiting) {
             self.others = Some((around.now, (held - self.in_flight).max(0.0)));
         }
         let honoured = e.outcome == Outcome::Honoured;
-        match e.outcome {
-            Outcome::Cancelled | Outcome::NotSent => return,
-            Outcome::Full => {
-                let took = Span::from_ms(e.took.ms().max(around.tier.p90.or(0.0)));
-                return around.mail.push(Letter::Tier(TierNote::Sample(took, false)));
-            }
-            Outcome::Honoured | Outcome::TimedOut if timed => self.answered(e.took, honoured, around),
-            _ => self.heard = around.now,
+        if let Some(latency) = latency {
+            self.sample(latency, e.outcome, around);
         }
+        if matches!(e.outcome, Outcome::Cancelled | Outcome::NotSent | Outcome::Full) {
+            return;
+        }
+        self.heard = around.now;
         around.mail.push(Letter::Tier(TierNote::Verdict(if honoured { 0.0 } else { 1.0 })));
         if honoured {
             self.strikes = 0.0;
@@ -266,7 +269,7 @@
         };
         self.p90.add(p90, SMOOTHING);
         let latency = self.p90.or(p90);
-        if self.baseline.known().is_none() || self.intervals.correlation(CORRELATED) > 0.0 {
+        if self.baseline.known().is_none() || self.intervals.correlation(CORRELATED) > CORRELATION {
             self.baseline = self.p90;
         }
         let queued = self.limit * (1.0 - self.baseline.or(latency) / latency.max(0.001));
@@ -288,6 +291,7 @@
     out: Option<(Listing, Time)>, // where the forward that is out may be running, and since when
     ran: Option<(Listing, Time)>, // the first forward that may have run
     tried: Option<BackendId>,
+    time_out: Span,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -344,8 +348,15 @@
                 self.mail.push(Letter::Backend(*backend, BackendNote::Began(*took)));
             }
             Event::Ended(e) => {
-                let timed = e.outcome != Outcome::Honoured || self.desk.held.contains_key(&e.exchange);
-                self.mail.push(Letter::Backend(e.backend, BackendNote::Ended(*e, timed)));
+                // What counts as latency: a full answer counts as a time-out, a stream's end does not count.
+                let held = self.desk.held.get(&e.exchange);
+                let latency = match e.outcome {
+                    Outcome::Full => held.map(|held| held.time_out),
+                    Outcome::Honoured => held.map(|_| e.took),
+                    Outcome::TimedOut => Some(e.took),
+                    _ => None,
+                };
+                self.mail.push(Letter::Backend(e.backend, BackendNote::Ended(*e, latency)));
             }
             Event::Timer(MARK_BEAT) => self.beat(out),
             Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
@@ -494,7 +505,17 @@
         }
         out.push(Action::Timer { after: due.since(self.now), mark: TimerMark(id.0.into()) });
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
-        let held = Held { tariff, goal, due, beyond_share, sent: 0, out: None, ran: None, tried: None };
+        let held = Held {
+            tariff,
+            goal,
+            due,
+            beyond_share,
+            sent: 0,
+            out: None,
+            ran: None,
+            tried: None,
+            time_out: Span::ZERO,
+        };
         self.desk.held.insert(id, held);
         self.desk.first.push(id);
         if chance > self.rng.rand_float().into() {
@@ -626,8 +647,8 @@
         let again = !once && held.sent < self.settings.max_forwards && self.desk.purse >= 1.0;
         let patience = Span::from_ms(2.0 * self.tier.p90.or(1000.0));
         let early = again && now + patience + need < held.goal;
-        let time_out = if early { patience } else { held.due.since(now) };
-        out.push(Action::Forward { exchange: id, backend, time_out });
+        held.time_out = if early { patience } else { held.due.since(now) };
+        out.push(Action::Forward { exchange: id, backend, time_out: held.time_out });
         self.mail.push(Letter::Backend(backend, BackendNote::Sent));
         true
     }
