Let the baseline follow p90 down and rest full backends

Cause: in a jam the baseline was reset to the time-out itself, so the limit never came down; and full answers were forwarded again at once, up to six times each.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -92,9 +92,10 @@
     strikes: f64,
     in_flight: f64,
     cap: Option<f64>, // most forwards in flight while it is fresh; grows with its answers
-    credit: f64,      // forwards that a cold backend may still be sent
-    took: Mean,       // answer time in ms
-    heard: Time,      // when it last answered, or was sent its first forward while idle
+    full_until: Time,
+    credit: f64,                 // forwards that a cold backend may still be sent
+    took: Mean,                  // answer time in ms
+    heard: Time,                 // when it last answered, or was sent its first forward while idle
     others: Option<(Time, f64)>, // what it last said it holds for others, and when
 }
 
@@ -105,7 +106,7 @@
             Some(until) => now >= until && self.in_flight < 1.0,
         };
         let bears = self.credit >= 1.0 || settings.cold.warmth(self.listing.started, now) >= 1.0;
-        self.listing.condition == Condition::Ready && free && bears
+        self.listing.condition == Condition::Ready && free && bears && now >= self.full_until
     }
 
     /// How many times as long as its peers it takes; small differences do not count.
@@ -179,6 +180,11 @@
         if let Some(latency) = latency {
             self.sample(latency, e.outcome, around);
         }
+        if e.outcome == Outcome::Full {
+            // Guards against a storm of forwards at full backends: each takes less until it has answered.
+            self.cap = Some(self.in_flight.max(1.0));
+            self.full_until = around.now + Span::from_ms(around.tier.took.or(0.0) * (0.5 + around.chance));
+        }
         if matches!(e.outcome, Outcome::Cancelled | Outcome::NotSent | Outcome::Full) {
             return;
         }
@@ -186,7 +192,7 @@
         around.mail.push(Letter::Tier(TierNote::Verdict(if honoured { 0.0 } else { 1.0 })));
         if honoured {
             self.strikes = 0.0;
-            self.cap = self.cap.map(|cap| cap + 1.0);
+            self.cap = self.cap.map(|cap| cap + 1.0 / cap);
             self.credit = (self.credit + 1.0).min(1.5);
             if self.out.take().is_some() {
                 (self.cap, self.outs) = (Some(1.0), 0);
@@ -256,20 +262,22 @@
                 let start = (CALLS_START * ready / instances).max(LIMIT_FLOOR);
                 let top = (CALLS_MOST * ready / instances).max(LIMIT_FLOOR);
                 self.limit = if self.limit == 0.0 { start } else { self.limit.min(top) };
-                self.update(now, top);
+                self.update(now, start, top);
             }
         }
     }
 
-    fn update(&mut self, now: Time, top: f64) {
+    fn update(&mut self, now: Time, start: f64, top: f64) {
         let Some(p90) = self.samples.p90(now, WINDOW, WINDOW_MOST, WINDOW_SAMPLES) else {
             // Guards against an instance with few calls being stuck at a low limit: it rises while unjudged.
-            self.limit = (self.limit + 1.0 / BEATS_PER_S).min(top);
+            self.limit = (self.limit + 1.0 / BEATS_PER_S).min(start.max(self.limit));
             return;
         };
         self.p90.add(p90, SMOOTHING);
         let latency = self.p90.or(p90);
-        if self.baseline.known().is_none() || self.intervals.correlation(CORRELATED) > CORRELATION {
+        // Guards against a baseline that was set in a jam, from which the limit would never come down again.
+        let lower = latency < self.baseline.or(f64::INFINITY);
+        if lower || self.intervals.correlation(CORRELATED) > CORRELATION {
             self.baseline = self.p90;
         }
         let queued = self.limit * (1.0 - self.baseline.or(latency) / latency.max(0.001));
@@ -645,7 +653,7 @@
         // paid for, this one is given up while there is time for the other.
         let once = held.tariff.effect == Effect::AtMostOnce;
         let again = !once && held.sent < self.settings.max_forwards && self.desk.purse >= 1.0;
-        let patience = Span::from_ms(2.0 * self.tier.p90.or(1000.0));
+        let patience = Span::from_ms(3.0 * self.tier.p90.or(1000.0));
         let early = again && now + patience + need < held.goal;
         held.time_out = if early { patience } else { held.due.since(now) };
         out.push(Action::Forward { exchange: id, backend, time_out: held.time_out });
