--- a/src/policy.rs
+++ b/src/policy.rs
@@ -91,7 +91,8 @@
     outs: u32,         // how often it was put out, or stayed out, in a row
     strikes: f64,
     in_flight: f64,
-    cap: Option<f64>, // most forwards in flight while it is fresh; grows with its answers
+    ghosts: Vec<Time>, // until when it may still work on forwards that were given up
+    cap: Option<f64>,  // most forwards in flight while it is fresh; grows with its answers
     full_until: Time,
     credit: f64,                 // forwards that a cold backend may still be sent
     took: Mean,                  // answer time in ms
@@ -102,13 +103,17 @@
 impl Backend {
     fn ready(&self, now: Time, settings: &Settings, room: f64) -> bool {
         let free = match self.out {
-            None => self.in_flight < self.cap.map_or(room, |cap| cap.min(room)),
+            None => self.holds() < self.cap.map_or(room, |cap| cap.min(room)),
             Some(until) => now >= until && self.in_flight < 1.0,
         };
         let bears = self.credit >= 1.0 || settings.cold.warmth(self.listing.started, now) >= 1.0;
         self.listing.condition == Condition::Ready && free && bears && now >= self.full_until
     }
 
+    fn holds(&self) -> f64 {
+        self.in_flight + self.ghosts.len() as f64
+    }
+
     /// How many times as long as its peers it takes; small differences do not count.
     fn pace(&self, tier: &Tier) -> f64 {
         (self.took.or(tier.took.or(0.0)) / tier.took.or(0.0).max(1.0) / 1.2).clamp(1.0, 8.0)
@@ -164,6 +169,7 @@
         let floor = 2.0 / (around.settings.instances as f64 * (cold.window.ms() / 1000.0).max(0.1));
         let bears = cold.warmth(self.listing.started, around.now) * cold.multiple * 0.5 * around.tier.rate;
         self.credit = (self.credit + bears.max(floor) / BEATS_PER_S).min(1.5);
+        self.ghosts.retain(|until| *until > around.now);
         // What was slow is forgotten with time, so that it is tried again.
         self.took.add(around.tier.took.or(0.0), 0.01);
         if self.in_flight > 0.0 && around.now.since(self.heard).ms() > 3.0 * around.tier.p90.or(1000.0) {
@@ -180,6 +186,11 @@
         if let Some(latency) = latency {
             self.sample(latency, e.outcome, around);
         }
+        if matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled) && self.others.is_none() {
+            // Guards against work piling up unseen: a time-out or a cancel may not stop it, and where no
+            // report tells, it counts as in flight for as long again.
+            self.ghosts.push(around.now + e.took);
+        }
         if e.outcome == Outcome::Full {
             // Guards against a storm of forwards at full backends: each takes less until it has answered.
             self.cap = Some(self.in_flight.max(1.0));
@@ -465,7 +476,7 @@
 
     /// Guards against a hung backend's forwards using up the limit: while it is out they do not count.
     fn in_flight(&self) -> f64 {
-        self.backends.values().filter(|b| b.out.is_none()).map(|b| b.in_flight).sum()
+        self.backends.values().filter(|b| b.out.is_none()).map(Backend::holds).sum()
     }
 
     /// In flight and waiting, in multiples of the limit.
@@ -623,7 +634,7 @@
         let (mean, fade) = (said.iter().sum::<f64>() / said.len().max(1) as f64, tier.took.or(0.0).max(1.0));
         let load = |b: &Backend| {
             let crossing = settings.crossing_priced && b.listing.zone != settings.zone;
-            (b.in_flight + b.others(now, mean, fade) + 1.0) * b.pace(tier) + f64::from(u8::from(crossing))
+            (b.holds() + b.others(now, mean, fade) + 1.0) * b.pace(tier) + f64::from(u8::from(crossing))
         };
         let rng = &mut self.rng;
         let mut two = |from: &[&Backend]| {
