--- a/src/policy.rs
+++ b/src/policy.rs
@@ -288,7 +288,7 @@
         let latency = self.p90.or(p90);
         // Guards against a baseline that was set in a jam, from which the limit would never come down again.
         let lower = latency < self.baseline.or(f64::INFINITY);
-        if lower || self.intervals.correlation(CORRELATED) > CORRELATION {
+        if lower || self.failing < 0.1 && self.intervals.correlation(CORRELATED) > CORRELATION {
             self.baseline = self.p90;
         }
         let queued = self.limit * (1.0 - self.baseline.or(latency) / latency.max(0.001));
@@ -310,7 +310,6 @@
     out: Option<(Listing, Time)>, // where the forward that is out may be running, and since when
     ran: Option<(Listing, Time)>, // the first forward that may have run
     tried: Option<BackendId>,
-    time_out: Span,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -367,12 +366,12 @@
                 self.mail.push(Letter::Backend(*backend, BackendNote::Began(*took)));
             }
             Event::Ended(e) => {
-                // What counts as latency: a full answer counts as a time-out, a stream's end does not count.
+                // A full answer counts as a time-out, and both as one that had not waited: guards against the
+                // short time-outs of what waited long passing for quick answers.
                 let held = self.desk.held.get(&e.exchange);
                 let latency = match e.outcome {
-                    Outcome::Full => held.map(|held| held.time_out),
+                    Outcome::Full | Outcome::TimedOut => held.map(|held| held.tariff.goal.max(e.took)),
                     Outcome::Honoured => held.map(|_| e.took),
-                    Outcome::TimedOut => Some(e.took),
                     _ => None,
                 };
                 self.mail.push(Letter::Backend(e.backend, BackendNote::Ended(*e, latency)));
@@ -524,17 +523,7 @@
         }
         out.push(Action::Timer { after: due.since(self.now), mark: TimerMark(id.0.into()) });
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
-        let held = Held {
-            tariff,
-            goal,
-            due,
-            beyond_share,
-            sent: 0,
-            out: None,
-            ran: None,
-            tried: None,
-            time_out: Span::ZERO,
-        };
+        let held = Held { tariff, goal, due, beyond_share, sent: 0, out: None, ran: None, tried: None };
         self.desk.held.insert(id, held);
         self.desk.first.push(id);
         if chance > self.rng.rand_float().into() {
@@ -666,8 +655,8 @@
         let again = !once && held.sent < self.settings.max_forwards && self.desk.purse >= 1.0;
         let patience = Span::from_ms(3.0 * self.tier.p90.or(1000.0));
         let early = again && now + patience + need < held.goal;
-        held.time_out = if early { patience } else { held.due.since(now) };
-        out.push(Action::Forward { exchange: id, backend, time_out: held.time_out });
+        let time_out = if early { patience } else { held.due.since(now) };
+        out.push(Action::Forward { exchange: id, backend, time_out });
         self.mail.push(Letter::Backend(backend, BackendNote::Sent));
         true
     }
