--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,8 +31,8 @@
 #[cfg(test)]
 mod tests;
 
-const BEAT: Span = Span::from_millis(100); // the limit's update interval
-const BEATS_PER_S: f64 = 10.0;
+const BEAT: Span = Span::from_millis(250); // the limit's update interval
+const BEATS_PER_S: f64 = 4.0;
 const WINDOW: Span = Span::from_millis(2000); // a window of samples is at least this long
 const WINDOW_SAMPLES: usize = 50; // and this full
 const WINDOW_MOST: Span = Span::from_millis(30_000); // and holds nothing older
