--- a/src/policy.rs
+++ b/src/policy.rs
@@ -303,6 +303,7 @@
 
 struct Held {
     tariff: Tariff,
+    arrived: Time,
     goal: Time, // an answer after this is late
     due: Time,  // the final answer is given by then
     beyond_share: bool,
@@ -523,7 +524,17 @@
         }
         out.push(Action::Timer { after: due.since(self.now), mark: TimerMark(id.0.into()) });
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
-        let held = Held { tariff, goal, due, beyond_share, sent: 0, out: None, ran: None, tried: None };
+        let held = Held {
+            tariff,
+            arrived: self.now,
+            goal,
+            due,
+            beyond_share,
+            sent: 0,
+            out: None,
+            ran: None,
+            tried: None,
+        };
         self.desk.held.insert(id, held);
         self.desk.first.push(id);
         if chance > self.rng.rand_float().into() {
@@ -589,8 +600,12 @@
 
     /// Sends the next exchange that waits, if the limit has room; first forwards before further ones.
     fn serve(&mut self, out: &mut Vec<Action>) -> bool {
-        let ready_by = self.now + self.need();
-        let late = |id: &&ExchangeId| ready_by >= self.desk.held[id].goal;
+        // What is sent later than this would likely be late: its place goes to one that has waited less.
+        let p90 = Span::from_ms(self.tier.p90.or(0.0));
+        let late = |id: &&ExchangeId| {
+            let held = &self.desk.held[id];
+            self.now + p90.min(held.goal.since(held.arrived).scaled(0.8)) >= held.goal
+        };
         for id in self.desk.first.iter().filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
         }
