--- a/src/policy.rs
+++ b/src/policy.rs
@@ -192,8 +192,7 @@
             self.ghosts.push(around.now + e.took);
         }
         if e.outcome == Outcome::Full {
-            // Guards against a storm of forwards at full backends: each takes less until it has answered.
-            self.cap = Some(self.in_flight.max(1.0));
+            // Guards against a storm of forwards at full backends: each rests for about an answer's time.
             self.full_until = around.now + Span::from_ms(around.tier.took.or(0.0) * (0.5 + around.chance));
         }
         if matches!(e.outcome, Outcome::Cancelled | Outcome::NotSent | Outcome::Full) {
@@ -657,20 +656,14 @@
     fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) -> bool {
         self.desk.first.retain(|waiting| *waiting != id);
         self.desk.further.retain(|waiting| *waiting != id);
-        let (now, need) = (self.now, self.need());
+        let now = self.now;
         let Some(held) = self.desk.held.get_mut(&id) else { return false };
         if held.sent == 0 {
             self.desk.purse = (self.desk.purse + PURSE_SHARE).min(PURSE_MOST);
         }
         held.out = Some((self.backends[&backend].listing, now));
         held.sent += 1;
-        // Guards against a hung backend using up the caller's time: where another forward is allowed and
-        // paid for, this one is given up while there is time for the other.
-        let once = held.tariff.effect == Effect::AtMostOnce;
-        let again = !once && held.sent < self.settings.max_forwards && self.desk.purse >= 1.0;
-        let patience = Span::from_ms(3.0 * self.tier.p90.or(1000.0));
-        let early = again && now + patience + need < held.goal;
-        let time_out = if early { patience } else { held.due.since(now) };
+        let time_out = held.due.since(now);
         out.push(Action::Forward { exchange: id, backend, time_out });
         self.mail.push(Letter::Backend(backend, BackendNote::Sent));
         true
