--- a/src/policy.rs
+++ b/src/policy.rs
@@ -312,14 +312,6 @@
     tried: Option<BackendId>,
 }
 
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-enum Mode {
-    #[default]
-    Ordinary,
-    Waiting,
-    Refusing,
-}
-
 #[derive(Default)]
 struct Desk {
     inbox: VecDeque<Event>,
@@ -328,7 +320,7 @@
     further: Vec<ExchangeId>,
     purse: f64,
     shares: Vec<f64>, // what each tenant may still send within its share
-    mode: Mode,
+    mode: &'static str,
 }
 
 pub struct Balancer {
@@ -453,24 +445,24 @@
         }
         let (limit, load) = (self.tier.limit, self.load());
         let mode = match self.desk.first.len() {
-            0 => Mode::Ordinary,
-            _ if load <= BAND_CHANCE => Mode::Waiting,
-            _ => Mode::Refusing,
+            0 => "ordinary",
+            _ if load <= BAND_CHANCE => "waiting",
+            _ => "refusing",
         };
         if mode != self.desk.mode {
             self.desk.mode = mode;
             let (p90, base) = (self.tier.p90.or(0.0), self.tier.baseline.or(0.0));
-            out.push(Action::Log(format!(
-                "{mode:?}: limit {limit:.1}, load {load:.2}, p90 {p90:.0}/{base:.0}"
-            )));
+            let figures = format!("limit {limit:.1}, load {load:.2}, p90 {p90:.0}, baseline {base:.0}");
+            out.push(Action::Log(format!("{mode}: {figures}")));
         }
     }
 
     fn tell_tier(&mut self) {
-        let ready = self.backends.values().filter(|b| b.listing.condition == Condition::Ready);
-        let (ready, out) =
-            ready.fold((0.0, 0.0), |(r, o), b| (r + 1.0, o + f64::from(u8::from(b.out.is_some()))));
-        self.mail.push(Letter::Tier(TierNote::Beat(self.in_flight(), ready, out)));
+        let ready: Vec<_> =
+            self.backends.values().filter(|b| b.listing.condition == Condition::Ready).collect();
+        let out = ready.iter().filter(|b| b.out.is_some()).count();
+        let note = TierNote::Beat(self.in_flight(), ready.len() as f64, out as f64);
+        self.mail.push(Letter::Tier(note));
     }
 
     /// Guards against a hung backend's forwards using up the limit: while it is out they do not count.
@@ -480,13 +472,8 @@
 
     /// In flight and waiting, in multiples of the limit.
     fn load(&self) -> f64 {
-        (self.in_flight() + (self.desk.first.len() + self.desk.further.len()) as f64)
-            / self.tier.limit.max(1.0)
-    }
-
-    /// Time that an answer will likely take.
-    fn need(&self) -> Span {
-        Span::from_ms(self.tier.took.or(0.0) * 0.8)
+        let waiting = self.desk.first.len() + self.desk.further.len();
+        (self.in_flight() + waiting as f64) / self.tier.limit.max(1.0)
     }
 
     fn desk_act(&mut self, event: Event, out: &mut Vec<Action>) {
@@ -523,17 +510,9 @@
         }
         out.push(Action::Timer { after: due.since(self.now), mark: TimerMark(id.0.into()) });
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
-        let held = Held {
-            tariff,
-            arrived: self.now,
-            goal,
-            due,
-            beyond_share,
-            sent: 0,
-            out: None,
-            ran: None,
-            tried: None,
-        };
+        let arrived = self.now;
+        let held =
+            Held { tariff, arrived, goal, due, beyond_share, sent: 0, out: None, ran: None, tried: None };
         self.desk.held.insert(id, held);
         self.desk.first.push(id);
         if chance > self.rng.rand_float().into() {
@@ -544,7 +523,6 @@
     }
 
     fn ended(&mut self, e: &Ended, out: &mut Vec<Action>) {
-        let ready_by = self.now + self.need();
         let Some(held) = self.desk.held.get_mut(&e.exchange) else { return };
         if e.answered {
             self.desk.held.remove(&e.exchange);
@@ -554,15 +532,10 @@
         let out_at = held.out.take();
         held.ran = held.ran.or(out_at.filter(|_| !proven));
         held.tried = Some(e.backend);
-        // Guards against an effect that happens twice: only what has not run, or may be repeated, goes again.
-        let allowed = match (held.tariff.effect, held.ran) {
-            (Effect::Reissuable, _) | (_, None) => true,
-            (Effect::Numbered { window, .. }, Some((_, since))) => self.now < since + window,
-            (Effect::AtMostOnce, Some(_)) => false,
-        };
+        let allowed = held.ran.is_none() || held.tariff.effect != Effect::AtMostOnce;
         let cost = if proven { 0.0 } else { 1.0 };
-        let in_time = ready_by < held.due && held.sent < self.settings.max_forwards;
-        if allowed && in_time && e.outcome != Outcome::NotSent && self.desk.purse >= cost {
+        let more = held.sent < self.settings.max_forwards && e.outcome != Outcome::NotSent;
+        if allowed && more && self.desk.purse >= cost {
             self.desk.purse -= cost;
             self.desk.further.push(e.exchange);
         } else {
@@ -570,11 +543,15 @@
         }
     }
 
+    fn leave_lines(&mut self, id: ExchangeId) {
+        self.desk.first.retain(|waiting| *waiting != id);
+        self.desk.further.retain(|waiting| *waiting != id);
+    }
+
     /// Lets go of an exchange, and of its forward that is out.
     fn release(&mut self, id: ExchangeId, out: &mut Vec<Action>) -> Option<Held> {
         let held = self.desk.held.remove(&id)?;
-        self.desk.first.retain(|waiting| *waiting != id);
-        self.desk.further.retain(|waiting| *waiting != id);
+        self.leave_lines(id);
         if held.out.is_some() && self.settings.cancelling {
             out.push(Action::Cancel { exchange: id, forward: ForwardNo(held.sent - 1) });
         }
@@ -591,8 +568,9 @@
         if !harmless {
             return out.push(Action::Forfeit { exchange: id });
         }
-        let late = self.now + self.need() >= held.goal;
-        let soon = Span::from_ms(self.tier.took.or(0.0) * (0.5 + f64::from(self.rng.rand_float())));
+        let took = Span::from_ms(self.tier.took.or(0.0));
+        let soon = took.scaled(0.5 + f64::from(self.rng.rand_float()));
+        let late = self.now + took >= held.goal;
         let backoff = self.settings.max_backoff.map(|most| if late { most } else { soon.min(most) });
         out.push(Action::TurnBack { exchange: id, backoff });
     }
@@ -605,7 +583,7 @@
             let held = &self.desk.held[id];
             self.now + p90.min(held.goal.since(held.arrived).scaled(0.8)) >= held.goal
         };
-        for id in self.desk.first.iter().filter(late).copied().collect::<Vec<_>>() {
+        for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
         }
         if self.desk.first.is_empty() && self.desk.further.is_empty() || self.in_flight() >= self.tier.limit {
@@ -623,12 +601,20 @@
         let held = &self.desk.held[&id];
         let room = (2.0 * self.tier.limit / self.tier.ready_and_out.0.max(1.0)).ceil().max(2.0);
         let (now, settings, tier) = (self.now, &self.settings, &self.tier);
-        let in_group = |b: &Backend| match (held.tariff.effect, held.ran) {
-            (Effect::Numbered { group: Group::Zone, .. }, Some((at, _))) => b.listing.zone == at.zone,
-            (Effect::Numbered { group: Group::Pod, .. }, Some((at, _))) => b.listing.pod == at.pod,
-            _ => true,
+        // Guards against an effect that happens twice: what may have run goes again only where it is harmless.
+        let harmless = |at: &Listing, b: &Listing, group: Group| match group {
+            Group::All => true,
+            Group::Zone => b.zone == at.zone,
+            Group::Pod => b.pod == at.pod,
+        };
+        let may = |b: &Backend| match (held.tariff.effect, held.ran) {
+            (Effect::Reissuable, _) | (_, None) => true,
+            (Effect::AtMostOnce, Some(_)) => false,
+            (Effect::Numbered { group, window }, Some((at, since))) => {
+                now < since + window && harmless(&at, &b.listing, group)
+            }
         };
-        let open = |b: &&Backend| b.ready(now, settings, room) && in_group(b);
+        let open = |b: &&Backend| b.ready(now, settings, room) && may(b);
         let mut all: Vec<&Backend> = self.backends.values().filter(open).collect();
         if all.len() > 1 {
             all.retain(|b| Some(b.listing.backend) != held.tried);
@@ -654,17 +640,14 @@
     }
 
     fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) -> bool {
-        self.desk.first.retain(|waiting| *waiting != id);
-        self.desk.further.retain(|waiting| *waiting != id);
-        let now = self.now;
+        self.leave_lines(id);
         let Some(held) = self.desk.held.get_mut(&id) else { return false };
         if held.sent == 0 {
             self.desk.purse = (self.desk.purse + PURSE_SHARE).min(PURSE_MOST);
         }
-        held.out = Some((self.backends[&backend].listing, now));
+        held.out = Some((self.backends[&backend].listing, self.now));
         held.sent += 1;
-        let time_out = held.due.since(now);
-        out.push(Action::Forward { exchange: id, backend, time_out });
+        out.push(Action::Forward { exchange: id, backend, time_out: held.due.since(self.now) });
         self.mail.push(Letter::Backend(backend, BackendNote::Sent));
         true
     }
