--- a/src/event.rs
+++ b/src/event.rs
@@ -1,6 +1,7 @@
 //! What an instance hears and what it may do.
 
 use crate::id::{BackendId, ExchangeId, ForwardNo, PeerId, PodId, TariffId, TenantId, TimerMark, ZoneId};
+use crate::settings::Group;
 use crate::time::{Span, Time};
 
 #[derive(Clone, Debug)]
@@ -45,6 +46,17 @@
     pub started: Option<Time>,
 }
 
+impl Listing {
+    /// Whether it drops repeats of what the other has run, for a tariff with this group.
+    pub fn shares(&self, other: &Listing, group: Group) -> bool {
+        match group {
+            Group::All => true,
+            Group::Zone => self.zone == other.zone,
+            Group::Pod => self.pod == other.pod,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Condition {
     #[default]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -67,18 +67,13 @@
     Beat(f64, f64, f64), // what is in flight, and how many backends are ready and out
 }
 
-enum Letter {
-    Backend(BackendId, BackendNote),
-    Tier(TierNote),
-}
-
 /// What a backend finds around it when it reads a note, and where it leaves its own.
 struct Around<'a> {
     now: Time,
     tier: &'a Tier,
     settings: &'a Settings,
     chance: f64,
-    mail: &'a mut Vec<Letter>,
+    tier_inbox: &'a mut Vec<TierNote>,
     out: &'a mut Vec<Action>,
 }
 
@@ -158,7 +153,7 @@
         }
         // Guards against a hung backend moving the limit: once it is out, it says nothing about the others.
         if self.out.is_none() {
-            around.mail.push(Letter::Tier(TierNote::Sample(latency, outcome == Outcome::Honoured)));
+            around.tier_inbox.push(TierNote::Sample(latency, outcome == Outcome::Honoured));
         }
     }
 
@@ -199,7 +194,7 @@
             return;
         }
         self.heard = around.now;
-        around.mail.push(Letter::Tier(TierNote::Verdict(if honoured { 0.0 } else { 1.0 })));
+        around.tier_inbox.push(TierNote::Verdict(if honoured { 0.0 } else { 1.0 }));
         if honoured {
             self.strikes = 0.0;
             self.cap = self.cap.map(|cap| cap + 1.0 / cap);
@@ -240,7 +235,6 @@
 /// The Vegas limit of the tier, and what else is known of the tier as a whole.
 #[derive(Default)]
 struct Tier {
-    inbox: Vec<TierNote>,
     limit: f64,
     ready_and_out: (f64, f64),
     /// Smoothed p90 and its baseline, in ms.
@@ -316,8 +310,8 @@
 struct Desk {
     inbox: VecDeque<Event>,
     held: BTreeMap<ExchangeId, Held>,
-    first: Vec<ExchangeId>,
-    further: Vec<ExchangeId>,
+    first: Vec<ExchangeId>,   // the line of first forwards
+    further: Vec<ExchangeId>, // the line of further forwards
     purse: f64,
     shares: Vec<f64>, // what each tenant may still send within its share
     mode: &'static str,
@@ -329,8 +323,9 @@
     now: Time,
     backends: BTreeMap<BackendId, Backend>,
     tier: Tier,
+    tier_inbox: Vec<TierNote>,
     desk: Desk,
-    mail: Vec<Letter>,
+    called: Vec<BackendId>, // backends with notes in their inbox
     list_failures: u32,
 }
 
@@ -343,9 +338,9 @@
             out.push(Action::Timer { after, mark: MARK_WATCH });
         }
         let shares = settings.allowances.iter().map(|a| a / settings.instances as f64).collect();
-        let desk = Desk { purse: PURSE_MOST / 2.0, shares, ..Desk::default() };
-        let (backends, tier, mail) = (BTreeMap::new(), Tier::default(), Vec::new());
-        Balancer { settings, rng, now, backends, tier, desk, mail, list_failures: 0 }
+        let desk = Desk { purse: PURSE_MOST / 2.0, shares, mode: "ordinary", ..Desk::default() };
+        let (backends, tier, tier_inbox, called) = Default::default();
+        Balancer { settings, rng, now, backends, tier, tier_inbox, desk, called, list_failures: 0 }
     }
 
     /// Takes one event and appends what is to be done about it now.
@@ -355,7 +350,7 @@
             Event::Listed { whole, listings } => self.list(*whole, listings),
             Event::ListFailed => self.list_failed(out),
             Event::Began { backend, took, .. } => {
-                self.mail.push(Letter::Backend(*backend, BackendNote::Began(*took)));
+                self.tell(*backend, BackendNote::Began(*took));
             }
             Event::Ended(e) => {
                 // A full answer counts as a time-out, and both as one that had not waited: guards against the
@@ -366,7 +361,7 @@
                     Outcome::Honoured => held.map(|_| e.took),
                     _ => None,
                 };
-                self.mail.push(Letter::Backend(e.backend, BackendNote::Ended(*e, latency)));
+                self.tell(e.backend, BackendNote::Ended(*e, latency));
             }
             Event::Timer(MARK_BEAT) => self.beat(out),
             Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
@@ -380,47 +375,42 @@
     /// know of it before the next is picked for.
     fn run(&mut self, out: &mut Vec<Action>) {
         loop {
-            let mut called = Vec::new();
-            for letter in self.mail.drain(..) {
-                match letter {
-                    Letter::Tier(note) => self.tier.inbox.push(note),
-                    Letter::Backend(id, note) => {
-                        self.backends.entry(id).and_modify(|backend| backend.inbox.push(note));
-                        called.push(id);
-                    }
-                }
-            }
             let (now, settings) = (self.now, &self.settings);
-            for id in called {
+            for id in take(&mut self.called) {
                 let Some(backend) = self.backends.get_mut(&id) else { continue };
-                let (chance, mail) = (self.rng.rand_float().into(), &mut self.mail);
-                let mut around = Around { now, tier: &self.tier, settings, chance, mail, out };
+                let (chance, tier_inbox) = (self.rng.rand_float().into(), &mut self.tier_inbox);
+                let mut around = Around { now, tier: &self.tier, settings, chance, tier_inbox, out };
                 for note in take(&mut backend.inbox) {
                     backend.act(note, &mut around);
                 }
             }
-            for note in take(&mut self.tier.inbox) {
+            for note in take(&mut self.tier_inbox) {
                 self.tier.act(note, now, settings.instances as f64);
             }
-            if self.mail.is_empty() {
-                match self.desk.inbox.pop_front() {
-                    Some(event) => self.desk_act(event, out),
-                    None if !self.serve(out) => return,
-                    None => {}
-                }
+            match self.desk.inbox.pop_front() {
+                Some(event) => self.act(event, out),
+                None if !self.serve(out) => return,
+                None => {}
             }
         }
     }
 
+    fn tell(&mut self, id: BackendId, note: BackendNote) {
+        if let Some(backend) = self.backends.get_mut(&id) {
+            backend.inbox.push(note);
+            self.called.push(id);
+        }
+    }
+
     fn list(&mut self, whole: bool, listings: &[Listing]) {
         self.list_failures = 0;
-        for (id, backend) in self.backends.iter().filter(|_| whole) {
-            let listing = Listing { condition: Condition::Gone, ..backend.listing };
-            self.mail.push(Letter::Backend(*id, BackendNote::Listed(listing)));
+        for (id, mut listing) in self.backends.iter().map(|(id, b)| (*id, b.listing)).collect::<Vec<_>>() {
+            listing.condition = if whole { Condition::Gone } else { listing.condition };
+            self.tell(id, BackendNote::Listed(listing));
         }
         for listing in listings {
             self.backends.entry(listing.backend).or_default().listing.backend = listing.backend;
-            self.mail.push(Letter::Backend(listing.backend, BackendNote::Listed(*listing)));
+            self.tell(listing.backend, BackendNote::Listed(*listing));
         }
         if self.tier.limit == 0.0 {
             self.tell_tier();
@@ -437,7 +427,9 @@
     fn beat(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { after: BEAT, mark: MARK_BEAT });
         self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.in_flight > 0.0);
-        self.mail.extend(self.backends.keys().map(|id| Letter::Backend(*id, BackendNote::Beat)));
+        for id in self.backends.keys().copied().collect::<Vec<_>>() {
+            self.tell(id, BackendNote::Beat);
+        }
         self.tell_tier();
         let instances = self.settings.instances as f64;
         for (share, allowance) in self.desk.shares.iter_mut().zip(&self.settings.allowances) {
@@ -462,7 +454,7 @@
             self.backends.values().filter(|b| b.listing.condition == Condition::Ready).collect();
         let out = ready.iter().filter(|b| b.out.is_some()).count();
         let note = TierNote::Beat(self.in_flight(), ready.len() as f64, out as f64);
-        self.mail.push(Letter::Tier(note));
+        self.tier_inbox.push(note);
     }
 
     /// Guards against a hung backend's forwards using up the limit: while it is out they do not count.
@@ -476,7 +468,7 @@
         (self.in_flight() + waiting as f64) / self.tier.limit.max(1.0)
     }
 
-    fn desk_act(&mut self, event: Event, out: &mut Vec<Action>) {
+    fn act(&mut self, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Taken(exchange) => self.taken(exchange, out),
             // The client holds a stream that has begun: nothing more is owed for it.
@@ -602,16 +594,11 @@
         let room = (2.0 * self.tier.limit / self.tier.ready_and_out.0.max(1.0)).ceil().max(2.0);
         let (now, settings, tier) = (self.now, &self.settings, &self.tier);
         // Guards against an effect that happens twice: what may have run goes again only where it is harmless.
-        let harmless = |at: &Listing, b: &Listing, group: Group| match group {
-            Group::All => true,
-            Group::Zone => b.zone == at.zone,
-            Group::Pod => b.pod == at.pod,
-        };
         let may = |b: &Backend| match (held.tariff.effect, held.ran) {
             (Effect::Reissuable, _) | (_, None) => true,
             (Effect::AtMostOnce, Some(_)) => false,
             (Effect::Numbered { group, window }, Some((at, since))) => {
-                now < since + window && harmless(&at, &b.listing, group)
+                now < since + window && at.shares(&b.listing, group)
             }
         };
         let open = |b: &&Backend| b.ready(now, settings, room) && may(b);
@@ -648,7 +635,7 @@
         held.out = Some((self.backends[&backend].listing, self.now));
         held.sent += 1;
         out.push(Action::Forward { exchange: id, backend, time_out: held.due.since(self.now) });
-        self.mail.push(Letter::Backend(backend, BackendNote::Sent));
+        self.tell(backend, BackendNote::Sent);
         true
     }
 }
