--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,12 +3,9 @@
 //! Make one [`Balancer`] with the instance's settings, then hand it every event in order; it appends what is
 //! to be done. Its interface is `event.rs` (what it hears and does) and `settings.rs` (what it is told).
 //!
-//! The ordinary path is the design of `docs/design.md`: one Vegas limit for the tier, a baseline reset by
-//! correlation, bands of waiting and refusal in multiples of the limit, a pick of two random ready backends.
-//! Beside it stand six mechanisms:
-//!
+//! The ordinary path is the design of `docs/design.md`. Beside it stand six mechanisms:
 //! 1. Health: a backend that fails or falls silent while its peers answer is out until a trial is honoured.
-//! 2. Further forwards: time-outs that leave room for another, paid from a purse that first forwards fill.
+//! 2. Further forwards: a line of their own, and a purse for what may have run, which first forwards fill.
 //! 3. Turn-backs: what can no longer be answered in time gets its final answer at once.
 //! 4. Fairness: within the refusal band, what lies beyond its tenant's share goes first.
 //! 5. Cold cap: a fresh backend's forwards are capped in flight and in rate, and grow with its answers.
@@ -96,9 +93,9 @@
 }
 
 impl Backend {
-    fn ready(&self, now: Time, settings: &Settings, room: f64) -> bool {
+    fn ready(&self, now: Time, settings: &Settings) -> bool {
         let free = match self.out {
-            None => self.holds() < self.cap.map_or(room, |cap| cap.min(room)),
+            None => self.cap.is_none_or(|cap| self.holds() < cap),
             Some(until) => now >= until && self.in_flight < 1.0,
         };
         let bears = self.credit >= 1.0 || settings.cold.warmth(self.listing.started, now) >= 1.0;
@@ -219,12 +216,9 @@
             if out + 1.0 > (OUT_MOST * ready).max(1.0) || ready < 2.0 {
                 return;
             }
-            let (strikes, silence, failing) =
-                (self.strikes, around.now.since(self.heard).ms(), around.tier.failing);
-            around.out.push(Action::Log(format!(
-                "{} out, {why}: strikes {strikes:.1}, silent {silence:.0}, tier failing {failing:.2}",
-                self.listing.backend
-            )));
+            let (id, strikes, failing) = (self.listing.backend, self.strikes, around.tier.failing);
+            let figures = format!("strikes {strikes:.1}, tier failing {failing:.2}");
+            around.out.push(Action::Log(format!("{id} out, {why}: {figures}")));
         }
         let times = f64::from(1 << self.outs.min(OUT_DOUBLINGS)) * (0.75 + 0.5 * around.chance);
         self.outs += 1;
@@ -237,9 +231,8 @@
 struct Tier {
     limit: f64,
     ready_and_out: (f64, f64),
-    /// Smoothed p90 and its baseline, in ms.
-    p90: Mean,
-    baseline: Mean,
+    p90: Mean,      // smoothed, in ms
+    baseline: Mean, // what it is without a queue
     samples: Window,
     intervals: Trend, // in flight and answers of the last update intervals
     answers: f64,
@@ -303,7 +296,6 @@
     sent: u16,
     out: Option<(Listing, Time)>, // where the forward that is out may be running, and since when
     ran: Option<(Listing, Time)>, // the first forward that may have run
-    tried: Option<BackendId>,
 }
 
 #[derive(Default)]
@@ -348,7 +340,13 @@
         self.now = now;
         match &event {
             Event::Listed { whole, listings } => self.list(*whole, listings),
-            Event::ListFailed => self.list_failed(out),
+            Event::ListFailed => {
+                self.list_failures += 1;
+                let wait =
+                    f64::from(1 << self.list_failures.min(5)) * (0.5 + f64::from(self.rng.rand_float()));
+                out.push(Action::Log(format!("list lost, failure {}, asking again", self.list_failures)));
+                out.push(Action::Timer { after: Span::from_millis(250).scaled(wait), mark: MARK_WATCH });
+            }
             Event::Began { backend, took, .. } => {
                 self.tell(*backend, BackendNote::Began(*took));
             }
@@ -417,13 +415,6 @@
         }
     }
 
-    fn list_failed(&mut self, out: &mut Vec<Action>) {
-        let wait = f64::from(1 << self.list_failures.min(4)) * (0.5 + f64::from(self.rng.rand_float()));
-        self.list_failures += 1;
-        out.push(Action::Log(format!("list lost, failure {}, asking again", self.list_failures)));
-        out.push(Action::Timer { after: Span::from_millis(500).scaled(wait), mark: MARK_WATCH });
-    }
-
     fn beat(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { after: BEAT, mark: MARK_BEAT });
         self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.in_flight > 0.0);
@@ -503,8 +494,7 @@
         out.push(Action::Timer { after: due.since(self.now), mark: TimerMark(id.0.into()) });
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
         let arrived = self.now;
-        let held =
-            Held { tariff, arrived, goal, due, beyond_share, sent: 0, out: None, ran: None, tried: None };
+        let held = Held { tariff, arrived, goal, due, beyond_share, sent: 0, out: None, ran: None };
         self.desk.held.insert(id, held);
         self.desk.first.push(id);
         if chance > self.rng.rand_float().into() {
@@ -523,7 +513,6 @@
         let proven = e.outcome.proves_not_run();
         let out_at = held.out.take();
         held.ran = held.ran.or(out_at.filter(|_| !proven));
-        held.tried = Some(e.backend);
         let allowed = held.ran.is_none() || held.tariff.effect != Effect::AtMostOnce;
         let cost = if proven { 0.0 } else { 1.0 };
         let more = held.sent < self.settings.max_forwards && e.outcome != Outcome::NotSent;
@@ -591,9 +580,8 @@
     /// Of two random ready backends the one with less to do.
     fn pick(&mut self, id: ExchangeId) -> Option<BackendId> {
         let held = &self.desk.held[&id];
-        let room = (2.0 * self.tier.limit / self.tier.ready_and_out.0.max(1.0)).ceil().max(2.0);
         let (now, settings, tier) = (self.now, &self.settings, &self.tier);
-        // Guards against an effect that happens twice: what may have run goes again only where it is harmless.
+        // Guards against an effect that happens twice: what may have run goes only where that is harmless.
         let may = |b: &Backend| match (held.tariff.effect, held.ran) {
             (Effect::Reissuable, _) | (_, None) => true,
             (Effect::AtMostOnce, Some(_)) => false,
@@ -601,11 +589,8 @@
                 now < since + window && at.shares(&b.listing, group)
             }
         };
-        let open = |b: &&Backend| b.ready(now, settings, room) && may(b);
+        let open = |b: &&Backend| b.ready(now, settings) && may(b);
         let mut all: Vec<&Backend> = self.backends.values().filter(open).collect();
-        if all.len() > 1 {
-            all.retain(|b| Some(b.listing.backend) != held.tried);
-        }
         let said: Vec<f64> = all.iter().filter_map(|b| b.others).map(|(_, others)| others).collect();
         let (mean, fade) = (said.iter().sum::<f64>() / said.len().max(1) as f64, tier.took.or(0.0).max(1.0));
         let load = |b: &Backend| {
