Let time-outs reach the limit, and lower it while many answers are late

Now the time-out comes first and the timer only stands in. Lateness above 15% of samples lowers the limit; its floor is 2 calls a ready backend; a backend's own answer time counts answers only; time-outs strike half.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,7 +36,9 @@
 const SMOOTHING: f64 = 0.2; // weight of a new window in the smoothed p90
 const CORRELATED: usize = 50; // update intervals over which in flight and throughput are compared
 const CORRELATION: f64 = 0.3; // what chance alone hardly brings over so many intervals
-const CALLS_START: f64 = 3.0; // for each ready backend, of all instances together
+const LATE: f64 = 0.15; // above this part of samples not in time the limit falls
+const CALLS_LEAST: f64 = 2.0; // for each ready backend, of all instances together
+const CALLS_START: f64 = 3.0;
 const CALLS_MOST: f64 = 8.0;
 const LIMIT_FLOOR: f64 = 4.0;
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
@@ -54,12 +56,12 @@
     Listed(Listing),
     Sent,
     Began(Span),
-    Ended(Ended, Option<Span>),
+    Ended(Ended, Option<(Span, bool)>),
     Beat,
 }
 
 enum TierNote {
-    Sample(Span, bool),  // a latency, and whether it is that of an answer
+    Sample(Span, bool),  // a latency, and whether it is that of an answer in time
     Verdict(f64),        // 1 for a forward that failed, 0 for one that did not
     Beat(f64, f64, f64), // what is in flight, and how many backends are ready and out
 }
@@ -137,20 +139,17 @@
             }
             BackendNote::Began(took) => {
                 self.heard = around.now;
-                self.sample(took, Outcome::Honoured, around);
+                self.sample(took, true, around);
             }
-            BackendNote::Ended(ended, latency) => self.ended(&ended, latency, around),
+            BackendNote::Ended(ended, sample) => self.ended(&ended, sample, around),
             BackendNote::Beat => self.beat(around),
         }
     }
 
-    fn sample(&mut self, latency: Span, outcome: Outcome, around: &mut Around) {
-        if outcome != Outcome::Full {
-            self.took.add(latency.ms(), 0.2);
-        }
+    fn sample(&self, latency: Span, in_time: bool, around: &mut Around) {
         // Guards against a hung backend moving the limit: once it is out, it says nothing about the others.
         if self.out.is_none() {
-            around.tier_inbox.push(TierNote::Sample(latency, outcome == Outcome::Honoured));
+            around.tier_inbox.push(TierNote::Sample(latency, in_time));
         }
     }
 
@@ -169,14 +168,14 @@
         }
     }
 
-    fn ended(&mut self, e: &Ended, latency: Option<Span>, around: &mut Around) {
+    fn ended(&mut self, e: &Ended, sample: Option<(Span, bool)>, around: &mut Around) {
         self.in_flight -= 1.0;
         if let Some(held) = e.load.held.or(e.load.waiting) {
             self.others = Some((around.now, (held - self.in_flight).max(0.0)));
         }
         let honoured = e.outcome == Outcome::Honoured;
-        if let Some(latency) = latency {
-            self.sample(latency, e.outcome, around);
+        if let Some((latency, in_time)) = sample {
+            self.sample(latency, in_time, around);
         }
         if matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled) && self.others.is_none() {
             // Guards against work piling up unseen: a time-out or a cancel may not stop it, and where no
@@ -194,6 +193,7 @@
         around.tier_inbox.push(TierNote::Verdict(if honoured { 0.0 } else { 1.0 }));
         if honoured {
             self.strikes = 0.0;
+            self.took.add(e.took.ms(), 0.2);
             self.cap = self.cap.map(|cap| cap + 1.0 / cap);
             self.credit = (self.credit + 1.0).min(1.5);
             if self.out.take().is_some() {
@@ -204,7 +204,11 @@
         }
         // Guards against blaming one backend for what all suffer, such as errors from the tier below.
         let blame = (1.0 - 3.0 * around.tier.failing).max(0.0);
-        self.strikes += if e.outcome == Outcome::ConnectFailed { STRIKES_OUT } else { blame };
+        self.strikes += match e.outcome {
+            Outcome::ConnectFailed => STRIKES_OUT,
+            Outcome::TimedOut => 0.5 * blame,
+            _ => blame,
+        };
         if self.strikes >= STRIKES_OUT || self.out.is_some() {
             self.put_out("failing", around);
         }
@@ -238,6 +242,7 @@
     answers: f64,
     rate: f64,    // own answers a second for each ready backend
     took: Mean,   // answer time in ms
+    late: f64,    // part of the samples that were not in time
     failing: f64, // part of the forwards that fail
 }
 
@@ -245,9 +250,10 @@
     fn act(&mut self, note: TierNote, now: Time, instances: f64) {
         match note {
             TierNote::Verdict(failed) => self.failing += (failed - self.failing) * 0.05,
-            TierNote::Sample(took, answer) => {
+            TierNote::Sample(took, in_time) => {
                 self.samples.add(now, took.ms());
-                if answer {
+                self.late += (f64::from(u8::from(!in_time)) - self.late) * 0.05;
+                if in_time {
                     self.answers += 1.0;
                     self.took.add(took.ms(), 0.05);
                 }
@@ -256,18 +262,19 @@
                 self.ready_and_out = (ready, out);
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(in_flight, take(&mut self.answers), CORRELATED);
-                let start = (CALLS_START * ready / instances).max(LIMIT_FLOOR);
-                let top = (CALLS_MOST * ready / instances).max(LIMIT_FLOOR);
-                self.limit = if self.limit == 0.0 { start } else { self.limit.min(top) };
-                self.update(now, start, top);
+                let [floor, start, top] =
+                    [CALLS_LEAST, CALLS_START, CALLS_MOST].map(|c| (c * ready / instances).max(LIMIT_FLOOR));
+                self.limit = if self.limit == 0.0 { start } else { self.limit };
+                self.update(now, start);
+                self.limit = self.limit.clamp(floor, top);
             }
         }
     }
 
-    fn update(&mut self, now: Time, start: f64, top: f64) {
+    fn update(&mut self, now: Time, start: f64) {
         let Some(p90) = self.samples.p90(now, WINDOW, WINDOW_MOST, WINDOW_SAMPLES) else {
             // Guards against an instance with few calls being stuck at a low limit: it rises while unjudged.
-            self.limit = (self.limit + 1.0 / BEATS_PER_S).min(start.max(self.limit));
+            self.limit += if self.limit < start { 1.0 / BEATS_PER_S } else { 0.0 };
             return;
         };
         self.p90.add(p90, SMOOTHING);
@@ -279,10 +286,11 @@
         }
         let queued = self.limit * (1.0 - self.baseline.or(latency) / latency.max(0.001));
         let log = self.limit.log10();
-        if queued < 3.0 * log {
-            self.limit = (self.limit + log.max(1.0)).min(top);
-        } else if queued > 6.0 * log {
-            self.limit = (self.limit - log.max(1.0)).max(LIMIT_FLOOR);
+        // Guards against a goal so near that latency cannot grow past it: much lateness is a queue as well.
+        if queued > 6.0 * log || self.late > LATE {
+            self.limit -= log.max(1.0);
+        } else if queued < 3.0 * log {
+            self.limit += log.max(1.0);
         }
     }
 }
@@ -353,13 +361,13 @@
             Event::Ended(e) => {
                 // A full answer counts as a time-out, and both as one that had not waited: guards against the
                 // short time-outs of what waited long passing for quick answers.
-                let held = self.desk.held.get(&e.exchange);
-                let latency = match e.outcome {
-                    Outcome::Full | Outcome::TimedOut => held.map(|held| held.tariff.goal.max(e.took)),
-                    Outcome::Honoured => held.map(|_| e.took),
+                let goal = self.desk.held.get(&e.exchange).map(|held| held.tariff.goal);
+                let sample = goal.and_then(|goal| match e.outcome {
+                    Outcome::Full | Outcome::TimedOut => Some((goal.max(e.took), false)),
+                    Outcome::Honoured => Some((e.took, e.took < goal)),
                     _ => None,
-                };
-                self.tell(e.backend, BackendNote::Ended(*e, latency));
+                });
+                self.tell(e.backend, BackendNote::Ended(*e, sample));
             }
             Event::Timer(MARK_BEAT) => self.beat(out),
             Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
@@ -491,7 +499,9 @@
             beyond_share = self.settings.tier == 0 && *share < 1.0;
             *share -= if beyond_share { 0.0 } else { 1.0 };
         }
-        out.push(Action::Timer { after: due.since(self.now), mark: TimerMark(id.0.into()) });
+        // Only a stand-in: the forward's own time-out comes a round earlier, and counts as a sample.
+        let after = due.since(self.now) + self.settings.round;
+        out.push(Action::Timer { after, mark: TimerMark(id.0.into()) });
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
         let arrived = self.now;
         let held = Held { tariff, arrived, goal, due, beyond_share, sent: 0, out: None, ran: None };
