--- a/src/policy.rs
+++ b/src/policy.rs
@@ -346,33 +346,6 @@
     /// Takes one event and appends what is to be done about it now.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = now;
-        match &event {
-            Event::Listed { whole, listings } => self.list(*whole, listings),
-            Event::ListFailed => {
-                self.list_failures += 1;
-                let wait =
-                    f64::from(1 << self.list_failures.min(5)) * (0.5 + f64::from(self.rng.rand_float()));
-                out.push(Action::Log(format!("list lost, failure {}, asking again", self.list_failures)));
-                out.push(Action::Timer { after: Span::from_millis(250).scaled(wait), mark: MARK_WATCH });
-            }
-            Event::Began { backend, took, .. } => {
-                self.tell(*backend, BackendNote::Began(*took));
-            }
-            Event::Ended(e) => {
-                // A full answer counts as a time-out, and both as one that had not waited: guards against the
-                // short time-outs of what waited long passing for quick answers.
-                let goal = self.desk.held.get(&e.exchange).map(|held| held.tariff.goal);
-                let sample = goal.and_then(|goal| match e.outcome {
-                    Outcome::Full | Outcome::TimedOut => Some((goal.max(e.took), false)),
-                    Outcome::Honoured => Some((e.took, e.took < goal)),
-                    _ => None,
-                });
-                self.tell(e.backend, BackendNote::Ended(*e, sample));
-            }
-            Event::Timer(MARK_BEAT) => self.beat(out),
-            Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
-            _ => {}
-        }
         self.desk.inbox.push_back(event);
         self.run(out);
     }
@@ -418,9 +391,6 @@
             self.backends.entry(listing.backend).or_default().listing.backend = listing.backend;
             self.tell(listing.backend, BackendNote::Listed(*listing));
         }
-        if self.tier.limit == 0.0 {
-            self.tell_tier();
-        }
     }
 
     fn beat(&mut self, out: &mut Vec<Action>) {
@@ -429,7 +399,10 @@
         for id in self.backends.keys().copied().collect::<Vec<_>>() {
             self.tell(id, BackendNote::Beat);
         }
-        self.tell_tier();
+        let ready = self.backends.values().filter(|b| b.listing.condition == Condition::Ready);
+        let (ready, out_now): (Vec<_>, Vec<_>) = ready.partition(|b| b.out.is_none());
+        let (ready, gone) = ((ready.len() + out_now.len()) as f64, out_now.len() as f64);
+        self.tier_inbox.push(TierNote::Beat(self.in_flight(), ready, gone));
         let instances = self.settings.instances as f64;
         for (share, allowance) in self.desk.shares.iter_mut().zip(&self.settings.allowances) {
             *share = (*share + allowance / instances / BEATS_PER_S).min(allowance / instances);
@@ -448,14 +421,6 @@
         }
     }
 
-    fn tell_tier(&mut self) {
-        let ready: Vec<_> =
-            self.backends.values().filter(|b| b.listing.condition == Condition::Ready).collect();
-        let out = ready.iter().filter(|b| b.out.is_some()).count();
-        let note = TierNote::Beat(self.in_flight(), ready.len() as f64, out as f64);
-        self.tier_inbox.push(note);
-    }
-
     /// Guards against a hung backend's forwards using up the limit: while it is out they do not count.
     fn in_flight(&self) -> f64 {
         self.backends.values().filter(|b| b.out.is_none()).map(Backend::holds).sum()
@@ -464,23 +429,36 @@
     /// In flight and waiting, in multiples of the limit.
     fn load(&self) -> f64 {
         let waiting = self.desk.first.len() + self.desk.further.len();
-        (self.in_flight() + waiting as f64) / self.tier.limit.max(1.0)
+        (self.in_flight() + waiting as f64) / self.tier.limit.max(LIMIT_FLOOR)
     }
 
     fn act(&mut self, event: Event, out: &mut Vec<Action>) {
         match event {
+            Event::Listed { whole, listings } => self.list(whole, &listings),
+            Event::ListFailed => {
+                self.list_failures += 1;
+                let wait =
+                    f64::from(1 << self.list_failures.min(5)) * (0.5 + f64::from(self.rng.rand_float()));
+                out.push(Action::Log(format!("list lost, failure {}, asking again", self.list_failures)));
+                out.push(Action::Timer { after: Span::from_millis(250).scaled(wait), mark: MARK_WATCH });
+            }
             Event::Taken(exchange) => self.taken(exchange, out),
-            // The client holds a stream that has begun: nothing more is owed for it.
-            Event::Began { exchange, .. } => drop(self.desk.held.remove(&exchange)),
-            Event::Ended(ended) => self.ended(&ended, out),
+            Event::Began { exchange, backend, took } => {
+                // The client holds a stream that has begun: nothing more is owed for it.
+                self.desk.held.remove(&exchange);
+                self.tell(backend, BackendNote::Began(took));
+            }
+            Event::Ended(ended) => self.ended(ended, out),
             Event::Left(id) => drop(self.release(id, out)),
+            Event::Timer(MARK_BEAT) => self.beat(out),
+            Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
             Event::Timer(mark) => {
                 let id = ExchangeId(mark.0 as u32);
                 if self.desk.held.get(&id).is_some_and(|held| held.due <= self.now) {
                     self.give_up(id, out);
                 }
             }
-            _ => {}
+            Event::Checked { .. } | Event::PeerSaid { .. } => {}
         }
     }
 
@@ -514,12 +492,20 @@
         }
     }
 
-    fn ended(&mut self, e: &Ended, out: &mut Vec<Action>) {
-        let Some(held) = self.desk.held.get_mut(&e.exchange) else { return };
+    fn ended(&mut self, e: Ended, out: &mut Vec<Action>) {
+        let held = self.desk.held.get(&e.exchange);
+        // A full answer counts as a time-out, and both as one that had not waited: guards against the short
+        // time-outs of what waited long passing for quick answers.
+        let sample = held.map(|held| held.tariff.goal).and_then(|goal| match e.outcome {
+            Outcome::Full | Outcome::TimedOut => Some((goal.max(e.took), false)),
+            Outcome::Honoured => Some((e.took, e.took < goal)),
+            _ => None,
+        });
+        self.tell(e.backend, BackendNote::Ended(e, sample));
         if e.answered {
             self.desk.held.remove(&e.exchange);
-            return;
         }
+        let Some(held) = self.desk.held.get_mut(&e.exchange) else { return };
         let proven = e.outcome.proves_not_run();
         let out_at = held.out.take();
         held.ran = held.ran.or(out_at.filter(|_| !proven));
@@ -577,7 +563,9 @@
         for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
         }
-        if self.desk.first.is_empty() && self.desk.further.is_empty() || self.in_flight() >= self.tier.limit {
+        if self.desk.first.is_empty() && self.desk.further.is_empty()
+            || self.in_flight() >= self.tier.limit.max(LIMIT_FLOOR)
+        {
             return false;
         }
         let order = |id: &&ExchangeId| (self.desk.held[id].beyond_share, self.desk.held[id].goal);
