--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 
 use setup::Columns;
-use sparlug::event::Action;
+use sparlug::event::{Action, Event, Exchange};
 use sparlug::policy::Balancer;
 use sparlug::time::Time;
 use wire::{Reader, Record, Reply, Tables, HEADER};
@@ -17,6 +17,7 @@
 struct Instance {
     balancer: Balancer,
     columns: Columns,
+    tariffs: usize,
 }
 
 #[derive(Default)]
@@ -35,9 +36,10 @@
         let ran = match record {
             Record::Start { seed, setup } => {
                 let (settings, columns) = setup::decode(setup)?;
+                let tariffs = settings.tariffs.len();
                 let start = AssertUnwindSafe(|| Balancer::new(settings, seed, now, actions));
                 catch_unwind(start).map(|balancer| {
-                    self.instances.insert(number, Instance { balancer, columns });
+                    self.instances.insert(number, Instance { balancer, columns, tariffs });
                 })
             }
             Record::Stop => {
@@ -47,6 +49,11 @@
             Record::Event(event) => match self.instances.get_mut(&number) {
                 None => return Ok(()),
                 Some(instance) => {
+                    if let Event::Taken(Exchange { tariff, .. }) = event {
+                        if usize::from(tariff.0) >= instance.tariffs {
+                            return Err(format!("class {} is not among the settings' tariffs", tariff.0));
+                        }
+                    }
                     catch_unwind(AssertUnwindSafe(|| instance.balancer.handle(now, event, actions)))
                 }
             },
--- a/src/event.rs
+++ b/src/event.rs
@@ -153,3 +153,23 @@
     FetchList,
     Log(String),
 }
+
+/// What a backend's actor finds in its inbox.
+pub(crate) enum BackendNote {
+    Listed(Listing),
+    Sent,
+    Began(Span),
+    /// An outcome, and the latency that counts for it, if any: how long, and whether it was in time.
+    Ended(Ended, Option<(Span, bool)>),
+    Beat,
+}
+
+/// What the tier's actor finds in its inbox.
+pub(crate) enum TierNote {
+    /// A latency, and whether it is that of an answer in time.
+    Sample(Span, bool),
+    /// 1 for a forward that failed, 0 for one that did not.
+    Verdict(f64),
+    /// What is in flight, how many backends are listed as ready, and how many of those are out.
+    Beat(f64, f64, f64),
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,8 +1,6 @@
 //! All decisions of an instance: where an exchange goes, when it waits, when it is turned back.
-//!
 //! Make one [`Balancer`] with the instance's settings, then hand it every event in order; it appends what is
 //! to be done. Its interface is `event.rs` (what it hears and does) and `settings.rs` (what it is told).
-//!
 //! The ordinary path is the design of `docs/design.md`. Beside it stand six mechanisms:
 //! 1. Health: a backend that fails or falls silent while its peers answer is out until a trial is honoured.
 //! 2. Further forwards: a line of their own, and a purse for what may have run, which first forwards fill.
@@ -12,14 +10,14 @@
 //! 6. Following the list: departures bind at once; a lost watch is asked for again with a growing wait.
 //!
 //! Each backend is an actor, and so are the tier's limit and the desk that holds the exchanges. They change
-//! each other only by notes put into inboxes, which one loop, [`Balancer::run`], empties.
+//! each other only by notes put into inboxes, which one loop, in [`Balancer::handle`], empties.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::mem::take;
 
 use oorandom::Rand32;
 
-use crate::event::{Action, Condition, Ended, Event, Exchange, Listing, Outcome};
+use crate::event::{Action, BackendNote, Condition, Ended, Event, Exchange, Listing, Outcome, TierNote};
 use crate::id::{BackendId, ExchangeId, ForwardNo, TimerMark};
 use crate::settings::{Effect, Group, Settings, Tariff};
 use crate::stats::{Mean, Trend, Window};
@@ -52,20 +50,6 @@
 const MARK_BEAT: TimerMark = TimerMark(u64::MAX);
 const MARK_WATCH: TimerMark = TimerMark(u64::MAX - 1);
 
-enum BackendNote {
-    Listed(Listing),
-    Sent,
-    Began(Span),
-    Ended(Ended, Option<(Span, bool)>),
-    Beat,
-}
-
-enum TierNote {
-    Sample(Span, bool),  // a latency, and whether it is that of an answer in time
-    Verdict(f64),        // 1 for a forward that failed, 0 for one that did not
-    Beat(f64, f64, f64), // what is in flight, and how many backends are ready and out
-}
-
 /// What a backend finds around it when it reads a note, and where it leaves its own.
 struct Around<'a> {
     now: Time,
@@ -137,16 +121,14 @@
                 self.in_flight += 1.0;
                 self.credit -= 1.0;
             }
-            BackendNote::Began(took) => {
-                self.heard = around.now;
-                self.sample(took, true, around);
-            }
+            BackendNote::Began(took) => self.sample(took, true, around),
             BackendNote::Ended(ended, sample) => self.ended(&ended, sample, around),
             BackendNote::Beat => self.beat(around),
         }
     }
 
-    fn sample(&self, latency: Span, in_time: bool, around: &mut Around) {
+    fn sample(&mut self, latency: Span, in_time: bool, around: &mut Around) {
+        self.heard = around.now;
         // Guards against a hung backend moving the limit: once it is out, it says nothing about the others.
         if self.out.is_none() {
             around.tier_inbox.push(TierNote::Sample(latency, in_time));
@@ -170,16 +152,14 @@
 
     fn ended(&mut self, e: &Ended, sample: Option<(Span, bool)>, around: &mut Around) {
         self.in_flight -= 1.0;
-        if let Some(held) = e.load.held.or(e.load.waiting) {
-            self.others = Some((around.now, (held - self.in_flight).max(0.0)));
-        }
+        let said = e.load.held.or(e.load.waiting).map(|held| (around.now, (held - self.in_flight).max(0.0)));
+        self.others = said.or(self.others);
         let honoured = e.outcome == Outcome::Honoured;
         if let Some((latency, in_time)) = sample {
             self.sample(latency, in_time, around);
         }
         if matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled) && self.others.is_none() {
-            // Guards against work piling up unseen: a time-out or a cancel may not stop it, and where no
-            // report tells, it counts as in flight for as long again.
+            // Guards against unseen work: a time-out may not stop it; where no report tells, it still counts.
             self.ghosts.push(around.now + e.took);
         }
         if e.outcome == Outcome::Full {
@@ -216,8 +196,7 @@
 
     fn put_out(&mut self, why: &str, around: &mut Around) {
         if self.out.is_none() {
-            let (ready, out) = around.tier.ready_and_out;
-            if out + 1.0 > (OUT_MOST * ready).max(1.0) || ready < 2.0 {
+            if around.tier.ready_and_out.1 + 1.0 > (OUT_MOST * around.tier.ready_and_out.0).round() {
                 return;
             }
             let (id, strikes, failing) = (self.listing.backend, self.strikes, around.tier.failing);
@@ -262,11 +241,10 @@
                 self.ready_and_out = (ready, out);
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(in_flight, take(&mut self.answers), CORRELATED);
-                let [floor, start, top] =
-                    [CALLS_LEAST, CALLS_START, CALLS_MOST].map(|c| (c * ready / instances).max(LIMIT_FLOOR));
-                self.limit = if self.limit == 0.0 { start } else { self.limit };
-                self.update(now, start);
-                self.limit = self.limit.clamp(floor, top);
+                let of_ready = |calls: f64| (calls * ready / instances).max(LIMIT_FLOOR);
+                self.limit = if self.limit == 0.0 { of_ready(CALLS_START) } else { self.limit };
+                self.update(now, of_ready(CALLS_START));
+                self.limit = self.limit.clamp(of_ready(CALLS_LEAST), of_ready(CALLS_MOST));
             }
         }
     }
@@ -325,7 +303,6 @@
     tier: Tier,
     tier_inbox: Vec<TierNote>,
     desk: Desk,
-    called: Vec<BackendId>, // backends with notes in their inbox
     list_failures: u32,
 }
 
@@ -337,31 +314,25 @@
             let after = Span::from_millis(1500).scaled(rng.rand_float().into());
             out.push(Action::Timer { after, mark: MARK_WATCH });
         }
-        let shares = settings.allowances.iter().map(|a| a / settings.instances as f64).collect();
+        // Shares are those of the first tier's clients; below it they have been dealt with.
+        let own = settings.allowances.iter().filter(|_| settings.tier == 0);
+        let shares = own.map(|allowance| allowance / settings.instances as f64).collect();
         let desk = Desk { purse: PURSE_MOST / 2.0, shares, mode: "ordinary", ..Desk::default() };
-        let (backends, tier, tier_inbox, called) = Default::default();
-        Balancer { settings, rng, now, backends, tier, tier_inbox, desk, called, list_failures: 0 }
+        let (backends, tier, tier_inbox) = Default::default();
+        Balancer { settings, rng, now, backends, tier, tier_inbox, desk, list_failures: 0 }
     }
 
     /// Takes one event and appends what is to be done about it now.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = now;
         self.desk.inbox.push_back(event);
-        self.run(out);
-    }
-
-    /// Empties the inboxes until no note is left. The desk sends one exchange at a time, so that the backends
-    /// know of it before the next is picked for.
-    fn run(&mut self, out: &mut Vec<Action>) {
+        // Empties the inboxes. The desk sends one exchange at a time, so that the next pick knows of it.
         loop {
-            let (now, settings) = (self.now, &self.settings);
-            for id in take(&mut self.called) {
-                let Some(backend) = self.backends.get_mut(&id) else { continue };
-                let (chance, tier_inbox) = (self.rng.rand_float().into(), &mut self.tier_inbox);
-                let mut around = Around { now, tier: &self.tier, settings, chance, tier_inbox, out };
-                for note in take(&mut backend.inbox) {
-                    backend.act(note, &mut around);
-                }
+            let (now, settings, tier_inbox) = (self.now, &self.settings, &mut self.tier_inbox);
+            let chance = self.rng.rand_float().into();
+            let mut around = Around { now, tier: &self.tier, settings, chance, tier_inbox, out };
+            for backend in self.backends.values_mut() {
+                take(&mut backend.inbox).into_iter().for_each(|note| backend.act(note, &mut around));
             }
             for note in take(&mut self.tier_inbox) {
                 self.tier.act(note, now, settings.instances as f64);
@@ -375,19 +346,14 @@
     }
 
     fn tell(&mut self, id: BackendId, note: BackendNote) {
-        if let Some(backend) = self.backends.get_mut(&id) {
-            backend.inbox.push(note);
-            self.called.push(id);
-        }
+        self.backends.entry(id).and_modify(|backend| backend.inbox.push(note));
     }
 
     fn list(&mut self, whole: bool, listings: &[Listing]) {
         self.list_failures = 0;
-        for (id, mut listing) in self.backends.iter().map(|(id, b)| (*id, b.listing)).collect::<Vec<_>>() {
-            listing.condition = if whole { Condition::Gone } else { listing.condition };
-            self.tell(id, BackendNote::Listed(listing));
-        }
-        for listing in listings {
+        let left = self.backends.values().filter(|_| whole);
+        let left: Vec<_> = left.map(|b| Listing { condition: Condition::Gone, ..b.listing }).collect();
+        for listing in left.iter().chain(listings) {
             self.backends.entry(listing.backend).or_default().listing.backend = listing.backend;
             self.tell(listing.backend, BackendNote::Listed(*listing));
         }
@@ -396,16 +362,13 @@
     fn beat(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { after: BEAT, mark: MARK_BEAT });
         self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.in_flight > 0.0);
-        for id in self.backends.keys().copied().collect::<Vec<_>>() {
-            self.tell(id, BackendNote::Beat);
-        }
+        self.backends.values_mut().for_each(|backend| backend.inbox.push(BackendNote::Beat));
         let ready = self.backends.values().filter(|b| b.listing.condition == Condition::Ready);
-        let (ready, out_now): (Vec<_>, Vec<_>) = ready.partition(|b| b.out.is_none());
-        let (ready, gone) = ((ready.len() + out_now.len()) as f64, out_now.len() as f64);
+        let (ready, gone) = ready.fold((0.0, 0.0), |n, b| (n.0 + 1.0, n.1 + b.out.map_or(0.0, |_| 1.0)));
         self.tier_inbox.push(TierNote::Beat(self.in_flight(), ready, gone));
         let instances = self.settings.instances as f64;
         for (share, allowance) in self.desk.shares.iter_mut().zip(&self.settings.allowances) {
-            *share = (*share + allowance / instances / BEATS_PER_S).min(allowance / instances);
+            *share = (share.max(0.0) + allowance / instances / BEATS_PER_S).min(allowance / instances);
         }
         let (limit, load) = (self.tier.limit, self.load());
         let mode = match self.desk.first.len() {
@@ -415,9 +378,10 @@
         };
         if mode != self.desk.mode {
             self.desk.mode = mode;
-            let (p90, base) = (self.tier.p90.or(0.0), self.tier.baseline.or(0.0));
-            let figures = format!("limit {limit:.1}, load {load:.2}, p90 {p90:.0}, baseline {base:.0}");
-            out.push(Action::Log(format!("{mode}: {figures}")));
+            let [p90, base] = [self.tier.p90, self.tier.baseline].map(|mean| mean.or(0.0));
+            out.push(Action::Log(format!(
+                "{mode}: limit {limit:.1}, load {load:.2}, p90 {p90:.0}/{base:.0}"
+            )));
         }
     }
 
@@ -437,10 +401,12 @@
             Event::Listed { whole, listings } => self.list(whole, &listings),
             Event::ListFailed => {
                 self.list_failures += 1;
-                let wait =
-                    f64::from(1 << self.list_failures.min(5)) * (0.5 + f64::from(self.rng.rand_float()));
+                let wait = (1 << self.list_failures.min(5)) as f32 * (0.5 + self.rng.rand_float());
                 out.push(Action::Log(format!("list lost, failure {}, asking again", self.list_failures)));
-                out.push(Action::Timer { after: Span::from_millis(250).scaled(wait), mark: MARK_WATCH });
+                out.push(Action::Timer {
+                    after: Span::from_millis(250).scaled(wait.into()),
+                    mark: MARK_WATCH,
+                });
             }
             Event::Taken(exchange) => self.taken(exchange, out),
             Event::Began { exchange, backend, took } => {
@@ -471,18 +437,16 @@
         let last = exchange.cut_off - margin;
         let goal = last.min(self.now + tariff.cut_off.min(tariff.goal + stretch) - margin);
         let due = if tariff.late_value > 0.0 { last } else { goal };
-        // Shares are those of the first tier's clients; below it they have been dealt with.
-        let mut beyond_share = false;
-        if let Some(share) = self.desk.shares.get_mut(exchange.tenant.0 as usize) {
-            beyond_share = self.settings.tier == 0 && *share < 1.0;
-            *share -= if beyond_share { 0.0 } else { 1.0 };
-        }
+        let share = self.desk.shares.get_mut(exchange.tenant.0 as usize);
+        let beyond_share = share.is_some_and(|share| {
+            *share -= 1.0;
+            *share < 0.0
+        });
         // Only a stand-in: the forward's own time-out comes a round earlier, and counts as a sample.
         let after = due.since(self.now) + self.settings.round;
         out.push(Action::Timer { after, mark: TimerMark(id.0.into()) });
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
-        let arrived = self.now;
-        let held = Held { tariff, arrived, goal, due, beyond_share, sent: 0, out: None, ran: None };
+        let held = Held { tariff, arrived: self.now, goal, due, beyond_share, sent: 0, out: None, ran: None };
         self.desk.held.insert(id, held);
         self.desk.first.push(id);
         if chance > self.rng.rand_float().into() {
@@ -507,8 +471,8 @@
         }
         let Some(held) = self.desk.held.get_mut(&e.exchange) else { return };
         let proven = e.outcome.proves_not_run();
-        let out_at = held.out.take();
-        held.ran = held.ran.or(out_at.filter(|_| !proven));
+        held.ran = held.ran.or(held.out.filter(|_| !proven));
+        held.out = None;
         let allowed = held.ran.is_none() || held.tariff.effect != Effect::AtMostOnce;
         let cost = if proven { 0.0 } else { 1.0 };
         let more = held.sent < self.settings.max_forwards && e.outcome != Outcome::NotSent;
@@ -525,7 +489,6 @@
         self.desk.further.retain(|waiting| *waiting != id);
     }
 
-    /// Lets go of an exchange, and of its forward that is out.
     fn release(&mut self, id: ExchangeId, out: &mut Vec<Action>) -> Option<Held> {
         let held = self.desk.held.remove(&id)?;
         self.leave_lines(id);
@@ -547,8 +510,8 @@
         }
         let took = Span::from_ms(self.tier.took.or(0.0));
         let soon = took.scaled(0.5 + f64::from(self.rng.rand_float()));
-        let late = self.now + took >= held.goal;
-        let backoff = self.settings.max_backoff.map(|most| if late { most } else { soon.min(most) });
+        let soon = if self.now + took < held.goal { soon } else { held.tariff.cut_off };
+        let backoff = self.settings.max_backoff.map(|most| soon.min(most));
         out.push(Action::TurnBack { exchange: id, backoff });
     }
 
@@ -563,23 +526,24 @@
         for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
         }
-        if self.desk.first.is_empty() && self.desk.further.is_empty()
-            || self.in_flight() >= self.tier.limit.max(LIMIT_FLOOR)
-        {
+        if self.in_flight() >= self.tier.limit.max(LIMIT_FLOOR) {
             return false;
         }
         let order = |id: &&ExchangeId| (self.desk.held[id].beyond_share, self.desk.held[id].goal);
         let first = self.desk.first.iter().min_by_key(order);
-        let waiting: Vec<_> = first.into_iter().chain(&self.desk.further).copied().collect();
-        let found = waiting.into_iter().find_map(|id| self.pick(id).map(|backend| (id, backend)));
-        found.is_some_and(|(id, backend)| self.forward(id, backend, out))
+        for id in first.into_iter().chain(&self.desk.further).copied().collect::<Vec<_>>() {
+            if let Some(backend) = self.pick(id) {
+                return self.forward(id, backend, out);
+            }
+        }
+        false
     }
 
     /// Of two random ready backends the one with less to do.
     fn pick(&mut self, id: ExchangeId) -> Option<BackendId> {
         let held = &self.desk.held[&id];
         let (now, settings, tier) = (self.now, &self.settings, &self.tier);
-        // Guards against an effect that happens twice: what may have run goes only where that is harmless.
+        // Guards against an effect that happens twice.
         let may = |b: &Backend| match (held.tariff.effect, held.ran) {
             (Effect::Reissuable, _) | (_, None) => true,
             (Effect::AtMostOnce, Some(_)) => false,
@@ -604,7 +568,7 @@
             drawn.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))
         };
         let best = two(&all)?;
-        // Where crossing zones has a price, two of the own zone are drawn as well.
+        // Where crossing has a price, two of the own zone are drawn as well.
         all.retain(|b| settings.crossing_priced && b.listing.zone == settings.zone);
         Some(two(&all).filter(|near| near.1 <= best.1).unwrap_or(best).0)
     }
@@ -612,9 +576,8 @@
     fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) -> bool {
         self.leave_lines(id);
         let Some(held) = self.desk.held.get_mut(&id) else { return false };
-        if held.sent == 0 {
-            self.desk.purse = (self.desk.purse + PURSE_SHARE).min(PURSE_MOST);
-        }
+        let earned = if held.sent == 0 { PURSE_SHARE } else { 0.0 };
+        self.desk.purse = (self.desk.purse + earned).min(PURSE_MOST);
         held.out = Some((self.backends[&backend].listing, self.now));
         held.sent += 1;
         out.push(Action::Forward { exchange: id, backend, time_out: held.due.since(self.now) });
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1,1 +1,362 @@
 use super::*;
+use crate::event::Load;
+use crate::id::{PodId, TariffId, TenantId, ZoneId};
+use crate::settings::Cold;
+
+const START: Time = Time::ORIGIN;
+
+fn ms(ms: i64) -> Span {
+    Span::from_millis(ms)
+}
+
+fn id(n: u8) -> BackendId {
+    BackendId { address: [10, 0, 0, n], port: 80 }
+}
+
+fn listing(n: u8) -> Listing {
+    let (zone, pod) = (ZoneId(n.into()), PodId((n / 2).into()));
+    Listing { backend: id(n), zone, pod, condition: Condition::Ready, started: None }
+}
+
+fn tariff(effect: Effect) -> Tariff {
+    Tariff::new(ms(200), ms(500), effect)
+}
+
+/// A balancer with this tariff and `backends` ready backends, its limit known.
+fn balancer(effect: Effect, backends: u8) -> Balancer {
+    let mut balancer = Balancer::new(Settings::for_tariffs(vec![tariff(effect)]), 1, START, &mut Vec::new());
+    for n in 0..backends {
+        balancer.backends.insert(id(n), Backend { listing: listing(n), heard: START, ..Backend::default() });
+    }
+    balancer.tier.limit = 10.0;
+    balancer.tier.ready_and_out = (backends.into(), 0.0);
+    balancer.now = START;
+    balancer
+}
+
+fn exchange(n: u32) -> Exchange {
+    let (tariff, tenant) = (TariffId(0), TenantId(0));
+    Exchange { id: ExchangeId(n), tariff, tenant, cut_off: START + ms(500), cost: None }
+}
+
+fn held(effect: Effect) -> Held {
+    let (goal, due) = (START + ms(200), START + ms(200));
+    let (arrived, tariff) = (START, tariff(effect));
+    Held { tariff, arrived, goal, due, beyond_share: false, sent: 0, out: None, ran: None }
+}
+
+/// An exchange that has been forwarded once, to backend 0.
+fn forwarded(effect: Effect) -> Held {
+    Held { sent: 1, out: Some((listing(0), START)), ..held(effect) }
+}
+
+fn ended(outcome: Outcome) -> Ended {
+    let (forward, took) = (ForwardNo(0), ms(50));
+    let (exchange, backend) = (ExchangeId(1), id(0));
+    Ended { exchange, forward, backend, outcome, answered: false, took, load: Load::default() }
+}
+
+fn by_pod() -> Effect {
+    Effect::Numbered { group: Group::Pod, window: ms(1000) }
+}
+
+/// What a backend is told of its surroundings, with everything it says thrown away.
+fn around<'a>(
+    b: &'a Balancer,
+    inbox: &'a mut Vec<TierNote>,
+    out: &'a mut Vec<Action>,
+    now: Time,
+) -> Around<'a> {
+    Around { now, tier: &b.tier, settings: &b.settings, chance: 0.5, tier_inbox: inbox, out }
+}
+
+#[test]
+fn at_most_once_is_forfeited_after_an_outcome_that_may_have_run() {
+    let (mut b, mut out) = (balancer(Effect::AtMostOnce, 4), Vec::new());
+    b.desk.held.insert(ExchangeId(1), forwarded(Effect::AtMostOnce));
+    b.ended(ended(Outcome::Error), &mut out);
+    assert_eq!(out, [Action::Forfeit { exchange: ExchangeId(1) }]);
+}
+
+#[test]
+fn at_most_once_goes_again_after_an_outcome_that_proves_it_never_ran() {
+    let mut b = balancer(Effect::AtMostOnce, 4);
+    b.desk.held.insert(ExchangeId(1), forwarded(Effect::AtMostOnce));
+    b.ended(ended(Outcome::Full), &mut Vec::new());
+    assert_eq!(b.desk.further, [ExchangeId(1)]);
+}
+
+#[test]
+fn at_most_once_is_not_turned_back_while_a_forward_is_out() {
+    let (mut b, mut out) = (balancer(Effect::AtMostOnce, 4), Vec::new());
+    b.desk.held.insert(ExchangeId(1), forwarded(Effect::AtMostOnce));
+    b.give_up(ExchangeId(1), &mut out);
+    let cancel = Action::Cancel { exchange: ExchangeId(1), forward: ForwardNo(0) };
+    assert_eq!(out, [cancel, Action::Forfeit { exchange: ExchangeId(1) }]);
+}
+
+#[test]
+fn a_numbered_repeat_stays_in_its_group() {
+    let mut b = balancer(by_pod(), 6);
+    b.desk.held.insert(ExchangeId(1), Held { ran: Some((listing(2), START)), ..held(by_pod()) });
+    let picked: Vec<_> = (0..50).filter_map(|_| b.pick(ExchangeId(1))).collect();
+    assert!(picked.contains(&id(2)) && picked.contains(&id(3)));
+    assert!(picked.iter().all(|backend| *backend == id(2) || *backend == id(3)));
+}
+
+#[test]
+fn a_numbered_repeat_is_not_sent_after_its_window() {
+    let mut b = balancer(by_pod(), 6);
+    b.desk.held.insert(ExchangeId(1), Held { ran: Some((listing(2), START)), ..held(by_pod()) });
+    b.now = START + ms(1000);
+    assert_eq!(b.pick(ExchangeId(1)), None);
+}
+
+#[test]
+fn a_draining_backend_gets_nothing() {
+    let mut b = balancer(Effect::Reissuable, 2);
+    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.backends.get_mut(&id(0)).unwrap().listing.condition = Condition::Draining;
+    assert!((0..20).all(|_| b.pick(ExchangeId(1)) == Some(id(1))));
+}
+
+#[test]
+fn a_backend_that_a_whole_list_leaves_out_is_gone() {
+    let mut b = balancer(Effect::Reissuable, 2);
+    b.handle(START, Event::Listed { whole: true, listings: vec![listing(1)] }, &mut Vec::new());
+    assert_eq!(b.backends[&id(0)].listing.condition, Condition::Gone);
+    assert_eq!(b.backends[&id(1)].listing.condition, Condition::Ready);
+}
+
+#[test]
+fn a_lost_watch_is_asked_for_again_later_each_time() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
+    (0..4).for_each(|_| b.handle(START, Event::ListFailed, &mut out));
+    let wait = |action: &Action| match action {
+        Action::Timer { after, mark: MARK_WATCH } => Some(*after),
+        _ => None,
+    };
+    let waits: Vec<Span> = out.iter().filter_map(wait).collect();
+    assert_eq!(waits.len(), 4);
+    assert!(waits[3] > waits[0]);
+}
+
+#[test]
+fn the_limit_holds_what_is_above_it() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
+    b.backends.get_mut(&id(0)).unwrap().in_flight = 10.0;
+    b.handle(START, Event::Taken(exchange(1)), &mut out);
+    assert_eq!(b.desk.first, [ExchangeId(1)]);
+    assert!(!out.iter().any(|action| matches!(action, Action::Forward { .. })));
+}
+
+#[test]
+fn past_three_limits_all_are_turned_back_at_once() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
+    b.backends.get_mut(&id(0)).unwrap().in_flight = 30.0;
+    b.taken(exchange(1), &mut out);
+    assert!(matches!(out.last(), Some(Action::TurnBack { exchange: ExchangeId(1), backoff: Some(_) })));
+}
+
+#[test]
+fn within_the_refusal_band_what_is_beyond_a_share_goes_first() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
+    b.backends.get_mut(&id(0)).unwrap().in_flight = 30.0;
+    b.desk.held.insert(ExchangeId(7), Held { beyond_share: true, ..held(Effect::Reissuable) });
+    b.desk.first.push(ExchangeId(7));
+    b.taken(exchange(1), &mut out);
+    assert_eq!(b.desk.first, [ExchangeId(1)]);
+}
+
+#[test]
+fn an_exchange_that_waited_too_long_is_turned_back_and_not_sent() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
+    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.desk.first.push(ExchangeId(1));
+    b.tier.p90.add(100.0, 1.0);
+    b.now = START + ms(120);
+    assert!(!b.serve(&mut out));
+    assert!(matches!(out[..], [Action::TurnBack { exchange: ExchangeId(1), .. }]));
+}
+
+#[test]
+fn first_forwards_are_served_before_further_ones() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
+    for n in [1, 2] {
+        b.desk.held.insert(ExchangeId(n), held(Effect::Reissuable));
+    }
+    (b.desk.further, b.desk.first) = (vec![ExchangeId(1)], vec![ExchangeId(2)]);
+    b.serve(&mut out);
+    assert!(matches!(out[..], [Action::Forward { exchange: ExchangeId(2), .. }]));
+}
+
+#[test]
+fn without_a_purse_what_may_have_run_is_not_sent_again() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
+    b.desk.held.insert(ExchangeId(1), forwarded(Effect::Reissuable));
+    b.desk.purse = 0.5;
+    b.ended(ended(Outcome::Error), &mut out);
+    assert!(matches!(out[..], [Action::TurnBack { .. }]));
+}
+
+#[test]
+fn the_time_out_ends_before_the_goal_and_the_stand_in_timer_after_it() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
+    b.handle(START, Event::Taken(exchange(1)), &mut out);
+    let Action::Timer { after, .. } = out[0] else { panic!("{out:?}") };
+    let Action::Forward { time_out, .. } = out[1] else { panic!("{out:?}") };
+    assert!(time_out < after && after < ms(200));
+}
+
+#[test]
+fn a_stream_that_has_begun_is_left_to_the_client() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
+    b.handle(START, Event::Taken(exchange(1)), &mut Vec::new());
+    b.handle(START, Event::Began { exchange: ExchangeId(1), backend: id(0), took: ms(5) }, &mut out);
+    b.handle(START + ms(500), Event::Timer(TimerMark(1)), &mut out);
+    assert_eq!(out, []);
+}
+
+#[test]
+fn a_backend_goes_out_on_failures_that_its_peers_do_not_share() {
+    let (b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let mut backend = Backend { in_flight: 2.0, ..Backend::default() };
+    let mut around = around(&b, &mut inbox, &mut out, START);
+    backend.ended(&ended(Outcome::Error), None, &mut around);
+    assert_eq!(backend.out, None);
+    backend.ended(&ended(Outcome::Error), None, &mut around);
+    assert!(backend.out.is_some());
+}
+
+#[test]
+fn failures_that_all_share_are_no_backends_fault() {
+    let (mut b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    b.tier.failing = 0.5;
+    let mut backend = Backend { in_flight: 9.0, ..Backend::default() };
+    let mut around = around(&b, &mut inbox, &mut out, START);
+    (0..9).for_each(|_| backend.ended(&ended(Outcome::Error), None, &mut around));
+    assert_eq!(backend.out, None);
+}
+
+#[test]
+fn no_more_than_a_part_of_the_ready_is_out() {
+    let (mut b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    b.tier.ready_and_out = (4.0, 1.0);
+    let mut backend = Backend::default();
+    backend.put_out("failing", &mut around(&b, &mut inbox, &mut out, START));
+    assert_eq!(backend.out, None);
+}
+
+#[test]
+fn a_silent_backend_goes_out_and_its_forwards_leave_the_limit() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 4), Vec::new());
+    b.tier.p90.add(100.0, 1.0);
+    b.backends.get_mut(&id(0)).unwrap().in_flight = 3.0;
+    b.handle(START + ms(400), Event::Timer(MARK_BEAT), &mut out);
+    assert!(b.backends[&id(0)].out.is_some());
+    assert_eq!(b.in_flight(), 0.0);
+}
+
+#[test]
+fn a_backend_that_is_out_says_nothing_to_the_limit_and_returns_with_an_answer() {
+    let (b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let mut backend = Backend { in_flight: 1.0, out: Some(START), ..Backend::default() };
+    let mut around = around(&b, &mut inbox, &mut out, START);
+    backend.ended(&ended(Outcome::Honoured), Some((ms(50), true)), &mut around);
+    assert!(!inbox.iter().any(|note| matches!(note, TierNote::Sample(..))));
+    assert_eq!((backend.out, backend.cap), (None, Some(1.0)));
+}
+
+#[test]
+fn a_forward_given_up_counts_as_in_flight_until_its_work_is_likely_done() {
+    let (b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let mut backend = Backend { in_flight: 1.0, ..Backend::default() };
+    backend.ended(&ended(Outcome::TimedOut), None, &mut around(&b, &mut inbox, &mut out, START));
+    assert_eq!(backend.holds(), 1.0);
+    backend.beat(&mut around(&b, &mut inbox, &mut out, START + ms(60)));
+    assert_eq!(backend.holds(), 0.0);
+}
+
+#[test]
+fn a_full_backend_rests() {
+    let (mut b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    b.tier.took.add(40.0, 1.0);
+    let mut backend = Backend { in_flight: 1.0, ..Backend::default() };
+    backend.ended(&ended(Outcome::Full), None, &mut around(&b, &mut inbox, &mut out, START));
+    assert!(!backend.ready(START, &b.settings));
+    assert!(backend.ready(START + ms(40), &b.settings));
+}
+
+#[test]
+fn a_cold_backend_waits_for_credit_and_gets_one_at_a_time() {
+    let (b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let mut backend = Backend { listing: listing(0), ..Backend::default() };
+    let cold = Listing { started: Some(START), ..listing(0) };
+    backend.act(BackendNote::Listed(cold), &mut around(&b, &mut inbox, &mut out, START));
+    assert!(!backend.ready(START, &b.settings));
+    backend.credit = 1.0;
+    assert!(backend.ready(START, &b.settings));
+    backend.in_flight = 1.0;
+    assert!(!backend.ready(START, &b.settings));
+}
+
+#[test]
+fn a_cold_backends_credit_grows_slower_than_what_it_bears() {
+    let (mut b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let cold = Cold { share: 0.2, ramp: ms(10_000), multiple: 3.0, window: ms(2000) };
+    (b.settings.cold, b.tier.rate) = (cold, 10.0);
+    let mut backend =
+        Backend { listing: Listing { started: Some(START), ..listing(0) }, ..Backend::default() };
+    backend.beat(&mut around(&b, &mut inbox, &mut out, START));
+    assert!(backend.credit > 0.0 && backend.credit < 0.2 * 3.0 * 10.0 / BEATS_PER_S);
+}
+
+#[test]
+fn the_pick_takes_the_one_with_less_to_do() {
+    let mut b = balancer(Effect::Reissuable, 2);
+    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.backends.get_mut(&id(0)).unwrap().others = Some((START, 5.0));
+    b.backends.get_mut(&id(1)).unwrap().in_flight = 2.0;
+    b.backends.get_mut(&id(1)).unwrap().others = Some((START, 0.0));
+    assert!((0..20).all(|_| b.pick(ExchangeId(1)) == Some(id(1))));
+}
+
+/// A tier with a full window of samples that took `ms` each.
+fn tier(took: i64) -> Tier {
+    let mut tier = Tier { limit: 20.0, ..Tier::default() };
+    (0..60).for_each(|n| tier.samples.add(START + ms(n * 40), ms(took).ms()));
+    tier
+}
+
+#[test]
+fn the_limit_rises_without_a_queue_and_falls_with_one() {
+    let mut calm = tier(100);
+    calm.update(START + ms(2400), 20.0);
+    assert!(calm.limit > 20.0);
+    let mut jammed = tier(1000);
+    jammed.baseline.add(100.0, 1.0);
+    jammed.update(START + ms(2400), 20.0);
+    assert!(jammed.limit < 20.0);
+}
+
+#[test]
+fn much_lateness_lowers_the_limit_whatever_the_baseline_says() {
+    let mut tier = Tier { late: 0.3, ..tier(100) };
+    tier.update(START + ms(2400), 20.0);
+    assert!(tier.limit < 20.0);
+}
+
+#[test]
+fn a_baseline_set_in_a_jam_comes_down_with_the_latency() {
+    let mut tier = tier(100);
+    tier.baseline.add(1000.0, 1.0);
+    tier.update(START + ms(2400), 20.0);
+    assert_eq!(tier.baseline.known(), Some(100.0));
+}
+
+#[test]
+fn a_limit_that_nothing_judges_rises_back_to_its_start() {
+    let mut tier = Tier { limit: 4.0, ..Tier::default() };
+    (0..200).for_each(|_| tier.update(START, 20.0));
+    assert_eq!(tier.limit, 20.0);
+}
--- a/src/time.rs
+++ b/src/time.rs
@@ -9,6 +9,9 @@
 pub struct Span(i64);
 
 impl Time {
+    /// The clock's own origin.
+    pub const ORIGIN: Time = Time(0);
+
     pub fn from_ms(ms: f64) -> Time {
         Time((ms * 1000.0).round() as i64)
     }
