--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,10 +33,10 @@
 const WINDOW_MOST: Span = Span::from_millis(30_000); // and holds nothing older
 const SMOOTHING: f64 = 0.2; // weight of a new window in the smoothed p90
 const CORRELATED: usize = 50; // update intervals over which in flight and throughput are compared
-const CORRELATION: f64 = 0.3; // what chance alone hardly brings over so many intervals
+const CORRELATION: f64 = 2.1; // times the root of the intervals: what chance alone hardly brings
 const LATE: f64 = 0.15; // above this part of samples not in time the limit falls
 const CALLS_LEAST: f64 = 2.0; // for each ready backend, of all instances together
-const CALLS_START: f64 = 3.0;
+const CALLS_START: f64 = 4.0;
 const CALLS_MOST: f64 = 8.0;
 const LIMIT_FLOOR: f64 = 4.0;
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
@@ -259,7 +259,7 @@
         let latency = self.p90.or(p90);
         // Guards against a baseline that was set in a jam, from which the limit would never come down again.
         let lower = latency < self.baseline.or(f64::INFINITY);
-        if lower || self.failing < 0.1 && self.intervals.correlation(CORRELATED) > CORRELATION {
+        if lower || self.failing < 0.1 && self.intervals.strength() > CORRELATION {
             self.baseline = self.p90;
         }
         let queued = self.limit * (1.0 - self.baseline.or(latency) / latency.max(0.001));
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -61,9 +61,10 @@
         self.0.drain(..self.0.len().saturating_sub(most));
     }
 
-    /// Pearson's correlation; nothing before `full` pairs are in, or if either figure stands still.
-    pub fn correlation(&self, full: usize) -> f64 {
-        if self.0.len() < full {
+    /// Pearson's correlation times the root of the pairs, so that a few pairs need to go together more
+    /// closely than many; nothing before a dozen are in, or if either figure stands still.
+    pub fn strength(&self) -> f64 {
+        if self.0.len() < 12 {
             return 0.0;
         }
         let n = self.0.len() as f64;
@@ -74,6 +75,6 @@
             xx += (x - mean_x).powi(2);
             yy += (y - mean_y).powi(2);
         }
-        xy / (xx * yy).sqrt().max(1e-9)
+        xy / (xx * yy).sqrt().max(1e-9) * n.sqrt()
     }
 }
