--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,6 +41,7 @@
 const LIMIT_FLOOR: f64 = 4.0;
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
 const BAND_ALL: f64 = 3.0; // above this one nothing is taken
+const NEED: f64 = 1.5; // time left for an answer, in p90, under which waiting ends
 const PURSE_SHARE: f64 = 0.1; // repeats of what may have run, for each first forward
 const PURSE_MOST: f64 = 10.0; // and the most that are saved up
 const STRIKES_OUT: f64 = 2.0; // strikes in a row that put a backend out
@@ -309,7 +310,7 @@
 impl Balancer {
     pub fn new(settings: Settings, seed: u64, now: Time, out: &mut Vec<Action>) -> Balancer {
         let mut rng = Rand32::new(seed);
-        out.push(Action::Timer { after: BEAT.scaled(rng.rand_float().into()), mark: MARK_BEAT });
+        out.push(Action::Timer { after: Span::ZERO, mark: MARK_BEAT });
         if settings.list_on_request {
             let after = Span::from_millis(1500).scaled(rng.rand_float().into());
             out.push(Action::Timer { after, mark: MARK_WATCH });
@@ -518,10 +519,10 @@
     /// Sends the next exchange that waits, if the limit has room; first forwards before further ones.
     fn serve(&mut self, out: &mut Vec<Action>) -> bool {
         // What is sent later than this would likely be late: its place goes to one that has waited less.
-        let p90 = Span::from_ms(self.tier.p90.or(0.0));
+        let need = Span::from_ms(NEED * self.tier.p90.or(0.0));
         let late = |id: &&ExchangeId| {
             let held = &self.desk.held[id];
-            self.now + p90.min(held.goal.since(held.arrived).scaled(0.8)) >= held.goal
+            self.now + need.min(held.goal.since(held.arrived).scaled(0.9)) >= held.goal
         };
         for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
