Let the limit rise to 6 calls a ready backend and fall above 10% lateness

At most 6 calls a ready backend, the limit falls above 10% lateness, given-up forwards count for twice as long as they were out.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,10 +34,10 @@
 const SMOOTHING: f64 = 0.2; // weight of a new window in the smoothed p90
 const CORRELATED: usize = 50; // update intervals over which in flight and throughput are compared
 const CORRELATION: f64 = 2.1; // times the root of the intervals: what chance alone hardly brings
-const LATE: f64 = 0.15; // above this part of samples not in time the limit falls
+const LATE: f64 = 0.1; // above this part of samples not in time the limit falls
 const CALLS_LEAST: f64 = 2.0; // for each ready backend, of all instances together
 const CALLS_START: f64 = 4.0;
-const CALLS_MOST: f64 = 8.0;
+const CALLS_MOST: f64 = 6.0;
 const LIMIT_FLOOR: f64 = 4.0;
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
 const BAND_ALL: f64 = 3.0; // above this one nothing is taken
@@ -161,7 +161,7 @@
         }
         if matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled) && self.others.is_none() {
             // Guards against unseen work: a time-out may not stop it; where no report tells, it still counts.
-            self.ghosts.push(around.now + e.took);
+            self.ghosts.push(around.now + e.took.scaled(2.0));
         }
         if e.outcome == Outcome::Full {
             // Guards against a storm of forwards at full backends: each rests for about an answer's time.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -273,7 +273,7 @@
     let mut backend = Backend { in_flight: 1.0, ..Backend::default() };
     backend.ended(&ended(Outcome::TimedOut), None, &mut around(&b, &mut inbox, &mut out, START));
     assert_eq!(backend.holds(), 1.0);
-    backend.beat(&mut around(&b, &mut inbox, &mut out, START + ms(60)));
+    backend.beat(&mut around(&b, &mut inbox, &mut out, START + ms(110)));
     assert_eq!(backend.holds(), 0.0);
 }
 
