--- a/src/policy.rs
+++ b/src/policy.rs
@@ -265,8 +265,8 @@
         }
         let queued = self.limit * (1.0 - self.baseline.or(latency) / latency.max(0.001));
         let log = self.limit.log10();
-        // Guards against a goal so near that latency cannot grow past it: much lateness is a queue as well.
-        if queued > 6.0 * log || self.late > LATE {
+        // Guards against a goal so near that latency cannot grow past it: much lateness is a queue, if any shows.
+        if queued > 6.0 * log || self.late > LATE && queued > 1.5 * log {
             self.limit -= log.max(1.0);
         } else if queued < 3.0 * log {
             self.limit += log.max(1.0);
