--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -364,3 +364,22 @@
     (0..200).for_each(|_| tier.update(START, 20.0));
     assert_eq!(tier.limit, 20.0);
 }
+
+#[test]
+fn a_backend_that_is_out_gets_one_trial_after_its_rest() {
+    let b = balancer(Effect::Reissuable, 4);
+    let mut backend = Backend { out: Some(START + ms(1000)), ..Backend::default() };
+    assert!(!backend.ready(START + ms(999), &b.settings));
+    assert!(backend.ready(START + ms(1000), &b.settings));
+    backend.in_flight = 1.0;
+    assert!(!backend.ready(START + ms(1000), &b.settings));
+}
+
+#[test]
+fn shares_are_those_of_the_first_tier() {
+    let own = |tier| {
+        let settings = Settings { tier, allowances: vec![8.0], ..Settings::for_tariffs(Vec::new()) };
+        Balancer::new(settings, 1, START, &mut Vec::new()).desk.shares
+    };
+    assert_eq!((own(0), own(1)), (vec![8.0], vec![]));
+}
