Ask the two drawn backends for reports where instances outnumber backends

Now the two drawn are checked first, and the better of the fresh reports gets the exchange. Also: no work that grows with the fleet on an exchange (a worklist of inboxes, running sums, a bounded random draw).

--- a/crates/wirehost/src/setup.rs
+++ b/crates/wirehost/src/setup.rs
@@ -85,6 +85,8 @@
     #[serde(default)]
     cancelling: bool,
     #[serde(default)]
+    probes: bool,
+    #[serde(default)]
     retry_after: bool,
     #[serde(default)]
     max_retry_after_ms: f64,
@@ -104,10 +106,23 @@
 struct Penalties {
     #[serde(default)]
     cross_zone: f64,
+    #[serde(default)]
+    probe: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum How {
+    Answers,
+    Probe,
+    #[default]
+    None,
 }
 
 #[derive(Default, Deserialize)]
 struct Report {
+    #[serde(default)]
+    how: How,
     #[serde(default)]
     columns: Vec<String>,
 }
@@ -145,12 +160,15 @@
     let setup: Setup = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
     let place = |name: &str| setup.report.columns.iter().position(|column| column == name);
     let columns = Columns { held: place("busy_reqs"), waiting: place("pending") };
+    let answers = matches!(setup.report.how, How::Answers);
+    let asked = answers && setup.allowed.probes && columns.held.or(columns.waiting).is_some();
     let tariffs = setup.tariffs.into_iter().map(SetupTariff::decode).collect::<Result<_, _>>();
     let settings = Settings {
         tier: setup.tier,
         instances: setup.balancers.max(1),
         zone: ZoneId(setup.locality),
         crossing_priced: setup.penalties.cross_zone > 0.0,
+        report_price: asked.then_some(setup.penalties.probe),
         round: Span::from_ms(setup.round_ms),
         tariffs: tariffs.map_err(|e| format!("settings: {e}"))?,
         allowances: setup.tenants.iter().map(|tenant| tenant.allowance_per_s).collect(),
--- a/src/event.rs
+++ b/src/event.rs
@@ -161,6 +161,8 @@
     Began(Span),
     /// An outcome, and the latency that counts for it, if any: how long, and whether it was in time.
     Ended(Ended, Option<(Span, bool)>),
+    /// The report that came with a check.
+    Checked(Load),
     Beat,
 }
 
@@ -170,6 +172,8 @@
     Sample(Span, bool),
     /// 1 for a forward that failed, 0 for one that did not.
     Verdict(f64),
-    /// What is in flight, how many backends are listed as ready, and how many of those are out.
-    Beat(f64, f64, f64),
+    /// So much more is in flight at backends that are not out.
+    Holds(f64),
+    /// How many backends are listed as ready, how many of those are out, and the mean of their reports.
+    Beat { ready: f64, out: f64, others: f64 },
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,8 @@
 pub mod event;
 pub mod id;
 pub mod policy;
+pub mod roster;
 pub mod settings;
+mod state;
 pub mod stats;
 pub mod time;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,17 +10,21 @@
 //! 6. Following the list: departures bind at once; a lost watch is asked for again with a growing wait.
 //!
 //! Each backend is an actor, and so are the tier's limit and the desk that holds the exchanges. They change
-//! each other only by notes put into inboxes, which one loop, in [`Balancer::handle`], empties.
+//! each other only by notes put into inboxes, which one loop, in [`Balancer::handle`], empties. What each
+//! remembers is in `state.rs`.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::mem::take;
 
 use oorandom::Rand32;
 
-use crate::event::{Action, BackendNote, Condition, Ended, Event, Exchange, Listing, Outcome, TierNote};
+use crate::event::{
+    Action, BackendNote, Condition, Ended, Event, Exchange, Listing, Load, Outcome, TierNote,
+};
 use crate::id::{BackendId, ExchangeId, ForwardNo, TimerMark};
-use crate::settings::{Effect, Group, Settings, Tariff};
-use crate::stats::{Mean, Trend, Window};
+use crate::roster::Roster;
+use crate::settings::{Effect, Group, Settings};
+use crate::state::{Backend, Desk, Held, Tier};
 use crate::time::{Span, Time};
 
 #[cfg(test)]
@@ -48,8 +52,11 @@
 const OUT_MOST: f64 = 0.34; // part of the ready that may be out, so that the rest is not overrun
 const OUT_FIRST: Span = Span::from_millis(1000); // how long a backend is out at first
 const OUT_DOUBLINGS: u32 = 3; // and how often that doubles
+const ASK_PRICE: f64 = 0.005; // the highest price of a check at which reports are asked for
+const PATIENCE: f64 = 0.05; // part of the latency goal for which reports are waited for
 const MARK_BEAT: TimerMark = TimerMark(u64::MAX);
 const MARK_WATCH: TimerMark = TimerMark(u64::MAX - 1);
+const MARK_ASKED: TimerMark = TimerMark(u64::MAX - 2);
 
 /// What a backend finds around it when it reads a note, and where it leaves its own.
 struct Around<'a> {
@@ -61,24 +68,6 @@
     out: &'a mut Vec<Action>,
 }
 
-/// The one record of a backend.
-#[derive(Default)]
-struct Backend {
-    inbox: Vec<BackendNote>,
-    listing: Listing,
-    out: Option<Time>, // while out it gets nothing until then, and after that one trial forward at a time
-    outs: u32,         // how often it was put out, or stayed out, in a row
-    strikes: f64,
-    in_flight: f64,
-    ghosts: Vec<Time>, // until when it may still work on forwards that were given up
-    cap: Option<f64>,  // most forwards in flight while it is fresh; grows with its answers
-    full_until: Time,
-    credit: f64,                 // forwards that a cold backend may still be sent
-    took: Mean,                  // answer time in ms
-    heard: Time,                 // when it last answered, or was sent its first forward while idle
-    others: Option<(Time, f64)>, // what it last said it holds for others, and when
-}
-
 impl Backend {
     fn ready(&self, now: Time, settings: &Settings) -> bool {
         let free = match self.out {
@@ -89,27 +78,13 @@
         self.listing.condition == Condition::Ready && free && bears && now >= self.full_until
     }
 
-    fn holds(&self) -> f64 {
-        self.in_flight + self.ghosts.len() as f64
-    }
-
-    /// How many times as long as its peers it takes; small differences do not count.
-    fn pace(&self, tier: &Tier) -> f64 {
-        (self.took.or(tier.took.or(0.0)) / tier.took.or(0.0).max(1.0) / 1.2).clamp(1.0, 8.0)
-    }
-
-    /// What others have in flight here: its report, which fades towards the mean of all reports with age.
-    fn others(&self, now: Time, mean: f64, fade: f64) -> f64 {
-        self.others.map_or(mean, |(at, said)| mean + (said - mean) * (-now.since(at).ms() / fade).exp())
-    }
-
     fn act(&mut self, note: BackendNote, around: &mut Around) {
         match note {
             BackendNote::Listed(listing) => {
                 let fresh = listing.started != self.listing.started || self.heard == Time::default();
                 if fresh {
-                    let (inbox, in_flight) = (take(&mut self.inbox), self.in_flight);
-                    *self = Backend { inbox, listing, in_flight, heard: around.now, ..Backend::default() };
+                    let (in_flight, counted, heard) = (self.in_flight, self.counted, around.now);
+                    *self = Backend { in_flight, counted, heard, ..Backend::default() };
                 }
                 self.listing = listing;
                 if fresh && around.settings.cold.warmth(listing.started, around.now) < 1.0 {
@@ -124,8 +99,13 @@
             }
             BackendNote::Began(took) => self.sample(took, true, around),
             BackendNote::Ended(ended, sample) => self.ended(&ended, sample, around),
+            BackendNote::Checked(load) => self.report(load, around.now),
             BackendNote::Beat => self.beat(around),
         }
+        // Guards against a hung backend's forwards using up the limit: while it is out they do not count.
+        let counts = if self.out.is_some() { 0.0 } else { self.holds() };
+        around.tier_inbox.push(TierNote::Holds(counts - self.counted));
+        self.counted = counts;
     }
 
     fn sample(&mut self, latency: Span, in_time: bool, around: &mut Around) {
@@ -136,6 +116,11 @@
         }
     }
 
+    fn report(&mut self, load: Load, now: Time) {
+        let said = load.held.or(load.waiting).map(|held| (now, (held - self.in_flight).max(0.0)));
+        self.others = said.or(self.others);
+    }
+
     fn beat(&mut self, around: &mut Around) {
         // Guards against a cold backend being pushed over by all instances together: each sends it its part
         // of what its warmth bears, measured by what its peers carry.
@@ -153,8 +138,7 @@
 
     fn ended(&mut self, e: &Ended, sample: Option<(Span, bool)>, around: &mut Around) {
         self.in_flight -= 1.0;
-        let said = e.load.held.or(e.load.waiting).map(|held| (around.now, (held - self.in_flight).max(0.0)));
-        self.others = said.or(self.others);
+        self.report(e.load, around.now);
         let honoured = e.outcome == Outcome::Honoured;
         if let Some((latency, in_time)) = sample {
             self.sample(latency, in_time, around);
@@ -201,8 +185,8 @@
                 return;
             }
             let (id, strikes, failing) = (self.listing.backend, self.strikes, around.tier.failing);
-            let figures = format!("strikes {strikes:.1}, tier failing {failing:.2}");
-            around.out.push(Action::Log(format!("{id} out, {why}: {figures}")));
+            let text = format!("{id} out, {why}: strikes {strikes:.1}, tier failing {failing:.2}");
+            around.out.push(Action::Log(text));
         }
         let times = f64::from(1 << self.outs.min(OUT_DOUBLINGS)) * (0.75 + 0.5 * around.chance);
         self.outs += 1;
@@ -210,25 +194,10 @@
     }
 }
 
-/// The Vegas limit of the tier, and what else is known of the tier as a whole.
-#[derive(Default)]
-struct Tier {
-    limit: f64,
-    ready_and_out: (f64, f64),
-    p90: Mean,      // smoothed, in ms
-    baseline: Mean, // what it is without a queue
-    samples: Window,
-    intervals: Trend, // in flight and answers of the last update intervals
-    answers: f64,
-    rate: f64,    // own answers a second for each ready backend
-    took: Mean,   // answer time in ms
-    late: f64,    // part of the samples that were not in time
-    failing: f64, // part of the forwards that fail
-}
-
 impl Tier {
     fn act(&mut self, note: TierNote, now: Time, instances: f64) {
         match note {
+            TierNote::Holds(more) => self.in_flight += more,
             TierNote::Verdict(failed) => self.failing += (failed - self.failing) * 0.05,
             TierNote::Sample(took, in_time) => {
                 self.samples.add(now, took.ms());
@@ -238,10 +207,10 @@
                     self.took.add(took.ms(), 0.05);
                 }
             }
-            TierNote::Beat(in_flight, ready, out) => {
-                self.ready_and_out = (ready, out);
+            TierNote::Beat { ready, out, others } => {
+                (self.ready_and_out, self.others) = ((ready, out), others);
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
-                self.intervals.add(in_flight, take(&mut self.answers), CORRELATED);
+                self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
                 let of_ready = |calls: f64| (calls * ready / instances).max(LIMIT_FLOOR);
                 self.limit = if self.limit == 0.0 { of_ready(CALLS_START) } else { self.limit };
                 self.update(now, of_ready(CALLS_START));
@@ -274,33 +243,13 @@
     }
 }
 
-struct Held {
-    tariff: Tariff,
-    arrived: Time,
-    goal: Time, // an answer after this is late
-    due: Time,  // the final answer is given by then
-    beyond_share: bool,
-    sent: u16,
-    out: Option<(Listing, Time)>, // where the forward that is out may be running, and since when
-    ran: Option<(Listing, Time)>, // the first forward that may have run
-}
-
-#[derive(Default)]
-struct Desk {
-    inbox: VecDeque<Event>,
-    held: BTreeMap<ExchangeId, Held>,
-    first: Vec<ExchangeId>,   // the line of first forwards
-    further: Vec<ExchangeId>, // the line of further forwards
-    purse: f64,
-    shares: Vec<f64>, // what each tenant may still send within its share
-    mode: &'static str,
-}
-
 pub struct Balancer {
     settings: Settings,
     rng: Rand32,
     now: Time,
     backends: BTreeMap<BackendId, Backend>,
+    mail: Vec<BackendId>, // whose inboxes are not empty
+    roster: Roster,       // all of them; empty when it is to be made anew
     tier: Tier,
     tier_inbox: Vec<TierNote>,
     desk: Desk,
@@ -319,8 +268,8 @@
         let own = settings.allowances.iter().filter(|_| settings.tier == 0);
         let shares = own.map(|allowance| allowance / settings.instances as f64).collect();
         let desk = Desk { purse: PURSE_MOST / 2.0, shares, mode: "ordinary", ..Desk::default() };
-        let (backends, tier, tier_inbox) = Default::default();
-        Balancer { settings, rng, now, backends, tier, tier_inbox, desk, list_failures: 0 }
+        let (backends, mail, roster, tier, tier_inbox) = Default::default();
+        Balancer { settings, rng, now, backends, mail, roster, tier, tier_inbox, desk, list_failures: 0 }
     }
 
     /// Takes one event and appends what is to be done about it now.
@@ -332,7 +281,8 @@
             let (now, settings, tier_inbox) = (self.now, &self.settings, &mut self.tier_inbox);
             let chance = self.rng.rand_float().into();
             let mut around = Around { now, tier: &self.tier, settings, chance, tier_inbox, out };
-            for backend in self.backends.values_mut() {
+            for id in take(&mut self.mail) {
+                let Some(backend) = self.backends.get_mut(&id) else { continue };
                 take(&mut backend.inbox).into_iter().for_each(|note| backend.act(note, &mut around));
             }
             for note in take(&mut self.tier_inbox) {
@@ -347,11 +297,15 @@
     }
 
     fn tell(&mut self, id: BackendId, note: BackendNote) {
-        self.backends.entry(id).and_modify(|backend| backend.inbox.push(note));
+        if let Some(backend) = self.backends.get_mut(&id) {
+            backend.inbox.push(note);
+            self.mail.push(id);
+        }
     }
 
     fn list(&mut self, whole: bool, listings: &[Listing]) {
         self.list_failures = 0;
+        self.roster = Roster::default();
         let left = self.backends.values().filter(|_| whole);
         let left: Vec<_> = left.map(|b| Listing { condition: Condition::Gone, ..b.listing }).collect();
         for listing in left.iter().chain(listings) {
@@ -362,11 +316,15 @@
 
     fn beat(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { after: BEAT, mark: MARK_BEAT });
-        self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.in_flight > 0.0);
+        self.roster = Roster::default();
+        self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.holds() > 0.0);
+        self.mail = self.backends.keys().copied().collect();
         self.backends.values_mut().for_each(|backend| backend.inbox.push(BackendNote::Beat));
-        let ready = self.backends.values().filter(|b| b.listing.condition == Condition::Ready);
-        let (ready, gone) = ready.fold((0.0, 0.0), |n, b| (n.0 + 1.0, n.1 + b.out.map_or(0.0, |_| 1.0)));
-        self.tier_inbox.push(TierNote::Beat(self.in_flight(), ready, gone));
+        let listed = || self.backends.values().filter(|b| b.listing.condition == Condition::Ready);
+        let said = || listed().filter_map(|b| b.others);
+        let others = said().map(|(_, others)| others).sum::<f64>() / said().count().max(1) as f64;
+        let (ready, out_now) = (listed().count() as f64, listed().filter(|b| b.out.is_some()).count() as f64);
+        self.tier_inbox.push(TierNote::Beat { ready, out: out_now, others });
         let instances = self.settings.instances as f64;
         for (share, allowance) in self.desk.shares.iter_mut().zip(&self.settings.allowances) {
             *share = (share.max(0.0) + allowance / instances / BEATS_PER_S).min(allowance / instances);
@@ -380,21 +338,15 @@
         if mode != self.desk.mode {
             self.desk.mode = mode;
             let [p90, base] = [self.tier.p90, self.tier.baseline].map(|mean| mean.or(0.0));
-            out.push(Action::Log(format!(
-                "{mode}: limit {limit:.1}, load {load:.2}, p90 {p90:.0}/{base:.0}"
-            )));
+            let text = format!("{mode}: limit {limit:.1}, load {load:.2}, p90 {p90:.0}/{base:.0}");
+            out.push(Action::Log(text));
         }
     }
 
-    /// Guards against a hung backend's forwards using up the limit: while it is out they do not count.
-    fn in_flight(&self) -> f64 {
-        self.backends.values().filter(|b| b.out.is_none()).map(Backend::holds).sum()
-    }
-
     /// In flight and waiting, in multiples of the limit.
     fn load(&self) -> f64 {
-        let waiting = self.desk.first.len() + self.desk.further.len();
-        (self.in_flight() + waiting as f64) / self.tier.limit.max(LIMIT_FLOOR)
+        let waiting = self.desk.first.len() + self.desk.further.len() + self.desk.asking.len();
+        (self.tier.in_flight + waiting as f64) / self.tier.limit.max(LIMIT_FLOOR)
     }
 
     fn act(&mut self, event: Event, out: &mut Vec<Action>) {
@@ -404,10 +356,8 @@
                 self.list_failures += 1;
                 let wait = (1 << self.list_failures.min(5)) as f32 * (0.5 + self.rng.rand_float());
                 out.push(Action::Log(format!("list lost, failure {}, asking again", self.list_failures)));
-                out.push(Action::Timer {
-                    after: Span::from_millis(250).scaled(wait.into()),
-                    mark: MARK_WATCH,
-                });
+                let after = Span::from_millis(250).scaled(wait.into());
+                out.push(Action::Timer { after, mark: MARK_WATCH });
             }
             Event::Taken(exchange) => self.taken(exchange, out),
             Event::Began { exchange, backend, took } => {
@@ -419,13 +369,14 @@
             Event::Left(id) => drop(self.release(id, out)),
             Event::Timer(MARK_BEAT) => self.beat(out),
             Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
+            Event::Checked { backend, load, .. } => self.tell(backend, BackendNote::Checked(load)),
+            Event::Timer(MARK_ASKED) | Event::PeerSaid { .. } => {}
             Event::Timer(mark) => {
                 let id = ExchangeId(mark.0 as u32);
                 if self.desk.held.get(&id).is_some_and(|held| held.due <= self.now) {
                     self.give_up(id, out);
                 }
             }
-            Event::Checked { .. } | Event::PeerSaid { .. } => {}
         }
     }
 
@@ -447,7 +398,7 @@
         let after = due.since(self.now) + self.settings.round;
         out.push(Action::Timer { after, mark: TimerMark(id.0.into()) });
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
-        let held = Held { tariff, arrived: self.now, goal, due, beyond_share, sent: 0, out: None, ran: None };
+        let held = Held::new(tariff, self.now, goal, due, beyond_share);
         self.desk.held.insert(id, held);
         self.desk.first.push(id);
         if chance > self.rng.rand_float().into() {
@@ -485,14 +436,9 @@
         }
     }
 
-    fn leave_lines(&mut self, id: ExchangeId) {
-        self.desk.first.retain(|waiting| *waiting != id);
-        self.desk.further.retain(|waiting| *waiting != id);
-    }
-
     fn release(&mut self, id: ExchangeId, out: &mut Vec<Action>) -> Option<Held> {
         let held = self.desk.held.remove(&id)?;
-        self.leave_lines(id);
+        self.desk.leave_lines(id);
         if held.out.is_some() && self.settings.cancelling {
             out.push(Action::Cancel { exchange: id, forward: ForwardNo(held.sent - 1) });
         }
@@ -527,55 +473,104 @@
         for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
         }
-        if self.in_flight() >= self.tier.limit.max(LIMIT_FLOOR) {
+        for id in self.desk.asking.clone() {
+            if let Some(backend) = self.answered(id) {
+                return self.forward(id, backend, out);
+            }
+        }
+        if self.tier.in_flight + self.desk.asking.len() as f64 >= self.tier.limit.max(LIMIT_FLOOR) {
             return false;
         }
         let order = |id: &&ExchangeId| (self.desk.held[id].beyond_share, self.desk.held[id].goal);
         let first = self.desk.first.iter().min_by_key(order);
         for id in first.into_iter().chain(&self.desk.further).copied().collect::<Vec<_>>() {
-            if let Some(backend) = self.pick(id) {
-                return self.forward(id, backend, out);
+            let Some(two) = self.pick(id) else { continue };
+            if !self.asks() {
+                return self.forward(id, two[0], out);
             }
+            self.desk.leave_lines(id);
+            self.desk.asking.push(id);
+            let wait = self.desk.held[&id].tariff.goal.scaled(PATIENCE);
+            let asked = Some((two, self.now, self.now + wait));
+            self.desk.held.entry(id).and_modify(|held| held.asked = asked);
+            out.extend(two.map(|backend| Action::Check { backend }));
+            out.push(Action::Timer { after: wait, mark: MARK_ASKED });
+            return true;
         }
         false
     }
 
-    /// Of two random ready backends the one with less to do.
-    fn pick(&mut self, id: ExchangeId) -> Option<BackendId> {
+    /// Where instances outnumber backends, own forwards say next to nothing of what a backend holds, and
+    /// reports that came with answers are old: there the two that were drawn are asked first.
+    fn asks(&self) -> bool {
+        let price = self.settings.report_price.filter(|price| *price <= ASK_PRICE);
+        price.is_some() && self.settings.instances as f64 > self.tier.ready_and_out.0
+    }
+
+    /// The better of the two that were asked, once both have answered or the time for it is up.
+    fn answered(&mut self, id: ExchangeId) -> Option<BackendId> {
+        let (two, since, until) = self.desk.held[&id].asked?;
+        let silent = |id: &BackendId| {
+            let report = self.backends.get(id).and_then(|backend| backend.others);
+            report.is_none_or(|(at, _)| at <= since)
+        };
+        if two.iter().any(silent) && self.now < until {
+            return None;
+        }
+        let ready = |id: &BackendId| self.backends.get(id).is_some_and(|b| b.ready(self.now, &self.settings));
+        let loads = two.into_iter().filter(ready).map(|b| (silent(&b), self.load_of(b), b));
+        let best = loads.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        best.map(|(_, _, backend)| backend).or_else(|| self.pick(id).map(|two| two[0]))
+    }
+
+    /// A random one of the backends that are ready and open to the exchange.
+    fn draw(&mut self, id: ExchangeId, near: bool, not: Option<BackendId>) -> Option<BackendId> {
         let held = &self.desk.held[&id];
-        let (now, settings, tier) = (self.now, &self.settings, &self.tier);
         // Guards against an effect that happens twice.
         let may = |b: &Backend| match (held.tariff.effect, held.ran) {
             (Effect::Reissuable, _) | (_, None) => true,
             (Effect::AtMostOnce, Some(_)) => false,
             (Effect::Numbered { group, window }, Some((at, since))) => {
-                now < since + window && at.shares(&b.listing, group)
+                self.now < since + window && at.shares(&b.listing, group)
             }
         };
-        let open = |b: &&Backend| b.ready(now, settings) && may(b);
-        let mut all: Vec<&Backend> = self.backends.values().filter(open).collect();
-        let said: Vec<f64> = all.iter().filter_map(|b| b.others).map(|(_, others)| others).collect();
-        let (mean, fade) = (said.iter().sum::<f64>() / said.len().max(1) as f64, tier.took.or(0.0).max(1.0));
-        let load = |b: &Backend| {
-            let crossing = settings.crossing_priced && b.listing.zone != settings.zone;
-            (b.holds() + b.others(now, mean, fade) + 1.0) * b.pace(tier) + f64::from(u8::from(crossing))
-        };
-        let rng = &mut self.rng;
-        let mut two = |from: &[&Backend]| {
-            let n = from.len() as u32;
-            let one = (n > 0).then(|| rng.rand_range(0..n))?;
-            let other = if n > 1 { (one + 1 + rng.rand_range(0..n - 1)) % n } else { one };
-            let drawn = [from[one as usize], from[other as usize]].map(|b| (b.listing.backend, load(b)));
-            drawn.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))
+        let open = |backend: BackendId| {
+            let b = &self.backends[&backend];
+            Some(backend) != not && b.ready(self.now, &self.settings) && may(b)
         };
-        let best = two(&all)?;
+        // Only the few repeats that must stay in a group look through the whole list.
+        let grouped = held.ran.is_some() && held.tariff.effect != Effect::Reissuable;
+        self.roster.draw(&mut self.rng, near, grouped, open)
+    }
+
+    /// Of two random ready backends the one with less to do, and the other.
+    fn pick(&mut self, id: ExchangeId) -> Option<[BackendId; 2]> {
+        if self.roster.is_empty() {
+            let zone = self.settings.zone;
+            self.roster = Roster::new(self.backends.iter().map(|(id, b)| (*id, b.listing.zone == zone)));
+        }
+        let best = self.two(id, false)?;
         // Where crossing has a price, two of the own zone are drawn as well.
-        all.retain(|b| settings.crossing_priced && b.listing.zone == settings.zone);
-        Some(two(&all).filter(|near| near.1 <= best.1).unwrap_or(best).0)
+        let near = if self.settings.crossing_priced { self.two(id, true) } else { None };
+        Some(near.filter(|near| self.load_of(near[0]) <= self.load_of(best[0])).unwrap_or(best))
+    }
+
+    fn two(&mut self, id: ExchangeId, near: bool) -> Option<[BackendId; 2]> {
+        let one = self.draw(id, near, None)?;
+        let other = self.draw(id, near, Some(one)).unwrap_or(one);
+        let first = self.load_of(one) <= self.load_of(other);
+        Some(if first { [one, other] } else { [other, one] })
+    }
+
+    fn load_of(&self, id: BackendId) -> f64 {
+        let (b, tier) = (&self.backends[&id], &self.tier);
+        let crossing = self.settings.crossing_priced && b.listing.zone != self.settings.zone;
+        let others = b.others(self.now, tier.others, tier.took.or(0.0).max(1.0));
+        (b.holds() + others + 1.0) * b.pace(tier) + f64::from(u8::from(crossing))
     }
 
     fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) -> bool {
-        self.leave_lines(id);
+        self.desk.leave_lines(id);
         let Some(held) = self.desk.held.get_mut(&id) else { return false };
         let earned = if held.sent == 0 { PURSE_SHARE } else { 0.0 };
         self.desk.purse = (self.desk.purse + earned).min(PURSE_MOST);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::event::Load;
 use crate::id::{PodId, TariffId, TenantId, ZoneId};
-use crate::settings::Cold;
+use crate::settings::{Cold, Tariff};
 
 const START: Time = Time::ORIGIN;
 
@@ -42,7 +42,7 @@
 fn held(effect: Effect) -> Held {
     let (goal, due) = (START + ms(200), START + ms(200));
     let (arrived, tariff) = (START, tariff(effect));
-    Held { tariff, arrived, goal, due, beyond_share: false, sent: 0, out: None, ran: None }
+    Held::new(tariff, arrived, goal, due, false)
 }
 
 /// An exchange that has been forwarded once, to backend 0.
@@ -70,6 +70,10 @@
     Around { now, tier: &b.tier, settings: &b.settings, chance: 0.5, tier_inbox: inbox, out }
 }
 
+fn first_pick(b: &mut Balancer) -> Option<BackendId> {
+    b.pick(ExchangeId(1)).map(|two| two[0])
+}
+
 #[test]
 fn at_most_once_is_forfeited_after_an_outcome_that_may_have_run() {
     let (mut b, mut out) = (balancer(Effect::AtMostOnce, 4), Vec::new());
@@ -99,7 +103,7 @@
 fn a_numbered_repeat_stays_in_its_group() {
     let mut b = balancer(by_pod(), 6);
     b.desk.held.insert(ExchangeId(1), Held { ran: Some((listing(2), START)), ..held(by_pod()) });
-    let picked: Vec<_> = (0..50).filter_map(|_| b.pick(ExchangeId(1))).collect();
+    let picked: Vec<_> = (0..50).filter_map(|_| first_pick(&mut b)).collect();
     assert!(picked.contains(&id(2)) && picked.contains(&id(3)));
     assert!(picked.iter().all(|backend| *backend == id(2) || *backend == id(3)));
 }
@@ -109,7 +113,7 @@
     let mut b = balancer(by_pod(), 6);
     b.desk.held.insert(ExchangeId(1), Held { ran: Some((listing(2), START)), ..held(by_pod()) });
     b.now = START + ms(1000);
-    assert_eq!(b.pick(ExchangeId(1)), None);
+    assert_eq!(first_pick(&mut b), None);
 }
 
 #[test]
@@ -117,7 +121,7 @@
     let mut b = balancer(Effect::Reissuable, 2);
     b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
     b.backends.get_mut(&id(0)).unwrap().listing.condition = Condition::Draining;
-    assert!((0..20).all(|_| b.pick(ExchangeId(1)) == Some(id(1))));
+    assert!((0..20).all(|_| first_pick(&mut b) == Some(id(1))));
 }
 
 #[test]
@@ -144,7 +148,7 @@
 #[test]
 fn the_limit_holds_what_is_above_it() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
-    b.backends.get_mut(&id(0)).unwrap().in_flight = 10.0;
+    b.tier.in_flight = 10.0;
     b.handle(START, Event::Taken(exchange(1)), &mut out);
     assert_eq!(b.desk.first, [ExchangeId(1)]);
     assert!(!out.iter().any(|action| matches!(action, Action::Forward { .. })));
@@ -153,7 +157,7 @@
 #[test]
 fn past_three_limits_all_are_turned_back_at_once() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
-    b.backends.get_mut(&id(0)).unwrap().in_flight = 30.0;
+    b.tier.in_flight = 30.0;
     b.taken(exchange(1), &mut out);
     assert!(matches!(out.last(), Some(Action::TurnBack { exchange: ExchangeId(1), backoff: Some(_) })));
 }
@@ -161,7 +165,7 @@
 #[test]
 fn within_the_refusal_band_what_is_beyond_a_share_goes_first() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
-    b.backends.get_mut(&id(0)).unwrap().in_flight = 30.0;
+    b.tier.in_flight = 30.0;
     b.desk.held.insert(ExchangeId(7), Held { beyond_share: true, ..held(Effect::Reissuable) });
     b.desk.first.push(ExchangeId(7));
     b.taken(exchange(1), &mut out);
@@ -251,10 +255,11 @@
 fn a_silent_backend_goes_out_and_its_forwards_leave_the_limit() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 4), Vec::new());
     b.tier.p90.add(100.0, 1.0);
-    b.backends.get_mut(&id(0)).unwrap().in_flight = 3.0;
+    let hung = b.backends.get_mut(&id(0)).unwrap();
+    (hung.in_flight, hung.counted, b.tier.in_flight) = (3.0, 3.0, 3.0);
     b.handle(START + ms(400), Event::Timer(MARK_BEAT), &mut out);
     assert!(b.backends[&id(0)].out.is_some());
-    assert_eq!(b.in_flight(), 0.0);
+    assert_eq!(b.tier.in_flight, 0.0);
 }
 
 #[test]
@@ -318,7 +323,7 @@
     b.backends.get_mut(&id(0)).unwrap().others = Some((START, 5.0));
     b.backends.get_mut(&id(1)).unwrap().in_flight = 2.0;
     b.backends.get_mut(&id(1)).unwrap().others = Some((START, 0.0));
-    assert!((0..20).all(|_| b.pick(ExchangeId(1)) == Some(id(1))));
+    assert!((0..20).all(|_| first_pick(&mut b) == Some(id(1))));
 }
 
 /// A tier with a full window of samples that took `ms` each.
@@ -383,3 +388,60 @@
     };
     assert_eq!((own(0), own(1)), (vec![8.0], vec![]));
 }
+
+/// A balancer that asks the two it drew, with exchange 1 waiting for their reports.
+fn asking() -> Balancer {
+    let mut b = balancer(Effect::Reissuable, 2);
+    (b.settings.report_price, b.settings.instances) = (Some(0.001), 9);
+    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.desk.first.push(ExchangeId(1));
+    assert!(b.serve(&mut Vec::new()));
+    b
+}
+
+#[test]
+fn where_instances_outnumber_backends_the_two_drawn_are_asked_first() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 2), Vec::new());
+    (b.settings.report_price, b.settings.instances) = (Some(0.001), 9);
+    b.handle(START, Event::Taken(exchange(1)), &mut out);
+    assert_eq!(out.iter().filter(|action| matches!(action, Action::Check { .. })).count(), 2);
+    assert!(!out.iter().any(|action| matches!(action, Action::Forward { .. })));
+}
+
+#[test]
+fn the_less_busy_of_the_two_asked_gets_the_exchange() {
+    let mut b = asking();
+    let at = START + ms(1);
+    b.backends.get_mut(&id(0)).unwrap().others = Some((at, 3.0));
+    b.backends.get_mut(&id(1)).unwrap().others = Some((at, 0.0));
+    assert_eq!(b.answered(ExchangeId(1)), Some(id(1)));
+}
+
+#[test]
+fn a_backend_that_does_not_say_what_it_holds_is_not_waited_for_long() {
+    let mut b = asking();
+    b.backends.get_mut(&id(1)).unwrap().others = Some((START + ms(1), 3.0));
+    b.now = START + ms(2);
+    assert_eq!(b.answered(ExchangeId(1)), None);
+    b.now = START + ms(20);
+    assert_eq!(b.answered(ExchangeId(1)), Some(id(1)));
+}
+
+#[test]
+fn a_backend_asked_and_then_forgotten_is_not_sent_to() {
+    let mut b = asking();
+    b.backends.remove(&id(0));
+    b.roster = Roster::default();
+    b.now = START + ms(20);
+    assert_eq!(b.answered(ExchangeId(1)), Some(id(1)));
+}
+
+#[test]
+fn a_draw_finds_the_one_that_is_open_among_many() {
+    let ids = (0..12).map(|n| (id(n), n < 3));
+    let (roster, mut rng) = (Roster::new(ids), Rand32::new(1));
+    let mut draw =
+        |near, all| (0..20).filter_map(|_| roster.draw(&mut rng, near, all, |b| b == id(7))).count();
+    assert!(draw(false, false) > 10);
+    assert_eq!((draw(false, true), draw(true, false)), (20, 0));
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,6 +12,9 @@
     pub zone: ZoneId,
     /// Crossing zones has a price.
     pub crossing_priced: bool,
+    /// Where answers report what a backend holds: the price of a check that asks for such a report, for each
+    /// exchange; `None` where there are none.
+    pub report_price: Option<f64>,
     /// The shortest time between two batches of events.
     pub round: Span,
     pub tariffs: Vec<Tariff>,
@@ -86,6 +89,7 @@
             instances: 1,
             zone: ZoneId(0),
             crossing_priced: false,
+            report_price: None,
             round: Span::from_millis(1),
             tariffs,
             allowances: Vec::new(),
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,130 @@
+//! What an instance remembers: its records, and plain measures over them. They decide nothing.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::event::{BackendNote, Event, Listing};
+use crate::id::{BackendId, ExchangeId};
+use crate::settings::Tariff;
+use crate::stats::{Mean, Trend, Window};
+use crate::time::Time;
+
+/// The one record of a backend.
+#[derive(Default)]
+pub struct Backend {
+    pub inbox: Vec<BackendNote>,
+    pub listing: Listing,
+    /// While out it gets nothing until then, and after that one trial forward at a time.
+    pub out: Option<Time>,
+    /// How often it was put out, or stayed out, in a row.
+    pub outs: u32,
+    pub strikes: f64,
+    pub in_flight: f64,
+    /// What of it the tier's sum holds.
+    pub counted: f64,
+    /// Until when it may still work on forwards that were given up.
+    pub ghosts: Vec<Time>,
+    /// Most forwards in flight while it is fresh; grows with its answers.
+    pub cap: Option<f64>,
+    pub full_until: Time,
+    /// Forwards that a cold backend may still be sent.
+    pub credit: f64,
+    /// Answer time in ms.
+    pub took: Mean,
+    /// When it last answered, or was sent its first forward while idle.
+    pub heard: Time,
+    /// What it last said it holds for others, and when.
+    pub others: Option<(Time, f64)>,
+}
+
+impl Backend {
+    pub fn holds(&self) -> f64 {
+        self.in_flight + self.ghosts.len() as f64
+    }
+
+    /// How many times as long as its peers it takes; small differences do not count.
+    pub fn pace(&self, tier: &Tier) -> f64 {
+        (self.took.or(tier.took.or(0.0)) / tier.took.or(0.0).max(1.0) / 1.2).clamp(1.0, 8.0)
+    }
+
+    /// What others have in flight here: its report, which fades towards the mean of all reports with age.
+    pub fn others(&self, now: Time, mean: f64, fade: f64) -> f64 {
+        self.others.map_or(mean, |(at, said)| mean + (said - mean) * (-now.since(at).ms() / fade).exp())
+    }
+}
+
+/// The Vegas limit of the tier, and what else is known of the tier as a whole.
+#[derive(Default)]
+pub struct Tier {
+    pub limit: f64,
+    /// At backends that are not out, with what was given up and may still run.
+    pub in_flight: f64,
+    /// Mean of what the reports say that others hold at a backend.
+    pub others: f64,
+    pub ready_and_out: (f64, f64),
+    /// Smoothed, in ms.
+    pub p90: Mean,
+    /// What it is without a queue.
+    pub baseline: Mean,
+    pub samples: Window,
+    /// In flight and answers of the last update intervals.
+    pub intervals: Trend,
+    pub answers: f64,
+    /// Own answers a second for each ready backend.
+    pub rate: f64,
+    /// Answer time in ms.
+    pub took: Mean,
+    /// Part of the samples that were not in time.
+    pub late: f64,
+    /// Part of the forwards that fail.
+    pub failing: f64,
+}
+
+/// An exchange that was taken and not yet answered.
+#[derive(Clone, Debug)]
+pub struct Held {
+    pub tariff: Tariff,
+    pub arrived: Time,
+    /// An answer after this is late.
+    pub goal: Time,
+    /// The final answer is given by then.
+    pub due: Time,
+    pub beyond_share: bool,
+    pub sent: u16,
+    /// Where the forward that is out may be running, and since when.
+    pub out: Option<(Listing, Time)>,
+    /// The first forward that may have run.
+    pub ran: Option<(Listing, Time)>,
+    /// The two that were asked for a report, since when, and until when at most.
+    pub asked: Option<([BackendId; 2], Time, Time)>,
+}
+
+/// The desk that holds the exchanges.
+#[derive(Default)]
+pub struct Desk {
+    pub inbox: VecDeque<Event>,
+    pub held: BTreeMap<ExchangeId, Held>,
+    /// The line of first forwards.
+    pub first: Vec<ExchangeId>,
+    /// The line of further forwards.
+    pub further: Vec<ExchangeId>,
+    /// What waits for the reports of the two backends drawn for it.
+    pub asking: Vec<ExchangeId>,
+    pub purse: f64,
+    /// What each tenant may still send within its share.
+    pub shares: Vec<f64>,
+    pub mode: &'static str,
+}
+
+impl Held {
+    pub fn new(tariff: Tariff, arrived: Time, goal: Time, due: Time, beyond_share: bool) -> Held {
+        Held { tariff, arrived, goal, due, beyond_share, sent: 0, out: None, ran: None, asked: None }
+    }
+}
+
+impl Desk {
+    pub fn leave_lines(&mut self, id: ExchangeId) {
+        for line in [&mut self.first, &mut self.further, &mut self.asking] {
+            line.retain(|waiting| *waiting != id);
+        }
+    }
+}
