Let each instance keep to a part of the backends, so that own calls tell of their load

Now the two random ones come from a part of the list that about three instances share (six backends at least), and from all others only if none there is ready.

--- a/crates/wirehost/src/setup.rs
+++ b/crates/wirehost/src/setup.rs
@@ -18,6 +18,8 @@
     tier: usize,
     balancers: usize,
     #[serde(default)]
+    ordinal: usize,
+    #[serde(default)]
     locality: u16,
     round_ms: f64,
     discovery: Discovery,
@@ -166,6 +168,7 @@
     let settings = Settings {
         tier: setup.tier,
         instances: setup.balancers.max(1),
+        ordinal: setup.ordinal,
         zone: ZoneId(setup.locality),
         crossing_priced: setup.penalties.cross_zone > 0.0,
         report_price: asked.then_some(setup.penalties.probe),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,6 +53,8 @@
 const OUT_FIRST: Span = Span::from_millis(1000); // how long a backend is out at first
 const OUT_DOUBLINGS: u32 = 3; // and how often that doubles
 const ASK_PRICE: f64 = 0.005; // the highest price of a check at which reports are asked for
+const SHARED: f64 = 3.0; // instances that share a backend, where there are many
+const PART_LEAST: f64 = 6.0; // and the fewest backends that an instance keeps to
 const PATIENCE: f64 = 0.05; // part of the latency goal for which reports are waited for
 const MARK_BEAT: TimerMark = TimerMark(u64::MAX);
 const MARK_WATCH: TimerMark = TimerMark(u64::MAX - 1);
@@ -546,8 +548,9 @@
     /// Of two random ready backends the one with less to do, and the other.
     fn pick(&mut self, id: ExchangeId) -> Option<[BackendId; 2]> {
         if self.roster.is_empty() {
-            let zone = self.settings.zone;
-            self.roster = Roster::new(self.backends.iter().map(|(id, b)| (*id, b.listing.zone == zone)));
+            let ids = self.backends.iter().map(|(id, b)| (*id, b.listing.zone == self.settings.zone));
+            let width = SHARED * self.backends.len() as f64 / self.settings.instances as f64;
+            self.roster = Roster::new(ids, width.ceil().max(PART_LEAST) as usize, self.settings.ordinal);
         }
         let best = self.two(id, false)?;
         // Where crossing has a price, two of the own zone are drawn as well.
@@ -558,8 +561,7 @@
     fn two(&mut self, id: ExchangeId, near: bool) -> Option<[BackendId; 2]> {
         let one = self.draw(id, near, None)?;
         let other = self.draw(id, near, Some(one)).unwrap_or(one);
-        let first = self.load_of(one) <= self.load_of(other);
-        Some(if first { [one, other] } else { [other, one] })
+        Some(if self.load_of(one) <= self.load_of(other) { [one, other] } else { [other, one] })
     }
 
     fn load_of(&self, id: BackendId) -> f64 {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -436,12 +436,28 @@
     assert_eq!(b.answered(ExchangeId(1)), Some(id(1)));
 }
 
+/// Draws from 12 backends, of which those below 3 are nearby, with only backend 7 open.
+fn draws(width: usize, near: bool, through_all: bool) -> usize {
+    let (roster, mut rng) = (Roster::new((0..12).map(|n| (id(n), n < 3)), width, 0), Rand32::new(1));
+    (0..20).filter_map(|_| roster.draw(&mut rng, near, through_all, |b| b == id(7))).count()
+}
+
+#[test]
+fn a_draw_finds_the_one_that_is_open_outside_its_own_part_too() {
+    assert!(draws(12, false, false) > 10 && draws(3, false, false) > 10);
+    assert_eq!((draws(3, false, true), draws(3, true, false)), (20, 0));
+}
+
 #[test]
-fn a_draw_finds_the_one_that_is_open_among_many() {
-    let ids = (0..12).map(|n| (id(n), n < 3));
-    let (roster, mut rng) = (Roster::new(ids), Rand32::new(1));
-    let mut draw =
-        |near, all| (0..20).filter_map(|_| roster.draw(&mut rng, near, all, |b| b == id(7))).count();
-    assert!(draw(false, false) > 10);
-    assert_eq!((draw(false, true), draw(true, false)), (20, 0));
+fn of_many_instances_each_keeps_to_a_part_of_the_backends_and_all_are_kept_to() {
+    let mut picked = std::collections::BTreeSet::new();
+    for ordinal in 0..20 {
+        let mut b = balancer(Effect::Reissuable, 20);
+        (b.settings.instances, b.settings.ordinal) = (20, ordinal);
+        b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+        let own: std::collections::BTreeSet<_> = (0..200).filter_map(|_| first_pick(&mut b)).collect();
+        assert!(own.len() <= PART_LEAST as usize);
+        picked.extend(own);
+    }
+    assert_eq!(picked.len(), 20);
 }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -7,26 +7,33 @@
 /// How many random places are looked at, so that the work of a draw does not grow with the fleet.
 const DRAWS: usize = 40;
 
+/// The golden section's multiples, taken within 1, lie evenly, and so do those of every fifth or of the first few.
+const GOLDEN: f64 = 0.618_034;
+
+/// All ids and those nearby, and of both the part that one instance keeps to.
 #[derive(Debug, Default)]
 pub struct Roster {
-    ids: Vec<BackendId>, // those nearby first
-    near: usize,
+    all: Vec<BackendId>,
+    near: Vec<BackendId>,
+    width: usize,
+    turn: f64,
 }
 
 impl Roster {
-    /// From ids, and whether each is nearby.
-    pub fn new(all: impl Iterator<Item = (BackendId, bool)>) -> Roster {
-        let (mut ids, far): (Vec<_>, Vec<_>) = all.partition(|(_, near)| *near);
-        let near = ids.len();
-        ids.extend(far);
-        Roster { ids: ids.into_iter().map(|(id, _)| id).collect(), near }
+    /// From ids, in the order that all instances know, and whether each is nearby. The part is `width` ids, and
+    /// the parts of instances with other ordinals lie evenly over all, whichever of them are counted.
+    pub fn new(ids: impl Iterator<Item = (BackendId, bool)> + Clone, width: usize, ordinal: usize) -> Roster {
+        let turn = (ordinal as f64 * GOLDEN).fract();
+        let near = ids.clone().filter(|(_, near)| *near).map(|(id, _)| id).collect();
+        Roster { all: ids.map(|(id, _)| id).collect(), near, width, turn }
     }
 
     pub fn is_empty(&self) -> bool {
-        self.ids.is_empty()
+        self.all.is_empty()
     }
 
-    /// A random one that is open, of all or of those nearby; after a bounded search, or one through all.
+    /// A random one that is open, of all or of those nearby, and of the own part if one there is open. The search
+    /// is bounded, unless `through_all` asks for one that misses none.
     pub fn draw(
         &self,
         rng: &mut Rand32,
@@ -34,14 +41,17 @@
         through_all: bool,
         open: impl Fn(BackendId) -> bool,
     ) -> Option<BackendId> {
-        let ids = if near { &self.ids[..self.near] } else { &self.ids[..] };
+        let ids = if near { &self.near } else { &self.all };
         if through_all {
             let found: Vec<_> = ids.iter().filter(|id| open(**id)).collect();
             let place = rng.rand_range(0..found.len().max(1) as u32);
             return found.get(place as usize).map(|id| **id);
         }
-        let mut places =
-            (0..if ids.is_empty() { 0 } else { DRAWS }).map(|_| rng.rand_range(0..ids.len() as u32));
-        places.find_map(|place| Some(ids[place as usize]).filter(|id| open(*id)))
+        let (len, first) = (ids.len(), (self.turn * ids.len() as f64) as usize);
+        let widths = [self.width.min(len), len].into_iter().filter(|width| *width > 0);
+        widths.flat_map(|width| [width; DRAWS]).find_map(|width| {
+            let place = first + rng.rand_range(0..width as u32) as usize;
+            Some(ids[place % len]).filter(|id| open(*id))
+        })
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,8 @@
     pub tier: usize,
     /// Instances of this tier, this one included.
     pub instances: usize,
+    /// This one's number among them, from 0.
+    pub ordinal: usize,
     pub zone: ZoneId,
     /// Crossing zones has a price.
     pub crossing_priced: bool,
@@ -87,6 +89,7 @@
         Settings {
             tier: 0,
             instances: 1,
+            ordinal: 0,
             zone: ZoneId(0),
             crossing_priced: false,
             report_price: None,
