Weigh the pick by the root of the size that the list states

Cause: the list says that some machines are twice as large, the pick treated all alike; with few calls a backend it can't learn it.

--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -113,7 +113,7 @@
     fn listing(&mut self) -> Result<Listing> {
         let _kind = self.u16()?;
         let zone = ZoneId(self.u16()?);
-        let _share = self.f32()?;
+        let size = Some(f64::from(self.f32()?)).filter(|size| size.is_finite() && *size > 0.0).unwrap_or(1.0);
         let at = self.at;
         let condition = match self.u8()? {
             0 => Condition::Gone,
@@ -123,7 +123,7 @@
         };
         let backend = self.backend()?;
         let started = Some(self.f64()?).filter(|ms| *ms != 0.0).map(Time::from_ms);
-        Ok(Listing { backend, zone, pod: PodId(self.u16()?), condition, started })
+        Ok(Listing { backend, zone, pod: PodId(self.u16()?), condition, started, size })
     }
 }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -44,6 +44,8 @@
     pub condition: Condition,
     /// When its process last started; `None` is long ago.
     pub started: Option<Time>,
+    /// What it can do, to set against other backends' figures.
+    pub size: f64,
 }
 
 impl Listing {
@@ -175,5 +177,5 @@
     /// So much more is in flight at backends that are not out.
     Holds(f64),
     /// How many backends are listed as ready, how many of those are out, and the mean of their reports.
-    Beat { ready: f64, out: f64, others: f64 },
+    Beat { ready: f64, out: f64, others: f64, size: f64 },
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 //!     pod: PodId(0),
 //!     condition: Condition::Ready,
 //!     started: None,
+//!     size: 1.0,
 //! };
 //! balancer.handle(start, Event::Listed { whole: true, listings: vec![listing] }, &mut actions);
 //! let exchange = Exchange {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,7 +24,7 @@
 use crate::id::{BackendId, ExchangeId, ForwardNo, TimerMark};
 use crate::roster::Roster;
 use crate::settings::{Effect, Group, Settings};
-use crate::state::{Backend, Desk, Held, Tier};
+use crate::state::{census, Backend, Desk, Held, Tier};
 use crate::time::{Span, Time};
 
 #[cfg(test)]
@@ -209,8 +209,8 @@
                     self.took.add(took.ms(), 0.05);
                 }
             }
-            TierNote::Beat { ready, out, others } => {
-                (self.ready_and_out, self.others) = ((ready, out), others);
+            TierNote::Beat { ready, out, others, size } => {
+                (self.ready_and_out, self.others, self.size) = ((ready, out), others, size);
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
                 let of_ready = |calls: f64| (calls * ready / instances).max(LIMIT_FLOOR);
@@ -322,11 +322,7 @@
         self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.holds() > 0.0);
         self.mail = self.backends.keys().copied().collect();
         self.backends.values_mut().for_each(|backend| backend.inbox.push(BackendNote::Beat));
-        let listed = || self.backends.values().filter(|b| b.listing.condition == Condition::Ready);
-        let said = || listed().filter_map(|b| b.others);
-        let others = said().map(|(_, others)| others).sum::<f64>() / said().count().max(1) as f64;
-        let (ready, out_now) = (listed().count() as f64, listed().filter(|b| b.out.is_some()).count() as f64);
-        self.tier_inbox.push(TierNote::Beat { ready, out: out_now, others });
+        self.tier_inbox.push(census(self.backends.values()));
         let instances = self.settings.instances as f64;
         for (share, allowance) in self.desk.shares.iter_mut().zip(&self.settings.allowances) {
             *share = (share.max(0.0) + allowance / instances / BEATS_PER_S).min(allowance / instances);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -15,7 +15,7 @@
 
 fn listing(n: u8) -> Listing {
     let (zone, pod) = (ZoneId(n.into()), PodId((n / 2).into()));
-    Listing { backend: id(n), zone, pod, condition: Condition::Ready, started: None }
+    Listing { backend: id(n), zone, pod, condition: Condition::Ready, started: None, size: 1.0 }
 }
 
 fn tariff(effect: Effect) -> Tariff {
@@ -461,3 +461,12 @@
     }
     assert_eq!(picked.len(), 20);
 }
+
+#[test]
+fn of_two_idle_backends_the_larger_is_picked() {
+    let mut b = balancer(Effect::Reissuable, 2);
+    b.tier.size = 2.0;
+    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.backends.get_mut(&id(0)).unwrap().listing.size = 3.0;
+    assert!((0..20).all(|_| first_pick(&mut b) == Some(id(0))));
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::event::{BackendNote, Event, Listing};
+use crate::event::{BackendNote, Condition, Event, Listing, TierNote};
 use crate::id::{BackendId, ExchangeId};
 use crate::settings::Tariff;
 use crate::stats::{Mean, Trend, Window};
@@ -41,9 +41,11 @@
         self.in_flight + self.ghosts.len() as f64
     }
 
-    /// How many times as long as its peers it takes; small differences do not count.
+    /// How many times as long as its peers it takes; small differences do not count, and its size counts by its
+    /// root: what it waits for elsewhere takes no longer on a small machine.
     pub fn pace(&self, tier: &Tier) -> f64 {
-        (self.took.or(tier.took.or(0.0)) / tier.took.or(0.0).max(1.0) / 1.2).clamp(1.0, 8.0)
+        let size = self.listing.size / if tier.size > 0.0 { tier.size } else { self.listing.size };
+        (self.took.or(tier.took.or(0.0)) / tier.took.or(0.0).max(1.0) / 1.2).clamp(1.0, 8.0) / size.sqrt()
     }
 
     /// What others have in flight here: its report, which fades towards the mean of all reports with age.
@@ -60,6 +62,8 @@
     pub in_flight: f64,
     /// Mean of what the reports say that others hold at a backend.
     pub others: f64,
+    /// Mean size of the ready backends.
+    pub size: f64,
     pub ready_and_out: (f64, f64),
     /// Smoothed, in ms.
     pub p90: Mean,
@@ -128,3 +132,14 @@
         }
     }
 }
+
+/// What the tier is told of all backends at each update.
+pub fn census<'a>(all: impl Iterator<Item = &'a Backend> + Clone) -> TierNote {
+    let listed = all.filter(|b| b.listing.condition == Condition::Ready);
+    let said = listed.clone().filter_map(|b| b.others);
+    let others = said.clone().map(|(_, others)| others).sum::<f64>() / said.count().max(1) as f64;
+    let (ready, out) =
+        (listed.clone().count() as f64, listed.clone().filter(|b| b.out.is_some()).count() as f64);
+    let size = listed.map(|b| b.listing.size).sum::<f64>() / ready.max(1.0);
+    TierNote::Beat { ready, out, others, size }
+}
