Count a crossing by what is unseen in other zones

Cause: a crossing counted one call, whatever the load; where many instances share a zone it kept calls in a busy zone, and where one instance has a zone to itself, far backends look idle only because they report nothing. Now a crossing counts 0.25 calls, and for a backend that never reports also half of the mean nearby.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,6 +53,8 @@
 const OUT_FIRST: Span = Span::from_millis(1000); // how long a backend is out at first
 const OUT_DOUBLINGS: u32 = 3; // and how often that doubles
 const ASK_PRICE: f64 = 0.005; // the highest price of a check at which reports are asked for
+const CROSSING: f64 = 0.25; // calls that crossing zones counts as, where it has a price
+const UNSEEN: f64 = 0.5; // and of the mean nearby, for a backend that does not report
 const SHARED: f64 = 3.0; // instances that share a backend, where there are many
 const PART_LEAST: f64 = 6.0; // and the fewest backends that an instance keeps to
 const PATIENCE: f64 = 0.05; // part of the latency goal for which reports are waited for
@@ -354,8 +356,7 @@
                 self.list_failures += 1;
                 let wait = (1 << self.list_failures.min(5)) as f32 * (0.5 + self.rng.rand_float());
                 out.push(Action::Log(format!("list lost, failure {}, asking again", self.list_failures)));
-                let after = Span::from_millis(250).scaled(wait.into());
-                out.push(Action::Timer { after, mark: MARK_WATCH });
+                out.push(Action::Timer { after: BEAT.scaled(wait.into()), mark: MARK_WATCH });
             }
             Event::Taken(exchange) => self.taken(exchange, out),
             Event::Began { exchange, backend, took } => {
@@ -562,9 +563,12 @@
 
     fn load_of(&self, id: BackendId) -> f64 {
         let (b, tier) = (&self.backends[&id], &self.tier);
-        let crossing = self.settings.crossing_priced && b.listing.zone != self.settings.zone;
+        let far = self.settings.crossing_priced && b.listing.zone != self.settings.zone;
         let others = b.others(self.now, tier.others, tier.took.or(0.0).max(1.0));
-        (b.holds() + others + 1.0) * b.pace(tier) + f64::from(u8::from(crossing))
+        // Guards against the seeming idleness of what other zones keep busy and what reports nothing.
+        let unseen = if b.others.is_some() { 0.0 } else { UNSEEN * tier.in_flight };
+        let crossing = CROSSING + unseen / self.roster.nearby().max(1) as f64;
+        (b.holds() + others + 1.0) * b.pace(tier) + if far { crossing } else { 0.0 }
     }
 
     fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) -> bool {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -470,3 +470,15 @@
     b.backends.get_mut(&id(0)).unwrap().listing.size = 3.0;
     assert!((0..20).all(|_| first_pick(&mut b) == Some(id(0))));
 }
+
+#[test]
+fn what_is_nearby_and_busy_is_weighed_against_the_unseen_load_far_away() {
+    let mut b = balancer(Effect::Reissuable, 2);
+    (b.settings.crossing_priced, b.tier.in_flight) = (true, 4.0);
+    b.roster = Roster::new([(id(0), true), (id(1), false)].into_iter(), 2, 0);
+    let mut prefers_near = |near| {
+        b.backends.get_mut(&id(0)).unwrap().in_flight = near;
+        b.load_of(id(0)) < b.load_of(id(1))
+    };
+    assert!(prefers_near(2.0) && !prefers_near(3.0));
+}
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -28,6 +28,11 @@
         Roster { all: ids.map(|(id, _)| id).collect(), near, width, turn }
     }
 
+    /// How many of the own part are nearby.
+    pub fn nearby(&self) -> usize {
+        self.width.min(self.near.len())
+    }
+
     pub fn is_empty(&self) -> bool {
         self.all.is_empty()
     }
