--- a/src/event.rs
+++ b/src/event.rs
@@ -170,8 +170,8 @@
 
 /// What the tier's actor finds in its inbox.
 pub(crate) enum TierNote {
-    /// A latency, and whether it is that of an answer in time.
-    Sample(Span, bool),
+    /// A latency, whether it is that of an answer in time, and whether it was seen whole.
+    Sample(Span, bool, bool),
     /// 1 for a forward that failed, 0 for one that did not.
     Verdict(f64),
     /// So much more is in flight at backends that are not out.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -101,7 +101,7 @@
                 self.in_flight += 1.0;
                 self.credit -= 1.0;
             }
-            BackendNote::Began(took) => self.sample(took, true, around),
+            BackendNote::Began(took) => self.sample(took, true, true, around),
             BackendNote::Ended(ended, sample) => self.ended(&ended, sample, around),
             BackendNote::Checked(load) => self.report(load, around.now),
             BackendNote::Beat => self.beat(around),
@@ -112,11 +112,11 @@
         self.counted = counts;
     }
 
-    fn sample(&mut self, latency: Span, in_time: bool, around: &mut Around) {
+    fn sample(&mut self, latency: Span, in_time: bool, seen: bool, around: &mut Around) {
         self.heard = around.now;
         // Guards against a hung backend moving the limit: once it is out, it says nothing about the others.
         if self.out.is_none() {
-            around.tier_inbox.push(TierNote::Sample(latency, in_time));
+            around.tier_inbox.push(TierNote::Sample(latency, in_time, seen));
         }
     }
 
@@ -135,7 +135,7 @@
         self.ghosts.retain(|until| *until > around.now);
         // What was slow is forgotten with time, so that it is tried again.
         self.took.add(around.tier.took.or(0.0), 0.01);
-        if self.in_flight > 0.0 && around.now.since(self.heard).ms() > 3.0 * around.tier.p90.or(1000.0) {
+        if self.in_flight > 0.0 && around.now.since(self.heard).ms() > 3.0 * around.tier.latency.or(1000.0) {
             self.put_out("silent", around);
         }
     }
@@ -145,7 +145,7 @@
         self.report(e.load, around.now);
         let honoured = e.outcome == Outcome::Honoured;
         if let Some((latency, in_time)) = sample {
-            self.sample(latency, in_time, around);
+            self.sample(latency, in_time, e.outcome != Outcome::TimedOut, around);
         }
         if matches!(e.outcome, Outcome::TimedOut | Outcome::Cancelled) && self.others.is_none() {
             // Guards against unseen work: a time-out may not stop it; where no report tells, it still counts.
@@ -203,8 +203,8 @@
         match note {
             TierNote::Holds(more) => self.in_flight += more,
             TierNote::Verdict(failed) => self.failing += (failed - self.failing) * 0.05,
-            TierNote::Sample(took, in_time) => {
-                self.samples.add(now, took.ms());
+            TierNote::Sample(took, in_time, seen) => {
+                self.samples.add(now, took.ms(), seen);
                 self.late += (f64::from(u8::from(!in_time)) - self.late) * 0.05;
                 if in_time {
                     self.answers += 1.0;
@@ -224,20 +224,23 @@
     }
 
     fn update(&mut self, now: Time, start: f64) {
-        let Some(p90) = self.samples.p90(now, WINDOW, WINDOW_MOST, WINDOW_SAMPLES) else {
+        let Some((p90, answered)) = self.samples.p90(now, WINDOW, WINDOW_MOST, WINDOW_SAMPLES) else {
             // Guards against an instance with few calls being stuck at a low limit: it rises while unjudged.
             self.limit += if self.limit < start { 1.0 / BEATS_PER_S } else { 0.0 };
             return;
         };
         self.p90.add(p90, SMOOTHING);
-        let latency = self.p90.or(p90);
+        self.answered.add(answered, SMOOTHING);
+        let log = self.limit.log10();
+        // Guards against forwards that are lost whatever the load: unless answers show a queue, time-outs do not.
+        let jammed = self.queued(self.answered) >= 3.0 * log;
+        self.latency = if jammed { self.p90 } else { self.answered };
         // Guards against a baseline that was set in a jam, from which the limit would never come down again.
-        let lower = latency < self.baseline.or(f64::INFINITY);
+        let lower = self.latency.or(0.0) < self.baseline.or(f64::INFINITY);
         if lower || self.failing < 0.1 && self.intervals.strength() > CORRELATION {
-            self.baseline = self.p90;
+            self.baseline = self.latency;
         }
-        let queued = self.limit * (1.0 - self.baseline.or(latency) / latency.max(0.001));
-        let log = self.limit.log10();
+        let queued = self.queued(self.latency);
         // Guards against a goal so near that latency cannot grow past it: much lateness is a queue, if any shows.
         if queued > 6.0 * log || self.late > LATE && queued > 1.5 * log {
             self.limit -= log.max(1.0);
@@ -337,7 +340,7 @@
         };
         if mode != self.desk.mode {
             self.desk.mode = mode;
-            let [p90, base] = [self.tier.p90, self.tier.baseline].map(|mean| mean.or(0.0));
+            let [p90, base] = [self.tier.latency, self.tier.baseline].map(|mean| mean.or(0.0));
             let text = format!("{mode}: limit {limit:.1}, load {load:.2}, p90 {p90:.0}/{base:.0}");
             out.push(Action::Log(text));
         }
@@ -464,7 +467,7 @@
     /// Sends the next exchange that waits, if the limit has room; first forwards before further ones.
     fn serve(&mut self, out: &mut Vec<Action>) -> bool {
         // What is sent later than this would likely be late: its place goes to one that has waited less.
-        let need = Span::from_ms(NEED * self.tier.p90.or(0.0));
+        let need = Span::from_ms(NEED * self.tier.latency.or(0.0));
         let late = |id: &&ExchangeId| {
             let held = &self.desk.held[id];
             self.now + need.min(held.goal.since(held.arrived).scaled(0.9)) >= held.goal
@@ -472,10 +475,9 @@
         for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
         }
-        for id in self.desk.asking.clone() {
-            if let Some(backend) = self.answered(id) {
-                return self.forward(id, backend, out);
-            }
+        let mut asking = self.desk.asking.clone().into_iter();
+        if let Some((id, backend)) = asking.find_map(|id| Some((id, self.answered(id)?))) {
+            return self.forward(id, backend, out);
         }
         if self.tier.in_flight + self.desk.asking.len() as f64 >= self.tier.limit.max(LIMIT_FLOOR) {
             return false;
@@ -509,10 +511,8 @@
     /// The better of the two that were asked, once both have answered or the time for it is up.
     fn answered(&mut self, id: ExchangeId) -> Option<BackendId> {
         let (two, since, until) = self.desk.held[&id].asked?;
-        let silent = |id: &BackendId| {
-            let report = self.backends.get(id).and_then(|backend| backend.others);
-            report.is_none_or(|(at, _)| at <= since)
-        };
+        let report = |id: &BackendId| self.backends.get(id).and_then(|backend| backend.others);
+        let silent = |id: &BackendId| report(id).is_none_or(|(at, _)| at <= since);
         if two.iter().any(silent) && self.now < until {
             return None;
         }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -177,7 +177,7 @@
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
     b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
     b.desk.first.push(ExchangeId(1));
-    b.tier.p90.add(100.0, 1.0);
+    b.tier.latency.add(100.0, 1.0);
     b.now = START + ms(120);
     assert!(!b.serve(&mut out));
     assert!(matches!(out[..], [Action::TurnBack { exchange: ExchangeId(1), .. }]));
@@ -254,7 +254,7 @@
 #[test]
 fn a_silent_backend_goes_out_and_its_forwards_leave_the_limit() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 4), Vec::new());
-    b.tier.p90.add(100.0, 1.0);
+    b.tier.latency.add(100.0, 1.0);
     let hung = b.backends.get_mut(&id(0)).unwrap();
     (hung.in_flight, hung.counted, b.tier.in_flight) = (3.0, 3.0, 3.0);
     b.handle(START + ms(400), Event::Timer(MARK_BEAT), &mut out);
@@ -329,7 +329,7 @@
 /// A tier with a full window of samples that took `ms` each.
 fn tier(took: i64) -> Tier {
     let mut tier = Tier { limit: 20.0, ..Tier::default() };
-    (0..60).for_each(|n| tier.samples.add(START + ms(n * 40), ms(took).ms()));
+    (0..60).for_each(|n| tier.samples.add(START + ms(n * 40), ms(took).ms(), true));
     tier
 }
 
@@ -482,3 +482,15 @@
     };
     assert!(prefers_near(2.0) && !prefers_near(3.0));
 }
+
+#[test]
+fn forwards_that_are_lost_lower_the_limit_only_where_answers_show_a_queue() {
+    let lossy = |took: i64| {
+        let mut tier = tier(took);
+        (0..12).for_each(|n| tier.samples.add(START + ms(2390 + n), 1200.0, false));
+        tier.baseline.add(100.0, 1.0);
+        tier.update(START + ms(2410), 20.0);
+        tier.limit
+    };
+    assert!(lossy(100) > 20.0 && lossy(300) < 20.0);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,10 @@
     pub ready_and_out: (f64, f64),
     /// Smoothed, in ms.
     pub p90: Mean,
+    /// The same of answers alone.
+    pub answered: Mean,
+    /// The latency that the limit goes by: one of the two.
+    pub latency: Mean,
     /// What it is without a queue.
     pub baseline: Mean,
     pub samples: Window,
@@ -83,6 +87,13 @@
     pub failing: f64,
 }
 
+impl Tier {
+    /// The design's queueUse at this latency.
+    pub fn queued(&self, latency: Mean) -> f64 {
+        self.limit * (1.0 - self.baseline.or(latency.or(0.0)) / latency.or(0.0).max(0.001))
+    }
+}
+
 /// An exchange that was taken and not yet answered.
 #[derive(Clone, Debug)]
 pub struct Held {
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -24,30 +24,36 @@
 
 /// Samples of the latest while: at least `least` long and `full` many, where there are as many at all.
 #[derive(Debug, Default)]
-pub struct Window(VecDeque<(Time, f64)>);
+pub struct Window(VecDeque<(Time, f64, bool)>);
 
 impl Window {
-    pub fn add(&mut self, at: Time, value: f64) {
-        self.0.push_back((at, value));
+    /// `seen` is whether the value was seen whole, or only that it is no less.
+    pub fn add(&mut self, at: Time, value: f64, seen: bool) {
+        self.0.push_back((at, value, seen));
     }
 
     /// Lets go of what is older than `most`, or older than `least` and not needed for `full` samples.
-    /// Then the 90th percentile, if the window is as long and as full as wanted.
-    pub fn p90(&mut self, now: Time, least: Span, most: Span, full: usize) -> Option<f64> {
-        while let Some((at, _)) = self.0.front() {
+    /// Then the 90th percentile of all and of those seen whole, if the window is as long and as full as wanted.
+    pub fn p90(&mut self, now: Time, least: Span, most: Span, full: usize) -> Option<(f64, f64)> {
+        while let Some((at, ..)) = self.0.front() {
             let age = now.since(*at);
             if age <= most && (age <= least || self.0.len() <= full) {
                 break;
             }
             self.0.pop_front();
         }
-        let (oldest, _) = self.0.front()?;
+        let (oldest, ..) = self.0.front()?;
         if self.0.len() < full || now.since(*oldest).scaled(1.1) < least {
             return None;
         }
-        let mut values: Vec<f64> = self.0.iter().map(|(_, value)| *value).collect();
-        let place = values.len() * 9 / 10;
-        Some(*values.select_nth_unstable_by(place, f64::total_cmp).1)
+        let p90 = |all: bool| {
+            let kept = self.0.iter().filter(|(.., seen)| all || *seen);
+            let mut values: Vec<f64> = kept.map(|(_, value, _)| *value).collect();
+            let place = values.len() * 9 / 10;
+            (!values.is_empty()).then(|| *values.select_nth_unstable_by(place, f64::total_cmp).1)
+        };
+        let all = p90(true)?;
+        Some((all, p90(false).unwrap_or(all)))
     }
 }
 
