--- a/src/policy.rs
+++ b/src/policy.rs
@@ -545,9 +545,10 @@
     /// Of two random ready backends the one with less to do, and the other.
     fn pick(&mut self, id: ExchangeId) -> Option<[BackendId; 2]> {
         if self.roster.is_empty() {
-            let ids = self.backends.iter().map(|(id, b)| (*id, b.listing.zone == self.settings.zone));
-            let width = SHARED * self.backends.len() as f64 / self.settings.instances as f64;
-            self.roster = Roster::new(ids, width.ceil().max(PART_LEAST) as usize, self.settings.ordinal);
+            let width =
+                (SHARED * self.backends.len() as f64 / self.settings.instances as f64).max(PART_LEAST);
+            let (all, s) = (self.backends.values().map(|b| b.listing), &self.settings);
+            self.roster = Roster::new(all, s.zone, width.ceil() as usize, s.ordinal);
         }
         let best = self.two(id, false)?;
         // Where crossing has a price, two of the own zone are drawn as well.
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -2,7 +2,8 @@
 
 use oorandom::Rand32;
 
-use crate::id::BackendId;
+use crate::event::Listing;
+use crate::id::{BackendId, ZoneId};
 
 /// How many random places are looked at, so that the work of a draw does not grow with the fleet.
 const DRAWS: usize = 40;
@@ -13,19 +14,26 @@
 /// All ids and those nearby, and of both the part that one instance keeps to.
 #[derive(Debug, Default)]
 pub struct Roster {
-    all: Vec<BackendId>,
-    near: Vec<BackendId>,
+    all: Vec<(BackendId, f64)>,
+    near: Vec<(BackendId, f64)>,
+    largest: f64,
     width: usize,
     turn: f64,
 }
 
 impl Roster {
-    /// From ids, in the order that all instances know, and whether each is nearby. The part is `width` ids, and
-    /// the parts of instances with other ordinals lie evenly over all, whichever of them are counted.
-    pub fn new(ids: impl Iterator<Item = (BackendId, bool)> + Clone, width: usize, ordinal: usize) -> Roster {
+    /// From all listings, in the order that all instances know. The part is `width` ids, and the parts of
+    /// instances with other ordinals lie evenly over all, whichever of them are counted.
+    pub fn new(all: impl Iterator<Item = Listing>, own: ZoneId, width: usize, ordinal: usize) -> Roster {
         let turn = (ordinal as f64 * GOLDEN).fract();
-        let near = ids.clone().filter(|(_, near)| *near).map(|(id, _)| id).collect();
-        Roster { all: ids.map(|(id, _)| id).collect(), near, width, turn }
+        let mut roster = Roster { width, turn, ..Roster::default() };
+        for listing in all {
+            let entry = (listing.backend, listing.size);
+            roster.all.push(entry);
+            roster.near.extend((listing.zone == own).then_some(entry));
+            roster.largest = roster.largest.max(listing.size);
+        }
+        roster
     }
 
     /// How many of the own part are nearby.
@@ -37,7 +45,7 @@
         self.all.is_empty()
     }
 
-    /// A random one that is open, of all or of those nearby, and of the own part if one there is open. The search
+    /// A random one that is open, a larger one with more chance, of all or of those nearby, and of the own part if one there is open. The search
     /// is bounded, unless `through_all` asks for one that misses none.
     pub fn draw(
         &self,
@@ -48,15 +56,17 @@
     ) -> Option<BackendId> {
         let ids = if near { &self.near } else { &self.all };
         if through_all {
-            let found: Vec<_> = ids.iter().filter(|id| open(**id)).collect();
+            let found: Vec<_> = ids.iter().filter(|(id, _)| open(*id)).collect();
             let place = rng.rand_range(0..found.len().max(1) as u32);
-            return found.get(place as usize).map(|id| **id);
+            return found.get(place as usize).map(|(id, _)| *id);
         }
         let (len, first) = (ids.len(), (self.turn * ids.len() as f64) as usize);
         let widths = [self.width.min(len), len].into_iter().filter(|width| *width > 0);
         widths.flat_map(|width| [width; DRAWS]).find_map(|width| {
             let place = first + rng.rand_range(0..width as u32) as usize;
-            Some(ids[place % len]).filter(|id| open(*id))
+            let (id, size) = ids[place % len];
+            let kept = size >= self.largest || f64::from(rng.rand_float()) * self.largest < size;
+            Some(id).filter(|id| kept && open(*id))
         })
     }
 }
