--- a/src/policy.rs
+++ b/src/policy.rs
@@ -545,10 +545,9 @@
     /// Of two random ready backends the one with less to do, and the other.
     fn pick(&mut self, id: ExchangeId) -> Option<[BackendId; 2]> {
         if self.roster.is_empty() {
-            let width =
-                (SHARED * self.backends.len() as f64 / self.settings.instances as f64).max(PART_LEAST);
-            let (all, s) = (self.backends.values().map(|b| b.listing), &self.settings);
-            self.roster = Roster::new(all, s.zone, width.ceil() as usize, s.ordinal);
+            let s = &self.settings;
+            let width = (SHARED * self.backends.len() as f64 / s.instances as f64).max(PART_LEAST);
+            self.roster = Roster::new(self.backends.values().map(|b| b.listing), s.zone, width, s.ordinal);
         }
         let best = self.two(id, false)?;
         // Where crossing has a price, two of the own zone are drawn as well.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -439,7 +439,7 @@
 /// Draws from 12 backends, of which those below 3 are nearby, with only backend 7 open.
 fn draws(width: usize, near: bool, through_all: bool) -> usize {
     let all = (0..12).map(|n| Listing { zone: ZoneId(n / 3), ..listing(n as u8) });
-    let (roster, mut rng) = (Roster::new(all, ZoneId(0), width, 0), Rand32::new(1));
+    let (roster, mut rng) = (Roster::new(all, ZoneId(0), width as f64, 0), Rand32::new(1));
     (0..20).filter_map(|_| roster.draw(&mut rng, near, through_all, |b| b == id(7))).count()
 }
 
@@ -476,7 +476,7 @@
 fn what_is_nearby_and_busy_is_weighed_against_the_unseen_load_far_away() {
     let mut b = balancer(Effect::Reissuable, 2);
     (b.settings.crossing_priced, b.tier.in_flight) = (true, 4.0);
-    b.roster = Roster::new([listing(0), listing(1)].into_iter(), ZoneId(0), 2, 0);
+    b.roster = Roster::new([listing(0), listing(1)].into_iter(), ZoneId(0), 2.0, 0);
     let mut prefers_near = |near| {
         b.backends.get_mut(&id(0)).unwrap().in_flight = near;
         b.load_of(id(0)) < b.load_of(id(1))
@@ -499,7 +499,7 @@
 #[test]
 fn a_larger_backend_is_drawn_more_often() {
     let all = [listing(0), Listing { size: 3.0, ..listing(1) }].into_iter();
-    let (roster, mut rng) = (Roster::new(all, ZoneId(0), 2, 0), Rand32::new(1));
+    let (roster, mut rng) = (Roster::new(all, ZoneId(0), 2.0, 0), Rand32::new(1));
     let large = (0..400).filter(|_| roster.draw(&mut rng, false, false, |_| true) == Some(id(1))).count();
     assert!((260..340).contains(&large));
 }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -24,9 +24,9 @@
 impl Roster {
     /// From all listings, in the order that all instances know. The part is `width` ids, and the parts of
     /// instances with other ordinals lie evenly over all, whichever of them are counted.
-    pub fn new(all: impl Iterator<Item = Listing>, own: ZoneId, width: usize, ordinal: usize) -> Roster {
+    pub fn new(all: impl Iterator<Item = Listing>, own: ZoneId, width: f64, ordinal: usize) -> Roster {
         let turn = (ordinal as f64 * GOLDEN).fract();
-        let mut roster = Roster { width, turn, ..Roster::default() };
+        let mut roster = Roster { width: width.ceil() as usize, turn, ..Roster::default() };
         for listing in all {
             let entry = (listing.backend, listing.size);
             roster.all.push(entry);
