--- a/src/policy.rs
+++ b/src/policy.rs
@@ -232,7 +232,7 @@
         self.p90.add(p90, SMOOTHING);
         self.answered.add(answered, SMOOTHING);
         let log = self.limit.log10();
-        // Guards against forwards that are lost whatever the load: unless answers show a queue, time-outs do not.
+        // Guards against forwards lost whatever the load: unless answers show a queue, time-outs say nothing.
         let jammed = self.queued(self.answered) >= 3.0 * log;
         self.latency = if jammed { self.p90 } else { self.answered };
         // Guards against a baseline that was set in a jam, from which the limit would never come down again.
@@ -241,7 +241,7 @@
             self.baseline = self.latency;
         }
         let queued = self.queued(self.latency);
-        // Guards against a goal so near that latency cannot grow past it: much lateness is a queue, if any shows.
+        // Guards against a goal so near that latency can't grow past it: much lateness is a queue, if any.
         if queued > 6.0 * log || self.late > LATE && queued > 1.5 * log {
             self.limit -= log.max(1.0);
         } else if queued < 3.0 * log {
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -8,7 +8,7 @@
 /// How many random places are looked at, so that the work of a draw does not grow with the fleet.
 const DRAWS: usize = 40;
 
-/// The golden section's multiples, taken within 1, lie evenly, and so do those of every fifth or of the first few.
+/// The golden section's multiples, taken within 1, lie evenly, and so do every fifth and the first few.
 const GOLDEN: f64 = 0.618_034;
 
 /// All ids and those nearby, and of both the part that one instance keeps to.
@@ -45,8 +45,8 @@
         self.all.is_empty()
     }
 
-    /// A random one that is open, a larger one with more chance, of all or of those nearby, and of the own part if one there is open. The search
-    /// is bounded, unless `through_all` asks for one that misses none.
+    /// A random one that is open, a larger one with more chance, of all or of those nearby, and of the own part
+    /// if one there is open. The search is bounded, unless `through_all` asks for one that misses none.
     pub fn draw(
         &self,
         rng: &mut Rand32,
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,8 +41,8 @@
         self.in_flight + self.ghosts.len() as f64
     }
 
-    /// How many times as long as its peers it takes; small differences do not count, and its size counts by its
-    /// root: what it waits for elsewhere takes no longer on a small machine.
+    /// How many times as long as its peers it takes; small differences do not count, and its size counts by
+    /// its root: what it waits for elsewhere takes no longer on a small machine.
     pub fn pace(&self, tier: &Tier) -> f64 {
         let size = self.listing.size / if tier.size > 0.0 { tier.size } else { self.listing.size };
         (self.took.or(tier.took.or(0.0)) / tier.took.or(0.0).max(1.0) / 1.2).clamp(1.0, 8.0) / size.sqrt()
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -33,7 +33,7 @@
     }
 
     /// Lets go of what is older than `most`, or older than `least` and not needed for `full` samples.
-    /// Then the 90th percentile of all and of those seen whole, if the window is as long and as full as wanted.
+    /// Then the 90th percentile of all and of those seen whole, if the window is long and full enough.
     pub fn p90(&mut self, now: Time, least: Span, most: Span, full: usize) -> Option<(f64, f64)> {
         while let Some((at, ..)) = self.0.front() {
             let age = now.since(*at);
