--- /dev/null
+++ b/crates/proxy/src/clients.rs
@@ -0,0 +1,318 @@
+//! The side of the callers: the listener, the connections that callers opened, the requests that come in on
+//! them and the answers that go out.
+
+use std::io::ErrorKind;
+
+use mio::net::{TcpListener, TcpStream};
+use sparlug::id::ExchangeId;
+use sparlug::time::{Span, Time};
+
+use crate::deadlines::DeadlineId;
+use crate::http::{self, Bad, RequestHead, BODY_MOST, MESSAGE_MOST};
+use crate::link::Link;
+use crate::shared::{Due, Note, Owner, Request, Shared};
+use crate::slots::{Slot, Slots};
+
+const MESSAGE_TIME: Span = Span::from_millis(10_000); // for a message to come whole, once it has begun
+const LINGER: Span = Span::from_millis(1_000); // for the client to read a last answer
+const ACCEPT_AGAIN: Span = Span::from_millis(20); // after running out of descriptors
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    /// Between requests, or within one that is not whole.
+    Reading,
+    /// A request was taken and its answer is owed.
+    Waiting(Option<ExchangeId>),
+    /// An answer is being written.
+    Answering { close: bool },
+    /// The last answer is written; what still comes is thrown away until the client closes.
+    Lingering,
+}
+
+pub struct Client {
+    link: Link,
+    state: State,
+    head: Option<RequestHead>,
+    deadline: Option<DeadlineId>,
+    used: Time,
+}
+
+/// What a class of exchange is called, and how long its callers wait at the most.
+pub struct Tariffs {
+    pub names: Vec<String>,
+    pub cut_offs: Vec<Span>,
+}
+
+pub struct Clients {
+    listener: Option<TcpListener>,
+    clients: Slots<Client>,
+    tariffs: Tariffs,
+    /// Connections to keep; as many again as an eighth of it are accepted only to be turned back.
+    budget: usize,
+    /// Connections may be waiting to be accepted.
+    waiting: bool,
+    pub ready: bool,
+    /// The proxy is going down: answers say that the connection ends.
+    pub leaving: bool,
+}
+
+impl Clients {
+    pub fn new(listener: Option<TcpListener>, tariffs: Tariffs, budget: usize) -> Clients {
+        let clients = Slots::new();
+        Clients { listener, clients, tariffs, budget, waiting: false, ready: false, leaving: false }
+    }
+
+    pub fn len(&self) -> usize {
+        self.clients.len()
+    }
+
+    pub fn accept(&mut self, io: &mut Shared) {
+        self.waiting = true;
+        while self.waiting && self.make_room(io) {
+            let Some(listener) = &self.listener else { return };
+            match listener.accept() {
+                Ok((stream, _)) => self.add(stream, io),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.waiting = false,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(e) => {
+                    // Guards against spinning when descriptors run out: the next try is a deadline's.
+                    tracing::warn!(error = %e, clients = self.clients.len(), "cannot accept");
+                    io.deadlines.set(io.now + ACCEPT_AGAIN, Due::Accept);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Whether one more can be accepted; the connection that was idle for longest may have to leave for it.
+    fn make_room(&mut self, io: &mut Shared) -> bool {
+        if self.clients.len() < self.budget {
+            return true;
+        }
+        let idle = |client: &Client| client.state == State::Reading && client.link.input.is_empty();
+        let oldest = self.clients.iter().filter(|(_, client)| idle(client)).min_by_key(|(_, c)| c.used);
+        match oldest.map(|(slot, _)| slot) {
+            Some(slot) => self.close(slot, io),
+            // Guards against leaving unread what was sent on connections that the kernel has accepted.
+            None => return self.clients.len() < self.budget + self.budget / 8,
+        }
+        true
+    }
+
+    fn add(&mut self, stream: TcpStream, io: &mut Shared) {
+        let mut stream = Some(stream);
+        // The slot is wanted for the token, so the record is made in two steps.
+        let registry = &io.registry;
+        let slot = self.clients.insert_with(|slot| {
+            let link = Link::new(stream.take()?, registry, Owner::Client(slot).token()).ok()?;
+            link.set_nodelay();
+            Some(Client { link, state: State::Reading, head: None, deadline: None, used: io.now })
+        });
+        if let Some(slot) = slot {
+            io.counters.connections += 1;
+            self.event(slot, io);
+        }
+    }
+
+    fn close(&mut self, slot: Slot<Client>, io: &mut Shared) {
+        let Some(client) = self.clients.remove(slot) else { return };
+        io.deadlines.call_off(client.deadline);
+        if let State::Waiting(Some(exchange)) = client.state {
+            io.counters.left += 1;
+            io.notes.push_back(Note::Left(exchange));
+        }
+        client.link.close(&io.registry);
+        if self.waiting {
+            io.deadlines.set(io.now, Due::Accept);
+        }
+    }
+
+    /// Something can be read or written, or the connection has ended.
+    pub fn event(&mut self, slot: Slot<Client>, io: &mut Shared) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        let broken = client.link.fill(MESSAGE_MOST).is_err();
+        if client.state == State::Lingering {
+            client.link.input.clear();
+        }
+        if broken || client.link.ended && client.state != State::Reading {
+            return self.close(slot, io);
+        }
+        if let State::Answering { .. } = client.state {
+            self.write(slot, io);
+        } else if client.state == State::Reading {
+            self.read(slot, io);
+        }
+    }
+
+    /// Takes the next request out of what was read, if it is whole.
+    fn read(&mut self, slot: Slot<Client>, io: &mut Shared) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        if client.link.ended && client.link.input.is_empty() {
+            return self.close(slot, io);
+        }
+        match Self::next(client) {
+            Err(bad) => {
+                io.counters.bad_input += 1;
+                self.reply(slot, bad.status(), true, io);
+            }
+            // Guards against waiting for the rest of what a client that is gone will never send.
+            Ok(None) if client.link.ended => self.close(slot, io),
+            Ok(None) => {
+                if client.deadline.is_none() && !client.link.input.is_empty() {
+                    client.deadline = Some(io.deadlines.set(io.now + MESSAGE_TIME, Due::Client(slot)));
+                }
+                let go_on = client.head.as_mut().is_some_and(|head| std::mem::take(&mut head.expects));
+                if go_on {
+                    client.link.queue(CONTINUE);
+                }
+                if client.link.flush().is_err() {
+                    self.close(slot, io);
+                }
+            }
+            Ok(Some((head, message))) => {
+                io.deadlines.call_off(client.deadline.take());
+                client.used = io.now;
+                if client.link.ended {
+                    return self.close(slot, io);
+                }
+                self.request(slot, head, message, io);
+            }
+        }
+    }
+
+    fn next(client: &mut Client) -> Result<Option<(RequestHead, Vec<u8>)>, Bad> {
+        // Blank lines before a request are let pass.
+        let blank = client.link.input.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+        if client.head.is_none() && blank > 0 {
+            client.link.used(blank);
+        }
+        if client.head.is_none() {
+            client.head = http::request_head(&client.link.input)?;
+        }
+        let Some(head) = &mut client.head else { return Ok(None) };
+        let Some(length) = head.body.whole(&client.link.input[head.length..], false, BODY_MOST)? else {
+            return if client.link.input.len() >= MESSAGE_MOST { Err(Bad::BodyTooLarge) } else { Ok(None) };
+        };
+        let message = client.link.used(head.length + length);
+        Ok(client.head.take().map(|head| (head, message)))
+    }
+
+    fn request(&mut self, slot: Slot<Client>, head: RequestHead, message: Vec<u8>, io: &mut Shared) {
+        if head.path == "/ready" {
+            let ready = self.ready && !self.leaving;
+            return self.reply(slot, if ready { 200 } else { 503 }, head.close, io);
+        }
+        let first = head.path[1..].split('/').next().unwrap_or_default();
+        let place = |name: &str| self.tariffs.names.iter().position(|tariff| tariff == name);
+        let tariff = place(first).filter(|_| head.tariff.as_deref().is_none_or(|named| named == first));
+        let Some(tariff) = tariff else {
+            io.counters.bad_input += 1;
+            return self.reply(slot, 404, head.close, io);
+        };
+        let longest = self.tariffs.cut_offs[tariff];
+        let waits = head.time_out.as_deref().map_or(Some(longest), seconds);
+        let (Some(waits), true) = (waits, head.has_id) else {
+            io.counters.bad_input += 1;
+            return self.reply(slot, 400, true, io);
+        };
+        if let Some(client) = self.clients.get_mut(slot) {
+            client.state = State::Waiting(None);
+        }
+        // The client counts from when it sent, which may have been while the loop was busy.
+        let request = Request { head, message, tariff: tariff as u16, cut_off: io.since + waits };
+        io.notes.push_back(Note::Taken(slot, request));
+    }
+
+    /// The exchange that the client's request has become.
+    pub fn holds(&mut self, slot: Slot<Client>, exchange: ExchangeId) {
+        if let Some(client) = self.clients.get_mut(slot) {
+            client.state = State::Waiting(Some(exchange));
+        }
+    }
+
+    /// Whether there are so many connections that this one must go after its answer.
+    pub fn over_budget(&self) -> bool {
+        self.clients.len() > self.budget
+    }
+
+    pub fn reply(&mut self, slot: Slot<Client>, status: u16, close: bool, io: &mut Shared) {
+        let close = close || self.leaving;
+        self.answer(slot, &http::own_answer(status, None, close), close, io);
+    }
+
+    /// Writes the answer to what the connection's client waits for.
+    pub fn answer(&mut self, slot: Slot<Client>, bytes: &[u8], close: bool, io: &mut Shared) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        io.deadlines.call_off(client.deadline.take());
+        client.state = State::Answering { close };
+        client.link.queue(bytes);
+        client.deadline = Some(io.deadlines.set(io.now + MESSAGE_TIME, Due::Client(slot)));
+        self.write(slot, io);
+    }
+
+    fn write(&mut self, slot: Slot<Client>, io: &mut Shared) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        match client.link.flush() {
+            Ok(false) => return,
+            Ok(true) => {}
+            Err(_) => return self.close(slot, io),
+        }
+        io.deadlines.call_off(client.deadline.take());
+        client.used = io.now;
+        if client.state == (State::Answering { close: true }) {
+            // Guards against a reset that overtakes the answer while something unread is in the way.
+            client.link.end_sending();
+            client.state = State::Lingering;
+            client.deadline = Some(io.deadlines.set(io.now + LINGER, Due::Client(slot)));
+            client.link.input.clear();
+            return self.event(slot, io);
+        }
+        client.state = State::Reading;
+        // What came behind the request is there already, and brings no event of its own. It waits for the next
+        // round, which guards against one client's long row of requests holding up all others.
+        if client.link.unread() || !client.link.input.is_empty() {
+            io.deadlines.set(io.now, Due::Read(slot));
+        }
+    }
+
+    pub fn due(&mut self, slot: Slot<Client>, io: &mut Shared) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        client.deadline = None;
+        match client.state {
+            State::Reading => {
+                io.counters.bad_input += 1;
+                self.reply(slot, 408, true, io);
+            }
+            _ => self.close(slot, io),
+        }
+    }
+
+    /// Accepts what the kernel has accepted, and no more after that.
+    pub fn stop_listening(&mut self, io: &mut Shared) {
+        self.accept(io);
+        if let Some(mut listener) = self.listener.take() {
+            let _ = io.registry.deregister(&mut listener);
+        }
+    }
+
+    /// Closes the connections on which nothing has begun.
+    pub fn close_idle(&mut self, io: &mut Shared) {
+        let slots: Vec<_> = self.clients.iter().map(|(slot, _)| slot).collect();
+        for slot in slots {
+            // Guards against closing on a request that has come and was not read.
+            self.event(slot, io);
+            let idle = |client: &Client| client.state == State::Reading && client.link.input.is_empty();
+            if self.clients.get(slot).is_some_and(idle) {
+                self.close(slot, io);
+            }
+        }
+    }
+}
+
+/// A time in seconds that someone may wait for: a number above 0 and below a day.
+fn seconds(text: &str) -> Option<Span> {
+    let plain = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let number: f64 = text.parse().ok().filter(|_| plain)?;
+    (number > 0.0 && number < 86_400.0).then(|| Span::from_ms(number * 1000.0))
+}
--- /dev/null
+++ b/crates/proxy/src/counters.rs
@@ -0,0 +1,44 @@
+//! What the proxy has taken in, sent and answered since its start, printed on request and at the end.
+
+use std::fmt;
+
+use sparlug::event::Outcome;
+
+#[derive(Default)]
+pub struct Counters {
+    pub connections: u64,
+    pub taken: u64,
+    pub bad_input: u64,
+    pub left: u64,
+    pub honoured: u64,
+    pub turned_back: u64,
+    pub forfeited: u64,
+    /// Answers that nothing was left to give in time.
+    pub overdue: u64,
+    pub forwards: u64,
+    pub checks: u64,
+    pub dialled: u64,
+    pub reused: u64,
+    pub lists: u64,
+    pub lists_failed: u64,
+    outcomes: [u64; 8],
+}
+
+impl Counters {
+    pub fn ended(&mut self, outcome: Outcome) {
+        self.outcomes[outcome as usize] += 1;
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "connections={} taken={} bad_input={} ", self.connections, self.taken, self.bad_input)?;
+        write!(f, "honoured={} turned_back={} ", self.honoured, self.turned_back)?;
+        write!(f, "forfeited={} overdue={} left={} ", self.forfeited, self.overdue, self.left)?;
+        write!(f, "forwards={} dialled={} reused={} ", self.forwards, self.dialled, self.reused)?;
+        write!(f, "checks={} lists={} lists_failed={}", self.checks, self.lists, self.lists_failed)?;
+        let names =
+            ["honoured", "error", "full", "timed_out", "connect_failed", "broken", "cancelled", "not_sent"];
+        names.iter().zip(self.outcomes).try_for_each(|(name, count)| write!(f, " ended_{name}={count}"))
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/discovery.rs
@@ -0,0 +1,158 @@
+//! The watch on the list of backends: one connection, on which the next call follows each answer at once.
+//! When a call fails it tells so; the decisions say when to ask again.
+
+use std::net::SocketAddr;
+
+use sparlug::time::Span;
+
+use crate::deadlines::DeadlineId;
+use crate::http::{self, AnswerHead};
+use crate::link::Link;
+use crate::listing;
+use crate::shared::{Due, Note, Owner, Shared};
+
+const WAIT: Span = Span::from_millis(20_000); // how long a call may wait for something newer
+const GRACE: Span = Span::from_millis(1_000); // and its answer may come later than that
+const LIST_MOST: usize = 4 * 1024 * 1024;
+
+pub struct Discovery {
+    address: SocketAddr,
+    zones: Vec<String>,
+    /// The version that the proxy has; `None` asks for the whole list.
+    version: Option<u64>,
+    link: Option<Link>,
+    /// Whose turn it is: an event of an earlier connection finds another number here.
+    turn: u32,
+    head: Option<AnswerHead>,
+    asked: bool,
+    deadline: Option<DeadlineId>,
+}
+
+impl Discovery {
+    pub fn new(address: SocketAddr, zones: Vec<String>, version: Option<u64>) -> Discovery {
+        let (link, head, deadline) = Default::default();
+        Discovery { address, zones, version, link, turn: 0, head, asked: false, deadline }
+    }
+
+    /// Asks for what is newer than the list at hand, unless such a call is under way.
+    pub fn watch(&mut self, io: &mut Shared) {
+        if !self.asked {
+            self.ask(io);
+        }
+    }
+
+    /// Asks for the whole list.
+    pub fn fetch(&mut self, io: &mut Shared) {
+        self.version = None;
+        self.stop(io);
+        self.ask(io);
+    }
+
+    pub fn stop(&mut self, io: &mut Shared) {
+        io.deadlines.call_off(self.deadline.take());
+        if let Some(link) = self.link.take() {
+            link.close(&io.registry);
+        }
+        (self.asked, self.head) = (false, None);
+    }
+
+    fn ask(&mut self, io: &mut Shared) {
+        if self.link.is_none() {
+            self.turn = self.turn.wrapping_add(1);
+            match Link::dial(self.address, &io.registry, Owner::Discovery(self.turn).token()) {
+                Ok(link) => self.link = Some(link),
+                Err(e) => return self.failed(&e.to_string(), io),
+            }
+        }
+        self.asked = true;
+        let query = self.version.map(|version| format!("?index={version}&wait={:.0}", WAIT.ms()));
+        let host = self.address;
+        let call = format!("GET /v1/endpoints{} HTTP/1.1\r\nHost: {host}\r\n\r\n", query.unwrap_or_default());
+        io.deadlines.call_off(self.deadline.take());
+        self.deadline = Some(io.deadlines.set(io.now + WAIT + GRACE, Due::List));
+        if let Some(link) = &mut self.link {
+            link.queue(call.as_bytes());
+        }
+        self.go_on(io);
+    }
+
+    pub fn event(&mut self, turn: u32, io: &mut Shared) {
+        if turn == self.turn && self.link.is_some() {
+            self.go_on(io);
+        }
+    }
+
+    /// The answer did not come in time.
+    pub fn late(&mut self, io: &mut Shared) {
+        self.deadline = None;
+        self.failed("no answer", io);
+    }
+
+    fn failed(&mut self, why: &str, io: &mut Shared) {
+        tracing::warn!(why, "discovery failed");
+        io.counters.lists_failed += 1;
+        self.stop(io);
+        io.notes.push_back(Note::ListFailed);
+    }
+
+    fn go_on(&mut self, io: &mut Shared) {
+        let Some(link) = &mut self.link else { return };
+        match link.up() {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(e) => return self.failed(&e.to_string(), io),
+        }
+        let sent = link.flush();
+        let read = link.fill(LIST_MOST);
+        let trouble = sent.err().or(read.err());
+        let whole = match self.answer() {
+            Ok(whole) => whole,
+            Err(why) => return self.failed(&why, io),
+        };
+        match (whole, &self.link) {
+            (Some(()), _) if !self.asked => self.failed("an answer that was not asked for", io),
+            (Some(()), _) => self.listed(io),
+            (None, Some(link)) if link.ended || trouble.is_some() => {
+                let why = trouble.map_or("connection ended".to_string(), |e| e.to_string());
+                // An idle connection may end; only a call that waits for its answer has failed.
+                if self.asked {
+                    self.failed(&why, io);
+                } else {
+                    self.stop(io);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether an answer is whole.
+    fn answer(&mut self) -> Result<Option<()>, String> {
+        let Some(link) = &mut self.link else { return Ok(None) };
+        if self.head.is_none() {
+            self.head = http::answer_head(&link.input).map_err(|bad| format!("{bad:?}"))?;
+        }
+        let Some(head) = &mut self.head else { return Ok(None) };
+        let body = head.body.whole(&link.input[head.length..], link.ended, LIST_MOST);
+        let whole = body.map_err(|bad| format!("{bad:?}"))?;
+        Ok(whole.map(|length| head.body_length = length))
+    }
+
+    fn listed(&mut self, io: &mut Shared) {
+        let (Some(head), Some(link)) = (self.head.take(), &mut self.link) else { return };
+        let message = link.used(head.length + head.body_length);
+        if head.status != 200 {
+            return self.failed(&format!("status {}", head.status), io);
+        }
+        let list = match listing::decode(&head.body.plain(&message[head.length..]), &self.zones) {
+            Ok(list) => list,
+            Err(why) => return self.failed(&why, io),
+        };
+        io.counters.lists += 1;
+        self.version = Some(list.version);
+        io.notes.push_back(Note::Listed { whole: list.whole, entries: list.entries });
+        if head.close || self.link.as_ref().is_some_and(|link| link.ended) {
+            self.stop(io);
+        }
+        self.ask(io);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/ending.rs
@@ -0,0 +1,48 @@
+//! Every way in which a connection to a backend can end, or an exchange on it, and what that means to the
+//! decisions. Nothing else maps what happened on a socket to an outcome.
+
+use sparlug::event::Outcome;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// An answer came whole; the connection may go on.
+    Answered { status: u16, not_started: bool },
+    /// The connection was refused, or failed while it was being made.
+    Refused,
+    /// It was not up in time.
+    NeverUp,
+    /// It broke before the last byte of the request was written.
+    BrokeBefore,
+    /// It broke or ended after that, with no answer begun.
+    BrokeAfter,
+    /// It broke or ended within an answer.
+    CutShort,
+    /// What came is no answer that can be passed on.
+    Garbled,
+    /// The time for the forward was up, and `written` tells whether the backend may have it.
+    OutOfTime { written: bool },
+    /// The decisions called the forward off.
+    CalledOff,
+    /// The list said, before anything was written, that the backend takes nothing new.
+    Withdrawn,
+    /// No descriptor was left for a connection.
+    NoRoom,
+    /// The connection stood idle: for long enough, until the backend closed it, or until its place was needed.
+    Idle,
+}
+
+impl Ending {
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Ending::Answered { status: 200, .. } => Outcome::Honoured,
+            Ending::Answered { status: 503 | 504, not_started: true } => Outcome::Full,
+            Ending::Answered { .. } => Outcome::Error,
+            Ending::Refused | Ending::NeverUp | Ending::BrokeBefore => Outcome::ConnectFailed,
+            Ending::OutOfTime { written: false } | Ending::Withdrawn => Outcome::ConnectFailed,
+            Ending::BrokeAfter | Ending::CutShort | Ending::Garbled => Outcome::Broken,
+            Ending::OutOfTime { written: true } => Outcome::TimedOut,
+            Ending::CalledOff => Outcome::Cancelled,
+            Ending::NoRoom | Ending::Idle => Outcome::NotSent,
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/link.rs
@@ -0,0 +1,120 @@
+//! One non-blocking stream with what was read and not used, and what is to be written. Readiness is
+//! edge-triggered, so it remembers when it stopped reading with more to come.
+
+use std::io::{ErrorKind, Read, Result, Write};
+use std::net::{Shutdown, SocketAddr};
+
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+
+const PIECE: usize = 16 * 1024;
+const KEPT: usize = 16 * 1024; // a larger buffer is given back once it is empty
+
+pub struct Link {
+    stream: TcpStream,
+    pub input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+    /// Reading stopped at its bound, not because there was nothing more.
+    unread: bool,
+    pub ended: bool,
+}
+
+impl Link {
+    pub fn new(mut stream: TcpStream, registry: &Registry, token: Token) -> Result<Link> {
+        registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
+        let (input, output) = (Vec::new(), Vec::new());
+        Ok(Link { stream, input, output, written: 0, unread: true, ended: false })
+    }
+
+    pub fn dial(to: SocketAddr, registry: &Registry, token: Token) -> Result<Link> {
+        Link::new(TcpStream::connect(to)?, registry, token)
+    }
+
+    /// Whether a dialled connection is up; an error if it failed.
+    pub fn up(&self) -> Result<bool> {
+        if let Some(e) = self.stream.take_error()? {
+            return Err(e);
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => {
+                let _ = self.stream.set_nodelay(true);
+                Ok(true)
+            }
+            Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(e) => Err(e),
+        }
+    }
+
+    pub fn set_nodelay(&self) {
+        let _ = self.stream.set_nodelay(true);
+    }
+
+    /// Reads what there is, until `most` bytes are waiting to be used.
+    pub fn fill(&mut self, most: usize) -> Result<()> {
+        self.unread = true;
+        while self.input.len() < most && !self.ended {
+            let old = self.input.len();
+            self.input.resize(most.min(old + PIECE), 0);
+            let read = self.stream.read(&mut self.input[old..]);
+            self.input.truncate(old + read.as_ref().copied().unwrap_or(0));
+            match read {
+                Ok(0) => self.ended = true,
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.unread = false;
+                    return Ok(());
+                }
+                Err(e) => {
+                    self.ended = true;
+                    return Err(e);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether reading should go on without a new event.
+    pub fn unread(&self) -> bool {
+        self.unread && !self.ended
+    }
+
+    /// Drops the first bytes of what was read.
+    pub fn used(&mut self, bytes: usize) -> Vec<u8> {
+        let rest = self.input.split_off(bytes);
+        std::mem::replace(&mut self.input, rest)
+    }
+
+    pub fn queue(&mut self, bytes: &[u8]) {
+        self.output.extend_from_slice(bytes);
+    }
+
+    /// Writes what can be written now, and tells whether that was all.
+    pub fn flush(&mut self) -> Result<bool> {
+        while self.written < self.output.len() {
+            match self.stream.write(&self.output[self.written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(e) => return Err(e),
+            }
+        }
+        self.written = 0;
+        self.output.clear();
+        if self.output.capacity() > KEPT {
+            self.output = Vec::new();
+        }
+        Ok(true)
+    }
+
+    /// Ends the sending, so that the other side sees the end of what was written.
+    pub fn end_sending(&mut self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
+    pub fn close(mut self, registry: &Registry) {
+        let _ = registry.deregister(&mut self.stream);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/listing.rs
@@ -0,0 +1,82 @@
+//! The list of backends in discovery's form, decoded into the decisions' own.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use sparlug::event::{Condition, Listing};
+use sparlug::id::{BackendId, PodId, ZoneId};
+use sparlug::time::Time;
+
+/// One line of the list: what the decisions see, and where this proxy finds the backend.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub host: String,
+    pub dial: SocketAddr,
+    pub listing: Listing,
+}
+
+#[derive(Debug)]
+pub struct List {
+    pub version: u64,
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+struct Text {
+    seq: u64,
+    #[serde(default)]
+    whole: bool,
+    hosts: Vec<Host>,
+}
+
+#[derive(Deserialize)]
+struct Host {
+    host: String,
+    dial: SocketAddr,
+    #[serde(default)]
+    site: String,
+    #[serde(default)]
+    block: u16,
+    health: Health,
+    share: Option<f64>,
+    #[serde(default)]
+    born_ms: f64,
+}
+
+#[derive(Deserialize)]
+enum Health {
+    Ready,
+    Terminating,
+    Gone,
+}
+
+/// The decisions' id of a backend. It comes from the host's name, which all proxies know alike, and not from
+/// the address, which may differ: the instances' parts of the list count on one order. (FNV-1a, 64 bits.)
+pub fn backend_id(host: &str) -> BackendId {
+    let step = |sum: u64, byte: u8| (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    let sum = host.bytes().fold(0xcbf2_9ce4_8422_2325, step);
+    let [a, b, c, d, e, f, g, h] = sum.to_be_bytes();
+    BackendId { address: [a, b, c, d], port: u16::from_be_bytes([e ^ g, f ^ h]) }
+}
+
+pub fn decode(text: &[u8], zones: &[String]) -> Result<List, String> {
+    let text: Text = serde_json::from_slice(text).map_err(|e| format!("list of backends: {e}"))?;
+    let entry = |host: Host| {
+        let zone = zones.iter().position(|zone| *zone == host.site);
+        let listing = Listing {
+            backend: backend_id(&host.host),
+            zone: ZoneId(zone.map_or(u16::MAX, |place| place as u16)),
+            pod: PodId(host.block),
+            condition: match host.health {
+                Health::Ready => Condition::Ready,
+                Health::Terminating => Condition::Draining,
+                Health::Gone => Condition::Gone,
+            },
+            started: Some(host.born_ms).filter(|ms| *ms > 0.0).map(Time::from_ms),
+            size: host.share.filter(|size| size.is_finite() && *size > 0.0).unwrap_or(1.0),
+        };
+        Entry { host: host.host, dial: host.dial, listing }
+    };
+    Ok(List { version: text.seq, whole: text.whole, entries: text.hosts.into_iter().map(entry).collect() })
+}
--- /dev/null
+++ b/crates/proxy/src/main.rs
@@ -0,0 +1,41 @@
+//! The proxy on sockets round sparlug's decisions. It serves before one tier of backends, which its settings
+//! name; see `docs/architecture.md` for the life of a request.
+
+mod clients;
+mod config;
+mod counters;
+mod deadlines;
+mod discovery;
+mod ending;
+mod http;
+mod link;
+mod listing;
+mod pool;
+mod proxy;
+mod shared;
+mod slots;
+
+use std::process::ExitCode;
+
+use tracing::level_filters::LevelFilter;
+
+/// The log goes to standard error; `SPARLUG_LOG` names its level, `info` if unset.
+fn log() {
+    let level = std::env::var("SPARLUG_LOG").ok().and_then(|level| level.parse::<LevelFilter>().ok());
+    let level = level.unwrap_or(LevelFilter::INFO);
+    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
+}
+
+fn main() -> ExitCode {
+    let served = config::Config::from_environment().and_then(|config| {
+        log();
+        proxy::Proxy::new(config)?.run().map_err(|e| format!("cannot poll: {e}"))
+    });
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("sparlug-proxy: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/pool.rs
@@ -0,0 +1,322 @@
+//! The side of the backends: where each one is, the connections to it, and what each of them carries. It sends
+//! what it is told to where it is told to, once, and tells how that ended.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use sparlug::event::{Condition, Load};
+use sparlug::id::BackendId;
+use sparlug::time::{Span, Time};
+
+use crate::deadlines::DeadlineId;
+use crate::ending::Ending;
+use crate::http::{self, AnswerHead, BODY_MOST, MESSAGE_MOST};
+use crate::link::Link;
+use crate::listing::Entry;
+use crate::shared::{Done, Due, Note, Owner, Purpose, Shared};
+use crate::slots::{Slot, Slots};
+
+const IDLE_PART: f64 = 0.5; // of the backend's idle time, for which an idle connection is kept
+
+/// Where a backend is, and the connections to it that stand idle, the last used one last.
+struct Place {
+    dial: SocketAddr,
+    condition: Condition,
+    idle: Vec<Slot<Conn>>,
+    conns: usize,
+}
+
+enum Stage {
+    Dialling,
+    /// Its message is being written or its answer awaited.
+    Busy {
+        written: bool,
+    },
+    Idle,
+}
+
+pub struct Conn {
+    link: Link,
+    backend: BackendId,
+    stage: Stage,
+    job: Option<Job>,
+    head: Option<AnswerHead>,
+    /// For the stage: when it must be up, or how long it may stand idle.
+    deadline: Option<DeadlineId>,
+    used: Time,
+}
+
+/// What a connection carries.
+struct Job {
+    purpose: Purpose,
+    sent: Time,
+    deadline: DeadlineId,
+}
+
+pub struct Pool {
+    places: BTreeMap<BackendId, Place>,
+    conns: Slots<Conn>,
+    budget: usize,
+    dial: Span,
+    idle: Span,
+}
+
+impl Pool {
+    pub fn new(budget: usize, dial: Span, idle: Span) -> Pool {
+        Pool { places: BTreeMap::new(), conns: Slots::new(), budget, dial, idle: idle.scaled(IDLE_PART) }
+    }
+
+    /// Takes in a change of the list.
+    pub fn list(&mut self, whole: bool, entries: &[Entry], io: &mut Shared) {
+        if whole {
+            self.places.values_mut().for_each(|place| place.condition = Condition::Gone);
+        }
+        let mut moved = Vec::new();
+        for Entry { host, dial, listing } in entries {
+            let new = Place { dial: *dial, condition: listing.condition, idle: Vec::new(), conns: 0 };
+            let place = self.places.entry(listing.backend).or_insert_with(|| {
+                tracing::info!(backend = %listing.backend, host, %dial, "listed");
+                new
+            });
+            place.condition = listing.condition;
+            if place.dial != *dial {
+                place.dial = *dial;
+                moved.append(&mut place.idle.clone());
+            }
+        }
+        let unfit = |conn: &Conn| match (&conn.stage, self.places.get(&conn.backend)) {
+            (_, None) => true,
+            (Stage::Busy { .. }, _) => false,
+            (_, Some(place)) => place.condition != Condition::Ready,
+        };
+        let unfit = self.conns.iter().filter(|(_, conn)| unfit(conn)).map(|(slot, _)| slot);
+        for slot in unfit.chain(moved).collect::<Vec<_>>() {
+            self.close(slot, Ending::Withdrawn, io);
+        }
+        self.places.retain(|_, place| place.condition != Condition::Gone || place.conns > 0);
+    }
+
+    /// Sends a message to a backend, on an idle connection or a new one. Whatever happens is told in a note.
+    pub fn send(
+        &mut self,
+        backend: BackendId,
+        purpose: Purpose,
+        message: &[u8],
+        until: Time,
+        io: &mut Shared,
+    ) -> Option<Slot<Conn>> {
+        let found = self.take_idle(backend, io);
+        if found.is_some() {
+            io.counters.reused += 1;
+        }
+        let slot = match found.map_or_else(|| self.dial(backend, io), Ok) {
+            Ok(slot) => slot,
+            Err(ending) => {
+                let done =
+                    Done { backend, purpose, ending, took: Span::ZERO, load: Load::default(), answer: None };
+                io.notes.push_back(Note::Done(done));
+                return None;
+            }
+        };
+        let conn = self.conns.get_mut(slot)?;
+        let deadline = io.deadlines.set(until, Due::Forward(slot));
+        conn.job = Some(Job { purpose, sent: io.now, deadline });
+        conn.link.queue(message);
+        self.go_on(slot, io);
+        Some(slot)
+    }
+
+    /// An idle connection that is still good.
+    fn take_idle(&mut self, backend: BackendId, io: &mut Shared) -> Option<Slot<Conn>> {
+        loop {
+            let slot = self.places.get_mut(&backend)?.idle.pop()?;
+            let Some(conn) = self.conns.get_mut(slot) else { continue };
+            // Guards against writing on a connection that the backend has closed a moment ago.
+            let good = conn.link.fill(1).is_ok() && !conn.link.ended && conn.link.input.is_empty();
+            if good {
+                io.deadlines.call_off(conn.deadline.take());
+                conn.stage = Stage::Busy { written: false };
+                return Some(slot);
+            }
+            self.close(slot, Ending::Idle, io);
+        }
+    }
+
+    fn dial(&mut self, backend: BackendId, io: &mut Shared) -> Result<Slot<Conn>, Ending> {
+        let Some(to) = self.places.get(&backend).map(|place| place.dial) else {
+            return Err(Ending::Withdrawn);
+        };
+        if self.conns.len() >= self.budget {
+            // The connection that was idle for longest makes room.
+            let idle = self.conns.iter().filter(|(_, conn)| matches!(conn.stage, Stage::Idle));
+            let oldest = idle.min_by_key(|(_, conn)| conn.used).map(|(slot, _)| slot);
+            self.close(oldest.ok_or(Ending::NoRoom)?, Ending::Idle, io);
+        }
+        let (mut failed, until) = (Ending::NoRoom, io.now + self.dial);
+        let slot = self.conns.insert_with(|slot| {
+            let link = Link::dial(to, &io.registry, Owner::Conn(slot).token());
+            let link = link.map_err(|e| failed = refusal(&e)).ok()?;
+            let deadline = Some(io.deadlines.set(until, Due::Dial(slot)));
+            let (stage, job, head, used) = (Stage::Dialling, None, None, io.now);
+            Some(Conn { link, backend, stage, job, head, deadline, used })
+        });
+        let slot = slot.ok_or(failed)?;
+        self.places.entry(backend).and_modify(|place| place.conns += 1);
+        io.counters.dialled += 1;
+        Ok(slot)
+    }
+
+    pub fn event(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+        self.go_on(slot, io);
+    }
+
+    /// Does all that the connection is ready for.
+    fn go_on(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        if matches!(conn.stage, Stage::Dialling) {
+            match conn.link.up() {
+                Ok(false) => return,
+                Err(e) => return self.close(slot, refusal(&e), io),
+                Ok(true) => {
+                    io.deadlines.call_off(conn.deadline.take());
+                    conn.stage = Stage::Busy { written: false };
+                }
+            }
+        }
+        let Stage::Busy { written } = &mut conn.stage else {
+            // Nothing is expected on an idle connection, whatever it is.
+            return self.close(slot, Ending::Idle, io);
+        };
+        let sent = conn.link.flush();
+        *written |= matches!(sent, Ok(true));
+        let written = *written;
+        let read = conn.link.fill(MESSAGE_MOST);
+        // What was answered counts, also where the connection broke behind it.
+        match Conn::answer(conn) {
+            Err(ending) => self.close(slot, ending, io),
+            Ok(true) => self.answered(slot, written, io),
+            Ok(false) if sent.is_ok() && read.is_ok() && !conn.link.ended => {
+                if conn.link.input.len() >= MESSAGE_MOST {
+                    self.close(slot, Ending::Garbled, io);
+                }
+            }
+            Ok(false) => {
+                let ending = match (written, conn.link.input.is_empty()) {
+                    (false, _) => Ending::BrokeBefore,
+                    (true, true) => Ending::BrokeAfter,
+                    (true, false) => Ending::CutShort,
+                };
+                self.close(slot, ending, io);
+            }
+        }
+    }
+
+    /// An answer came whole: the connection can be used again, or ends.
+    fn answered(&mut self, slot: Slot<Conn>, written: bool, io: &mut Shared) {
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        let Some(head) = conn.head.take() else { return };
+        let message = conn.link.used(head.length + head.body_length);
+        let ending = Ending::Answered { status: head.status, not_started: head.not_started };
+        let keep = written && !head.close && !conn.link.ended && conn.link.input.is_empty();
+        conn.finish(ending, head.load, Some((head, message)), io);
+        let place = self.places.get_mut(&conn.backend);
+        match place.filter(|place| keep && place.condition == Condition::Ready) {
+            None => self.close(slot, ending, io),
+            Some(place) => {
+                conn.stage = Stage::Idle;
+                conn.used = io.now;
+                conn.deadline = Some(io.deadlines.set(io.now + self.idle, Due::Idle(slot)));
+                place.idle.push(slot);
+            }
+        }
+    }
+
+    /// Every end of a connection, and of what it carried, comes through here.
+    fn close(&mut self, slot: Slot<Conn>, ending: Ending, io: &mut Shared) {
+        let Some(mut conn) = self.conns.remove(slot) else { return };
+        io.deadlines.call_off(conn.deadline.take());
+        conn.finish(ending, Load::default(), None, io);
+        if let Some(place) = self.places.get_mut(&conn.backend) {
+            place.conns -= 1;
+            place.idle.retain(|idle| *idle != slot);
+        }
+        conn.link.close(&io.registry);
+    }
+
+    pub fn cancel(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+        self.close(slot, Ending::CalledOff, io);
+    }
+
+    pub fn close_idle(&mut self, backend: BackendId, io: &mut Shared) {
+        let idle = self.places.get(&backend).map(|place| place.idle.clone()).unwrap_or_default();
+        idle.into_iter().for_each(|slot| self.close(slot, Ending::Idle, io));
+    }
+
+    pub fn dial_late(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+        self.close(slot, Ending::NeverUp, io);
+    }
+
+    pub fn idle_over(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+        self.close(slot, Ending::Idle, io);
+    }
+
+    /// The time for what the connection carries is over. What has come by now still counts.
+    pub fn late(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+        self.go_on(slot, io);
+        let Some(conn) = self.conns.get(slot) else { return };
+        let written = matches!(conn.stage, Stage::Busy { written: true });
+        if conn.job.is_some() {
+            self.close(slot, Ending::OutOfTime { written }, io);
+        }
+    }
+
+    /// How long a connection may take to come up; a check may take no longer.
+    pub fn dial_time(&self) -> Span {
+        self.dial
+    }
+
+    pub fn host(&self, backend: BackendId) -> Option<SocketAddr> {
+        self.places.get(&backend).map(|place| place.dial)
+    }
+}
+
+impl Conn {
+    /// Whether a whole answer has come.
+    fn answer(&mut self) -> Result<bool, Ending> {
+        loop {
+            if self.head.is_none() {
+                self.head = http::answer_head(&self.link.input).map_err(|_| Ending::Garbled)?;
+            }
+            let Some(head) = &mut self.head else { return Ok(false) };
+            if head.status >= 200 {
+                break;
+            }
+            // Words on the way, such as 100, are no answer.
+            let length = head.length;
+            self.head = None;
+            self.link.used(length);
+        }
+        let Some(head) = &mut self.head else { return Ok(false) };
+        let body = head.body.whole(&self.link.input[head.length..], self.link.ended, BODY_MOST);
+        let length = body.map_err(|_| Ending::Garbled)?;
+        head.body_length = length.unwrap_or_default();
+        Ok(length.is_some())
+    }
+
+    /// Tells how what the connection carried has ended.
+    fn finish(&mut self, ending: Ending, load: Load, answer: Option<(AnswerHead, Vec<u8>)>, io: &mut Shared) {
+        let Some(Job { purpose, sent, deadline }) = self.job.take() else { return };
+        io.deadlines.call_off(Some(deadline));
+        let done = Done { backend: self.backend, purpose, ending, took: io.now.since(sent), load, answer };
+        io.notes.push_back(Note::Done(done));
+    }
+}
+
+/// A connection that can't be made for want of a descriptor says nothing of the backend.
+fn refusal(e: &std::io::Error) -> Ending {
+    const OUT_OF_FILES: [i32; 2] = [24, 23]; // EMFILE, ENFILE
+    match e.raw_os_error() {
+        Some(code) if OUT_OF_FILES.contains(&code) => Ending::NoRoom,
+        _ => Ending::Refused,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/proxy.rs
@@ -0,0 +1,360 @@
+//! The one loop: it waits for sockets, signals and deadlines, hands what has happened to the decisions, and
+//! carries out what they say. It decides nothing.
+
+use std::io;
+
+use mio::net::TcpListener;
+use mio::{Events, Interest, Poll};
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook_mio::v1_0::Signals;
+use sparlug::event::{Action, Ended, Event, Exchange, Listing, Outcome};
+use sparlug::id::{BackendId, ExchangeId, ForwardNo, TariffId, TenantId};
+use sparlug::policy::Balancer;
+use sparlug::time::{Span, Time};
+
+use crate::clients::{Client, Clients, Tariffs};
+use crate::config::Config;
+use crate::counters::Counters;
+use crate::deadlines::{Clock, DeadlineId, Deadlines};
+use crate::discovery::Discovery;
+use crate::http;
+use crate::listing;
+use crate::pool::{Conn, Pool};
+use crate::shared::{Done, Due, Note, Owner, Purpose, Request, Shared};
+use crate::slots::{Slot, Slots};
+
+const EVENTS: usize = 256;
+const KEPT_FREE: usize = 24; // descriptors for the log, the loop, signals, the listener and discovery
+const ACCEPT_ON: Span = Span::from_millis(600); // how long new connections are taken after the word to go
+const GONE_BY: Span = Span::from_millis(500); // after the longest cut-off from then, nothing is owed any more
+
+/// An exchange until its answer is given and all its forwards have ended.
+struct Held {
+    /// `None` once it has its answer.
+    client: Option<Slot<Client>>,
+    request: Request,
+    /// By number, the connections that carry forwards; `None` for one that has ended.
+    forwards: Vec<Option<Slot<Conn>>>,
+    cut_off: DeadlineId,
+}
+
+pub struct Proxy {
+    poll: Poll,
+    clock: Clock,
+    signals: Signals,
+    io: Shared,
+    balancer: Balancer,
+    actions: Vec<Action>,
+    clients: Clients,
+    held: Slots<Held>,
+    pool: Pool,
+    discovery: Discovery,
+    /// The path at which a backend is checked.
+    check_path: &'static str,
+    longest: Span,
+    /// Since when it is going down.
+    leaving: Option<Time>,
+}
+
+impl Proxy {
+    pub fn new(config: Config) -> Result<Proxy, String> {
+        let poll = Poll::new().map_err(|e| format!("cannot poll: {e}"))?;
+        let registry = poll.registry().try_clone().map_err(|e| format!("cannot poll: {e}"))?;
+        let mut signals =
+            Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("cannot hear signals: {e}"))?;
+        let heard = registry.register(&mut signals, Owner::Signals.token(), Interest::READABLE);
+        heard.map_err(|e| format!("cannot hear signals: {e}"))?;
+        let listen = config.listen;
+        let mut listener =
+            TcpListener::bind(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+        let heard = registry.register(&mut listener, Owner::Listener.token(), Interest::READABLE);
+        heard.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+
+        let clock = Clock::new();
+        let (now, deadlines, counters) = (clock.now(), Deadlines::new(), Counters::default());
+        let mut io = Shared { registry, now, since: now, deadlines, counters, notes: Default::default() };
+        let setup = config.setup;
+        let room = config.sockets - KEPT_FREE;
+        let cut_offs: Vec<_> = setup.settings.tariffs.iter().map(|tariff| tariff.cut_off).collect();
+        let longest = cut_offs.iter().copied().max().unwrap_or_default();
+        let tariffs = Tariffs { names: setup.tariff_names, cut_offs };
+        let clients = Clients::new(Some(listener), tariffs, room * 4 / 9);
+        let pool = Pool::new(room / 2, setup.dial, setup.idle);
+        let known = match config.known.is_empty() {
+            true => None,
+            false => Some(listing::decode(&config.known, &setup.zone_names)?),
+        };
+        let version = known.as_ref().map(|known| known.version);
+        let discovery = Discovery::new(config.discovery, setup.zone_names, version);
+        let check_path =
+            if setup.columns.held.or(setup.columns.waiting).is_some() { "/status/load" } else { "/health" };
+        if let Some(known) = known {
+            io.notes.push_back(Note::Listed { whole: true, entries: known.entries });
+        }
+        let follows = !setup.settings.list_on_request;
+        let mut actions = Vec::new();
+        let balancer = Balancer::new(setup.settings, config.seed, now, &mut actions);
+        let (held, leaving) = (Slots::new(), None);
+        let mut proxy = Proxy {
+            poll,
+            clock,
+            signals,
+            io,
+            balancer,
+            actions,
+            clients,
+            held,
+            pool,
+            discovery,
+            check_path,
+            longest,
+            leaving,
+        };
+        proxy.carry_out();
+        proxy.pump();
+        if follows {
+            proxy.discovery.watch(&mut proxy.io);
+        }
+        tracing::info!(name = config.name, listen = %listen, "serving");
+        Ok(proxy)
+    }
+
+    /// Serves until it is told to go and all is answered.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(EVENTS);
+        while !self.done() {
+            let wait = self.io.deadlines.wait(self.clock.now());
+            let (before, turned) = (self.clock.now(), self.io.now);
+            match self.poll.poll(&mut events, wait) {
+                Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+                _ => {}
+            }
+            self.io.now = self.clock.now();
+            // If it hardly waited, what is there may have come at any time since the last turn.
+            let waited = self.io.now.since(before) > Span::from_ms(0.05);
+            self.io.since = if waited { self.io.now } else { turned };
+            for event in events.iter() {
+                self.event(Owner::of(event.token()));
+                self.pump();
+            }
+            let set = self.io.deadlines.count();
+            while let Some(due) = self.io.deadlines.due(self.io.now, set) {
+                self.due(due);
+                self.pump();
+            }
+        }
+        tracing::info!(counters = %self.io.counters, "gone");
+        Ok(())
+    }
+
+    fn event(&mut self, owner: Owner) {
+        self.io.now = self.clock.now();
+        match owner {
+            Owner::Listener => self.clients.accept(&mut self.io),
+            Owner::Signals => self.signalled(),
+            Owner::Discovery(turn) => self.discovery.event(turn, &mut self.io),
+            Owner::Client(slot) => self.clients.event(slot, &mut self.io),
+            Owner::Conn(slot) => self.pool.event(slot, &mut self.io),
+        }
+    }
+
+    fn due(&mut self, due: Due) {
+        self.io.now = self.clock.now();
+        match due {
+            Due::Timer(mark) => self.decide(Event::Timer(mark)),
+            Due::CutOff(exchange) => self.cut_off(exchange),
+            Due::Client(slot) => self.clients.due(slot, &mut self.io),
+            Due::Read(slot) => self.clients.event(slot, &mut self.io),
+            Due::Dial(slot) => self.pool.dial_late(slot, &mut self.io),
+            Due::Forward(slot) => self.pool.late(slot, &mut self.io),
+            Due::Idle(slot) => self.pool.idle_over(slot, &mut self.io),
+            Due::List => self.discovery.late(&mut self.io),
+            Due::Accept => self.clients.accept(&mut self.io),
+            Due::Leave => self.leave(),
+        }
+    }
+
+    fn signalled(&mut self) {
+        let signals: Vec<_> = self.signals.pending().collect();
+        for signal in signals {
+            tracing::info!(signal, counters = %self.io.counters, "signal");
+            if signal != SIGUSR1 && self.leaving.is_none() {
+                self.leaving = Some(self.io.now);
+                self.clients.leaving = true;
+                self.io.deadlines.set(self.io.now + ACCEPT_ON, Due::Leave);
+                self.io.deadlines.set(self.io.now + ACCEPT_ON + self.longest + GONE_BY, Due::Leave);
+            }
+        }
+    }
+
+    fn leave(&mut self) {
+        self.clients.stop_listening(&mut self.io);
+        self.clients.close_idle(&mut self.io);
+    }
+
+    /// Whether it was told to go and owes nothing more.
+    fn done(&self) -> bool {
+        let Some(since) = self.leaving else { return false };
+        let now = self.io.now;
+        now >= since + ACCEPT_ON && self.clients.len() == 0
+            || now >= since + ACCEPT_ON + self.longest + GONE_BY
+    }
+
+    /// Hands on all notes that the parts have left.
+    fn pump(&mut self) {
+        while let Some(note) = self.io.notes.pop_front() {
+            match note {
+                Note::Taken(client, request) => self.taken(client, request),
+                Note::Left(exchange) => {
+                    self.finish(exchange);
+                    self.decide(Event::Left(exchange));
+                }
+                Note::Done(done) => self.ended(done),
+                Note::Listed { whole, entries } => {
+                    let listings: Vec<Listing> = entries.iter().map(|entry| entry.listing).collect();
+                    self.clients.ready |= !entries.is_empty();
+                    self.pool.list(whole, &entries, &mut self.io);
+                    self.decide(Event::Listed { whole, listings });
+                }
+                Note::ListFailed => self.decide(Event::ListFailed),
+            }
+        }
+    }
+
+    fn decide(&mut self, event: Event) {
+        self.balancer.handle(self.io.now, event, &mut self.actions);
+        self.carry_out();
+    }
+
+    fn carry_out(&mut self) {
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Forward { exchange, backend, time_out } => self.forward(exchange, backend, time_out),
+                Action::TurnBack { exchange, backoff } => {
+                    self.io.counters.turned_back += 1;
+                    self.answer(exchange, 503, backoff);
+                }
+                Action::Forfeit { exchange } => {
+                    self.io.counters.forfeited += 1;
+                    self.answer(exchange, 502, None);
+                }
+                Action::Cancel { exchange, forward } => {
+                    let held = self.held.get(Slot::from_number(exchange.0));
+                    let out = held.and_then(|held| *held.forwards.get(usize::from(forward.0))?);
+                    if let Some(slot) = out {
+                        self.pool.cancel(slot, &mut self.io);
+                    }
+                }
+                Action::Timer { after, mark } => {
+                    self.io.deadlines.set(self.io.now + after, Due::Timer(mark));
+                }
+                Action::Check { backend } => self.check(backend),
+                Action::CloseIdle { backend } => self.pool.close_idle(backend, &mut self.io),
+                Action::Watch { on: true } => self.discovery.watch(&mut self.io),
+                Action::Watch { on: false } => self.discovery.stop(&mut self.io),
+                Action::FetchList => self.discovery.fetch(&mut self.io),
+                Action::Log(text) => tracing::info!("{text}"),
+                // The instances have no way to talk to each other here.
+                Action::Tell { .. } => {}
+            }
+        }
+    }
+
+    fn taken(&mut self, client: Slot<Client>, request: Request) {
+        self.io.counters.taken += 1;
+        let (tariff, cut_off) = (TariffId(request.tariff), request.cut_off);
+        let deadlines = &mut self.io.deadlines;
+        let slot = self.held.insert_with(|slot| {
+            let due = Due::CutOff(ExchangeId(slot.number()));
+            let cut_off = deadlines.set(cut_off, due);
+            Some(Held { client: Some(client), request, forwards: Vec::new(), cut_off })
+        });
+        let Some(slot) = slot else {
+            self.io.counters.turned_back += 1;
+            return self.clients.reply(client, 503, true, &mut self.io);
+        };
+        let id = ExchangeId(slot.number());
+        self.clients.holds(client, id);
+        self.decide(Event::Taken(Exchange { id, tariff, tenant: TenantId(0), cut_off, cost: None }));
+    }
+
+    fn forward(&mut self, exchange: ExchangeId, backend: BackendId, time_out: Span) {
+        let Some(held) = self.held.get_mut(Slot::from_number(exchange.0)) else { return };
+        self.io.counters.forwards += 1;
+        let number = ForwardNo(held.forwards.len() as u16);
+        held.forwards.push(None);
+        let message = held.request.head.forwarded(&held.request.message, time_out);
+        let (purpose, until) = (Purpose::Forward(exchange, number), self.io.now + time_out);
+        let slot = self.pool.send(backend, purpose, &message, until, &mut self.io);
+        held.forwards[usize::from(number.0)] = slot;
+    }
+
+    fn check(&mut self, backend: BackendId) {
+        self.io.counters.checks += 1;
+        let host = self.pool.host(backend).map(|host| host.to_string()).unwrap_or_default();
+        let message = format!("GET {} HTTP/1.1\r\nHost: {host}\r\n\r\n", self.check_path);
+        let until = self.io.now + self.pool.dial_time();
+        self.pool.send(backend, Purpose::Check, message.as_bytes(), until, &mut self.io);
+    }
+
+    fn ended(&mut self, done: Done) {
+        let outcome = done.ending.outcome();
+        let Done { backend, purpose, ending, took, load, answer } = done;
+        let Purpose::Forward(exchange, forward) = purpose else {
+            return self.decide(Event::Checked { backend, outcome, took, load });
+        };
+        self.io.counters.ended(outcome);
+        tracing::debug!(exchange = exchange.0, %backend, ?ending, took = took.ms(), "forward ended");
+        let slot = Slot::from_number(exchange.0);
+        if let Some(held) = self.held.get_mut(slot) {
+            held.forwards[usize::from(forward.0)] = None;
+            if let (Outcome::Honoured, Some(client), Some((head, message))) = (outcome, held.client, answer) {
+                let close = held.request.head.close || self.clients.leaving || self.clients.over_budget();
+                self.io.counters.honoured += 1;
+                self.clients.answer(client, &head.passed_on(&message, close), close, &mut self.io);
+                self.finish(exchange);
+            }
+        }
+        let answered = self.held.get(slot).is_none_or(|held| held.client.is_none());
+        self.decide(Event::Ended(Ended { exchange, forward, backend, outcome, answered, took, load }));
+        self.forget(exchange);
+    }
+
+    /// Gives the proxy's own answer to an exchange, if it has none yet.
+    fn answer(&mut self, exchange: ExchangeId, status: u16, backoff: Option<Span>) {
+        let Some(held) = self.held.get(Slot::from_number(exchange.0)) else { return };
+        let Some(client) = held.client else { return };
+        let close = held.request.head.close || self.clients.leaving || self.clients.over_budget();
+        let bytes = http::own_answer(status, backoff, close);
+        self.clients.answer(client, &bytes, close, &mut self.io);
+        self.finish(exchange);
+    }
+
+    /// The exchange is over: it has its answer, or its client is gone.
+    fn finish(&mut self, exchange: ExchangeId) {
+        let Some(held) = self.held.get_mut(Slot::from_number(exchange.0)) else { return };
+        held.client = None;
+        self.io.deadlines.call_off(Some(held.cut_off));
+        self.forget(exchange);
+    }
+
+    /// Drops the record of an exchange that is over, once no forward is out.
+    fn forget(&mut self, exchange: ExchangeId) {
+        let slot = Slot::from_number(exchange.0);
+        let over = |held: &Held| held.client.is_none() && held.forwards.iter().all(Option::is_none);
+        if self.held.get(slot).is_some_and(over) {
+            self.held.remove(slot);
+        }
+    }
+
+    /// Guards against an exchange that nothing answers: at its cut-off it fails, whatever the decisions say.
+    fn cut_off(&mut self, exchange: ExchangeId) {
+        let held = self.held.get(Slot::from_number(exchange.0));
+        if held.is_some_and(|held| held.client.is_some()) {
+            self.io.counters.overdue += 1;
+            tracing::warn!(exchange = exchange.0, "nothing was answered by the cut-off");
+            self.answer(exchange, 504, None);
+            self.decide(Event::Left(exchange));
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/shared.rs
@@ -0,0 +1,128 @@
+//! What all parts of the one loop share: the present time, the deadlines, the counters, and the notes in
+//! which the parts tell the loop what has happened.
+
+use std::collections::VecDeque;
+
+use mio::{Registry, Token};
+use sparlug::event::Load;
+use sparlug::id::{BackendId, ExchangeId, ForwardNo, TimerMark};
+use sparlug::time::{Span, Time};
+
+use crate::clients::Client;
+use crate::counters::Counters;
+use crate::deadlines::Deadlines;
+use crate::ending::Ending;
+use crate::http::{AnswerHead, RequestHead};
+use crate::listing::Entry;
+use crate::pool::Conn;
+use crate::slots::Slot;
+
+pub struct Shared {
+    pub registry: Registry,
+    pub now: Time,
+    /// What is read now may have come as early as this.
+    pub since: Time,
+    pub deadlines: Deadlines<Due>,
+    pub counters: Counters,
+    pub notes: VecDeque<Note>,
+}
+
+/// What a deadline is for.
+#[derive(Clone, Copy, Debug)]
+pub enum Due {
+    /// A timer of the decisions.
+    Timer(TimerMark),
+    /// An exchange's cut-off.
+    CutOff(ExchangeId),
+    /// A client's message that has begun and does not come to its end, or its connection's last moments.
+    Client(Slot<Client>),
+    /// More of a client's bytes are there to be read.
+    Read(Slot<Client>),
+    /// A connection that should be up.
+    Dial(Slot<Conn>),
+    /// The end of the time for what a connection carries.
+    Forward(Slot<Conn>),
+    /// The end of the time that a connection may stand idle.
+    Idle(Slot<Conn>),
+    /// The answer of discovery.
+    List,
+    /// Connections are to be accepted again.
+    Accept,
+    /// The next step of going down.
+    Leave,
+}
+
+/// A request as it came, with the few things that were taken out.
+#[derive(Debug)]
+pub struct Request {
+    pub head: RequestHead,
+    pub message: Vec<u8>,
+    pub tariff: u16,
+    pub cut_off: Time,
+}
+
+/// What a connection to a backend is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    Forward(ExchangeId, ForwardNo),
+    Check,
+}
+
+/// What became of a forward or a check.
+#[derive(Debug)]
+pub struct Done {
+    pub backend: BackendId,
+    pub purpose: Purpose,
+    pub ending: Ending,
+    pub took: Span,
+    pub load: Load,
+    /// The whole answer, if one came.
+    pub answer: Option<(AnswerHead, Vec<u8>)>,
+}
+
+#[derive(Debug)]
+pub enum Note {
+    Taken(Slot<Client>, Request),
+    /// The client is gone; what it waited for.
+    Left(ExchangeId),
+    Done(Done),
+    Listed {
+        whole: bool,
+        entries: Vec<Entry>,
+    },
+    ListFailed,
+}
+
+/// Whose event it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Owner {
+    Listener,
+    Signals,
+    Discovery(u32),
+    Client(Slot<Client>),
+    Conn(Slot<Conn>),
+}
+
+impl Owner {
+    pub fn token(self) -> Token {
+        let (kind, number) = match self {
+            Owner::Listener => (0, 0),
+            Owner::Signals => (1, 0),
+            Owner::Discovery(turn) => (2, turn),
+            Owner::Client(slot) => (3, slot.number()),
+            Owner::Conn(slot) => (4, slot.number()),
+        };
+        Token((number as usize) << 3 | kind)
+    }
+
+    pub fn of(token: Token) -> Owner {
+        let number = (token.0 >> 3) as u32;
+        match token.0 & 7 {
+            0 => Owner::Listener,
+            1 => Owner::Signals,
+            2 => Owner::Discovery(number),
+            3 => Owner::Client(Slot::from_number(number)),
+            _ => Owner::Conn(Slot::from_number(number)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/slots.rs
@@ -0,0 +1,99 @@
+//! Tables of numbered slots. A slot's name also tells whose turn in it is meant, so that an event for a
+//! record that has left finds nothing, though another may sit in its place.
+
+use std::fmt;
+use std::marker::PhantomData;
+
+use slab::Slab;
+
+const PLACE_BITS: u32 = 12;
+const TURN_BITS: u32 = 32 - PLACE_BITS;
+
+/// How many records a table can hold.
+pub const PLACES: usize = 1 << PLACE_BITS;
+
+/// The name of one record of kind `T`.
+pub struct Slot<T> {
+    place: u32,
+    turn: u32,
+    kind: PhantomData<fn() -> T>,
+}
+
+impl<T> Slot<T> {
+    /// Both halves in one number; no two records have the same one within a million turns.
+    pub fn number(self) -> u32 {
+        self.turn << PLACE_BITS | self.place
+    }
+
+    pub fn from_number(number: u32) -> Slot<T> {
+        let place = number & ((1 << PLACE_BITS) - 1);
+        Slot { place, turn: number >> PLACE_BITS, kind: PhantomData }
+    }
+}
+
+impl<T> Clone for Slot<T> {
+    fn clone(&self) -> Slot<T> {
+        *self
+    }
+}
+
+impl<T> Copy for Slot<T> {}
+
+impl<T> PartialEq for Slot<T> {
+    fn eq(&self, other: &Slot<T>) -> bool {
+        self.number() == other.number()
+    }
+}
+
+impl<T> fmt::Debug for Slot<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.place, self.turn)
+    }
+}
+
+pub struct Slots<T> {
+    records: Slab<(u32, T)>,
+    turn: u32,
+}
+
+impl<T> Slots<T> {
+    pub fn new() -> Slots<T> {
+        Slots { records: Slab::new(), turn: 0 }
+    }
+
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Makes a record that may need to know its own slot; `None` if none was made or the table is full.
+    pub fn insert_with(&mut self, make: impl FnOnce(Slot<T>) -> Option<T>) -> Option<Slot<T>> {
+        if self.records.len() >= PLACES {
+            return None;
+        }
+        let turn = (self.turn + 1) % (1 << TURN_BITS);
+        let entry = self.records.vacant_entry();
+        let slot = Slot { place: entry.key() as u32, turn, kind: PhantomData };
+        entry.insert((turn, make(slot)?));
+        self.turn = turn;
+        Some(slot)
+    }
+
+    pub fn get(&self, slot: Slot<T>) -> Option<&T> {
+        self.records.get(slot.place as usize).filter(|(turn, _)| *turn == slot.turn).map(|(_, record)| record)
+    }
+
+    pub fn get_mut(&mut self, slot: Slot<T>) -> Option<&mut T> {
+        let found = self.records.get_mut(slot.place as usize);
+        found.filter(|(turn, _)| *turn == slot.turn).map(|(_, record)| record)
+    }
+
+    pub fn remove(&mut self, slot: Slot<T>) -> Option<T> {
+        self.get(slot)?;
+        Some(self.records.remove(slot.place as usize).1)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (Slot<T>, &T)> {
+        let name = |place: usize, turn| Slot { place: place as u32, turn, kind: PhantomData };
+        self.records.iter().map(move |(place, (turn, record))| (name(place, *turn), record))
+    }
+}
--- a/crates/wirehost/src/setup.rs
+++ b/crates/setup/src/lib.rs
@@ -1,6 +1,8 @@
-//! The settings text of an instance, decoded into what the decisions read.
+//! The settings text of an instance, decoded into what the decisions read, and what the adapters need of it
+//! besides. The outside's words end here: each adapter takes the decisions' own words from this package.
 
 use serde::Deserialize;
+use sparlug::event::Load;
 use sparlug::id::ZoneId;
 use sparlug::settings::{Cold, Effect, Group, Settings, Tariff};
 use sparlug::time::Span;
@@ -12,9 +14,35 @@
     pub waiting: Option<usize>,
 }
 
+/// An instance's settings: what the decisions read, and what only its adapter does.
+pub struct Setup {
+    pub settings: Settings,
+    pub columns: Columns,
+    /// In the order of the settings' tariffs and zones.
+    pub tariff_names: Vec<String>,
+    pub zone_names: Vec<String>,
+    /// A connection that is not up by then counts as failed.
+    pub dial: Span,
+    /// A backend closes a connection that stood idle for so long.
+    pub idle: Span,
+}
+
+/// A load report whose figures bear their names, as on the wire or as on sockets.
+pub fn named_load<'a>(figures: impl Iterator<Item = (&'a str, f64)>) -> Load {
+    let mut load = Load::default();
+    for (name, value) in figures.filter(|(_, value)| value.is_finite() && *value >= 0.0) {
+        match name {
+            "busy_reqs" | "inflight" => load.held = Some(value),
+            "pending" | "queue" => load.waiting = Some(value),
+            _ => {}
+        }
+    }
+    load
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct Setup {
+struct Text {
     tier: usize,
     balancers: usize,
     #[serde(default)]
@@ -34,6 +62,8 @@
     penalties: Penalties,
     #[serde(default)]
     report: Report,
+    #[serde(default)]
+    zones: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -46,6 +76,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct SetupTariff {
+    #[serde(default)]
+    name: String,
     latency_goal_ms: f64,
     cut_off_ms: f64,
     #[serde(default)]
@@ -83,6 +115,10 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Allowed {
+    #[serde(default = "minute")]
+    conn_idle_ms: f64,
+    #[serde(default = "second")]
+    dial_timeout_ms: f64,
     max_forwards: u16,
     #[serde(default)]
     cancelling: bool,
@@ -133,6 +169,14 @@
     1.0
 }
 
+fn second() -> f64 {
+    1000.0
+}
+
+fn minute() -> f64 {
+    60_000.0
+}
+
 impl SetupTariff {
     fn decode(self) -> Result<Tariff, String> {
         let effect = match self.effect {
@@ -158,12 +202,14 @@
     }
 }
 
-pub fn decode(text: &[u8]) -> Result<(Settings, Columns), String> {
-    let setup: Setup = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+pub fn decode(text: &[u8]) -> Result<Setup, String> {
+    let setup: Text = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
     let place = |name: &str| setup.report.columns.iter().position(|column| column == name);
     let columns = Columns { held: place("busy_reqs"), waiting: place("pending") };
     let answers = matches!(setup.report.how, How::Answers);
     let asked = answers && setup.allowed.probes && columns.held.or(columns.waiting).is_some();
+    let tariff_names = setup.tariffs.iter().map(|tariff| tariff.name.clone()).collect();
+    let (dial, idle) = (setup.allowed.dial_timeout_ms, setup.allowed.conn_idle_ms);
     let tariffs = setup.tariffs.into_iter().map(SetupTariff::decode).collect::<Result<_, _>>();
     let settings = Settings {
         tier: setup.tier,
@@ -187,5 +233,6 @@
             window: Span::from_ms(setup.obligations.tip_after_ms),
         },
     };
-    Ok((settings, columns))
+    let (dial, idle) = (Span::from_ms(dial), Span::from_ms(idle));
+    Ok(Setup { settings, columns, tariff_names, zone_names: setup.zones, dial, idle })
 }
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,6 +1,5 @@
 //! Hosts instances of the decisions on the bench's wire: one batch in, one reply out. Decides nothing.
 
-mod setup;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -8,10 +7,10 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use setup::Columns;
 use sparlug::event::{Action, Event, Exchange};
 use sparlug::policy::Balancer;
 use sparlug::time::Time;
+use sparlug_setup::Columns;
 use wire::{Reader, Record, Reply, Tables, HEADER};
 
 struct Instance {
@@ -35,7 +34,7 @@
         actions.clear();
         let ran = match record {
             Record::Start { seed, setup } => {
-                let (settings, columns) = setup::decode(setup)?;
+                let sparlug_setup::Setup { settings, columns, .. } = sparlug_setup::decode(setup)?;
                 let tariffs = settings.tariffs.len();
                 let start = AssertUnwindSafe(|| Balancer::new(settings, seed, now, actions));
                 catch_unwind(start).map(|balancer| {
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -4,7 +4,7 @@
 use sparlug::id::{BackendId, ExchangeId, ForwardNo, PeerId, PodId, TariffId, TenantId, TimerMark, ZoneId};
 use sparlug::time::{Span, Time};
 
-use crate::setup::Columns;
+use sparlug_setup::Columns;
 
 pub const HEADER: usize = 16;
 const TABLES: usize = 16;
