--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -2,6 +2,7 @@
 //! them and the answers that go out.
 
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 
 use mio::net::{TcpListener, TcpStream};
 use sparlug::id::ExchangeId;
@@ -10,8 +11,8 @@
 use crate::deadlines::DeadlineId;
 use crate::http::{self, Bad, RequestHead, BODY_MOST, MESSAGE_MOST};
 use crate::link::Link;
-use crate::shared::{Due, Note, Owner, Request, Shared};
-use crate::slots::{Slot, Slots};
+use crate::shared::{ClientSlot, Due, Note, OfClient, Owner, Request, Shared};
+use crate::slots::Slots;
 
 const MESSAGE_TIME: Span = Span::from_millis(10_000); // for a message to come whole, once it has begun
 const LINGER: Span = Span::from_millis(1_000); // for the client to read a last answer
@@ -30,7 +31,7 @@
     Lingering,
 }
 
-pub struct Client {
+struct Client {
     link: Link,
     state: State,
     head: Option<RequestHead>,
@@ -46,9 +47,9 @@
 
 pub struct Clients {
     listener: Option<TcpListener>,
-    clients: Slots<Client>,
+    clients: Slots<OfClient, Client>,
     tariffs: Tariffs,
-    /// Connections to keep; as many again as an eighth of it are accepted only to be turned back.
+    /// Connections to keep. An eighth more are accepted, and closed after their next answer.
     budget: usize,
     /// Connections may be waiting to be accepted.
     waiting: bool,
@@ -59,12 +60,17 @@
 
 impl Clients {
     pub fn new(listener: Option<TcpListener>, tariffs: Tariffs, budget: usize) -> Clients {
-        let clients = Slots::new();
+        let clients = Slots::default();
         Clients { listener, clients, tariffs, budget, waiting: false, ready: false, leaving: false }
     }
 
-    pub fn len(&self) -> usize {
-        self.clients.len()
+    /// Connections on which an answer may still be owed.
+    pub fn owing(&self) -> usize {
+        self.clients.iter().filter(|(_, client)| client.state != State::Lingering).count()
+    }
+
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.as_ref()?.local_addr().ok()
     }
 
     pub fn accept(&mut self, io: &mut Shared) {
@@ -77,7 +83,7 @@
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     // Guards against spinning when descriptors run out: the next try is a deadline's.
-                    tracing::warn!(error = %e, clients = self.clients.len(), "cannot accept");
+                    tracing::warn!(error = %e, clients = self.clients.count(), "cannot accept");
                     io.deadlines.set(io.now + ACCEPT_AGAIN, Due::Accept);
                     return;
                 }
@@ -85,17 +91,23 @@
         }
     }
 
-    /// Whether one more can be accepted; the connection that was idle for longest may have to leave for it.
+    /// Whether one more can be accepted. A connection that is owed nothing may have to leave for it: an idle
+    /// one first, then one that only lingers, then one whose request does not come to its end.
     fn make_room(&mut self, io: &mut Shared) -> bool {
-        if self.clients.len() < self.budget {
+        if self.clients.count() < self.budget {
             return true;
         }
-        let idle = |client: &Client| client.state == State::Reading && client.link.input.is_empty();
-        let oldest = self.clients.iter().filter(|(_, client)| idle(client)).min_by_key(|(_, c)| c.used);
-        match oldest.map(|(slot, _)| slot) {
-            Some(slot) => self.close(slot, io),
+        let rank = |client: &Client| match client.state {
+            State::Reading if client.link.input.is_empty() => Some(0),
+            State::Lingering => Some(1),
+            State::Reading => Some(2),
+            State::Waiting(_) | State::Answering { .. } => None,
+        };
+        let ranked = self.clients.iter().filter_map(|(slot, c)| Some((rank(c)?, c.used, slot)));
+        match ranked.min_by_key(|(rank, used, _)| (*rank, *used)) {
+            Some((_, _, slot)) => self.close(slot, io),
             // Guards against leaving unread what was sent on connections that the kernel has accepted.
-            None => return self.clients.len() < self.budget + self.budget / 8,
+            None => return self.clients.count() < self.budget + self.budget / 8,
         }
         true
     }
@@ -115,7 +127,7 @@
         }
     }
 
-    fn close(&mut self, slot: Slot<Client>, io: &mut Shared) {
+    fn close(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.remove(slot) else { return };
         io.deadlines.call_off(client.deadline);
         if let State::Waiting(Some(exchange)) = client.state {
@@ -129,11 +141,14 @@
     }
 
     /// Something can be read or written, or the connection has ended.
-    pub fn event(&mut self, slot: Slot<Client>, io: &mut Shared) {
+    pub fn event(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         let broken = client.link.fill(MESSAGE_MOST).is_err();
         if client.state == State::Lingering {
             client.link.input.clear();
+            if client.link.unread() {
+                io.deadlines.set(io.now, Due::Read(slot));
+            }
         }
         if broken || client.link.ended && client.state != State::Reading {
             return self.close(slot, io);
@@ -146,7 +161,7 @@
     }
 
     /// Takes the next request out of what was read, if it is whole.
-    fn read(&mut self, slot: Slot<Client>, io: &mut Shared) {
+    fn read(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         if client.link.ended && client.link.input.is_empty() {
             return self.close(slot, io);
@@ -198,7 +213,7 @@
         Ok(client.head.take().map(|head| (head, message)))
     }
 
-    fn request(&mut self, slot: Slot<Client>, head: RequestHead, message: Vec<u8>, io: &mut Shared) {
+    fn request(&mut self, slot: ClientSlot, head: RequestHead, message: Vec<u8>, io: &mut Shared) {
         if head.path == "/ready" {
             let ready = self.ready && !self.leaving;
             return self.reply(slot, if ready { 200 } else { 503 }, head.close, io);
@@ -225,7 +240,7 @@
     }
 
     /// The exchange that the client's request has become.
-    pub fn holds(&mut self, slot: Slot<Client>, exchange: ExchangeId) {
+    pub fn holds(&mut self, slot: ClientSlot, exchange: ExchangeId) {
         if let Some(client) = self.clients.get_mut(slot) {
             client.state = State::Waiting(Some(exchange));
         }
@@ -233,16 +248,16 @@
 
     /// Whether there are so many connections that this one must go after its answer.
     pub fn over_budget(&self) -> bool {
-        self.clients.len() > self.budget
+        self.clients.count() > self.budget
     }
 
-    pub fn reply(&mut self, slot: Slot<Client>, status: u16, close: bool, io: &mut Shared) {
+    pub fn reply(&mut self, slot: ClientSlot, status: u16, close: bool, io: &mut Shared) {
         let close = close || self.leaving;
         self.answer(slot, &http::own_answer(status, None, close), close, io);
     }
 
     /// Writes the answer to what the connection's client waits for.
-    pub fn answer(&mut self, slot: Slot<Client>, bytes: &[u8], close: bool, io: &mut Shared) {
+    pub fn answer(&mut self, slot: ClientSlot, bytes: &[u8], close: bool, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         io.deadlines.call_off(client.deadline.take());
         client.state = State::Answering { close };
@@ -251,7 +266,7 @@
         self.write(slot, io);
     }
 
-    fn write(&mut self, slot: Slot<Client>, io: &mut Shared) {
+    fn write(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         match client.link.flush() {
             Ok(false) => return,
@@ -276,7 +291,7 @@
         }
     }
 
-    pub fn due(&mut self, slot: Slot<Client>, io: &mut Shared) {
+    pub fn due(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         client.deadline = None;
         match client.state {
--- a/crates/proxy/src/deadlines.rs
+++ b/crates/proxy/src/deadlines.rs
@@ -12,7 +12,7 @@
 }
 
 impl Clock {
-    pub fn new() -> Clock {
+    pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { start: Instant::now(), unix: Time::from_ms(unix.as_secs_f64() * 1000.0) }
     }
@@ -32,11 +32,13 @@
     set: u64,
 }
 
-impl<T> Deadlines<T> {
-    pub fn new() -> Deadlines<T> {
+impl<T> Default for Deadlines<T> {
+    fn default() -> Deadlines<T> {
         Deadlines { waiting: BTreeMap::new(), set: 0 }
     }
+}
 
+impl<T> Deadlines<T> {
     pub fn set(&mut self, at: Time, what: T) -> DeadlineId {
         self.set += 1;
         let id = DeadlineId(at, self.set);
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use sparlug::time::Span;
+use sparlug::time::{Span, Time};
 
 use crate::deadlines::DeadlineId;
 use crate::http::{self, AnswerHead};
@@ -13,6 +13,7 @@
 
 const WAIT: Span = Span::from_millis(20_000); // how long a call may wait for something newer
 const GRACE: Span = Span::from_millis(1_000); // and its answer may come later than that
+const PACE: Span = Span::from_millis(100); // between calls that bring nothing and do not wait either
 const LIST_MOST: usize = 4 * 1024 * 1024;
 
 pub struct Discovery {
@@ -25,13 +26,15 @@
     turn: u32,
     head: Option<AnswerHead>,
     asked: bool,
+    since: Time,
     deadline: Option<DeadlineId>,
 }
 
 impl Discovery {
     pub fn new(address: SocketAddr, zones: Vec<String>, version: Option<u64>) -> Discovery {
         let (link, head, deadline) = Default::default();
-        Discovery { address, zones, version, link, turn: 0, head, asked: false, deadline }
+        let since = Time::default();
+        Discovery { address, zones, version, link, turn: 0, head, asked: false, since, deadline }
     }
 
     /// Asks for what is newer than the list at hand, unless such a call is under way.
@@ -64,7 +67,7 @@
                 Err(e) => return self.failed(&e.to_string(), io),
             }
         }
-        self.asked = true;
+        (self.asked, self.since) = (true, io.now);
         let query = self.version.map(|version| format!("?index={version}&wait={:.0}", WAIT.ms()));
         let host = self.address;
         let call = format!("GET /v1/endpoints{} HTTP/1.1\r\nHost: {host}\r\n\r\n", query.unwrap_or_default());
@@ -82,10 +85,14 @@
         }
     }
 
-    /// The answer did not come in time.
-    pub fn late(&mut self, io: &mut Shared) {
+    /// The answer did not come in time, or it is time for the next call.
+    pub fn due(&mut self, io: &mut Shared) {
         self.deadline = None;
-        self.failed("no answer", io);
+        if self.asked {
+            self.failed("no answer", io);
+        } else {
+            self.ask(io);
+        }
     }
 
     fn failed(&mut self, why: &str, io: &mut Shared) {
@@ -149,10 +156,18 @@
         };
         io.counters.lists += 1;
         self.version = Some(list.version);
+        // Guards against spinning on an agent that answers at once with nothing new.
+        let pace = list.entries.is_empty() && io.now < self.since + PACE;
         io.notes.push_back(Note::Listed { whole: list.whole, entries: list.entries });
         if head.close || self.link.as_ref().is_some_and(|link| link.ended) {
             self.stop(io);
         }
-        self.ask(io);
+        self.asked = false;
+        io.deadlines.call_off(self.deadline.take());
+        if pace {
+            self.deadline = Some(io.deadlines.set(self.since + PACE, Due::List));
+        } else {
+            self.ask(io);
+        }
     }
 }
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -240,7 +240,9 @@
     pub fn forwarded(&self, message: &[u8], left: Span) -> Vec<u8> {
         let mut out = Vec::with_capacity(message.len() + 32);
         kept(&message[..self.length], &self.left_out, &mut out);
-        out.extend_from_slice(format!("Request-Timeout: {:.4}\r\n\r\n", left.ms() / 1000.0).as_bytes());
+        // Rounded up: a time of nothing would be no time at all.
+        let left = (left.ms() * 10.0).ceil().max(1.0) / 10_000.0;
+        out.extend_from_slice(format!("Request-Timeout: {left:.4}\r\n\r\n").as_bytes());
         out.extend_from_slice(&message[self.length..]);
         out
     }
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,16 @@
+//! The proxy on sockets round sparlug's decisions, a part a file. `proxy` holds the one loop; `clients`, `pool`
+//! and `discovery` are the sides that it serves; the rest is what they share. Nothing here decides.
+
+pub mod clients;
+pub mod config;
+pub mod counters;
+pub mod deadlines;
+pub mod discovery;
+pub mod ending;
+pub mod http;
+pub mod link;
+pub mod listing;
+pub mod pool;
+pub mod proxy;
+pub mod shared;
+pub mod slots;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,22 +1,10 @@
 //! The proxy on sockets round sparlug's decisions. It serves before one tier of backends, which its settings
 //! name; see `docs/architecture.md` for the life of a request.
 
-mod clients;
-mod config;
-mod counters;
-mod deadlines;
-mod discovery;
-mod ending;
-mod http;
-mod link;
-mod listing;
-mod pool;
-mod proxy;
-mod shared;
-mod slots;
-
 use std::process::ExitCode;
 
+use sparlug_proxy::config::Config;
+use sparlug_proxy::proxy::Proxy;
 use tracing::level_filters::LevelFilter;
 
 /// The log goes to standard error; `SPARLUG_LOG` names its level, `info` if unset.
@@ -27,9 +15,9 @@
 }
 
 fn main() -> ExitCode {
-    let served = config::Config::from_environment().and_then(|config| {
+    let served = Config::from_environment().and_then(|config| {
         log();
-        proxy::Proxy::new(config)?.run().map_err(|e| format!("cannot poll: {e}"))
+        Proxy::new(config)?.run().map_err(|e| format!("cannot poll: {e}"))
     });
     match served {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -13,16 +13,17 @@
 use crate::http::{self, AnswerHead, BODY_MOST, MESSAGE_MOST};
 use crate::link::Link;
 use crate::listing::Entry;
-use crate::shared::{Done, Due, Note, Owner, Purpose, Shared};
-use crate::slots::{Slot, Slots};
+use crate::shared::{ConnSlot, Done, Due, Note, OfConn, Owner, Purpose, Shared};
+use crate::slots::Slots;
 
 const IDLE_PART: f64 = 0.5; // of the backend's idle time, for which an idle connection is kept
 
 /// Where a backend is, and the connections to it that stand idle, the last used one last.
 struct Place {
+    host: String,
     dial: SocketAddr,
     condition: Condition,
-    idle: Vec<Slot<Conn>>,
+    idle: Vec<ConnSlot>,
     conns: usize,
 }
 
@@ -35,7 +36,7 @@
     Idle,
 }
 
-pub struct Conn {
+struct Conn {
     link: Link,
     backend: BackendId,
     stage: Stage,
@@ -55,7 +56,7 @@
 
 pub struct Pool {
     places: BTreeMap<BackendId, Place>,
-    conns: Slots<Conn>,
+    conns: Slots<OfConn, Conn>,
     budget: usize,
     dial: Span,
     idle: Span,
@@ -63,7 +64,7 @@
 
 impl Pool {
     pub fn new(budget: usize, dial: Span, idle: Span) -> Pool {
-        Pool { places: BTreeMap::new(), conns: Slots::new(), budget, dial, idle: idle.scaled(IDLE_PART) }
+        Pool { places: BTreeMap::new(), conns: Slots::default(), budget, dial, idle: idle.scaled(IDLE_PART) }
     }
 
     /// Takes in a change of the list.
@@ -73,12 +74,12 @@
         }
         let mut moved = Vec::new();
         for Entry { host, dial, listing } in entries {
-            let new = Place { dial: *dial, condition: listing.condition, idle: Vec::new(), conns: 0 };
+            let condition = listing.condition;
             let place = self.places.entry(listing.backend).or_insert_with(|| {
-                tracing::info!(backend = %listing.backend, host, %dial, "listed");
-                new
+                tracing::info!(host, %dial, "listed");
+                Place { host: host.clone(), dial: *dial, condition, idle: Vec::new(), conns: 0 }
             });
-            place.condition = listing.condition;
+            place.condition = condition;
             if place.dial != *dial {
                 place.dial = *dial;
                 moved.append(&mut place.idle.clone());
@@ -104,7 +105,7 @@
         message: &[u8],
         until: Time,
         io: &mut Shared,
-    ) -> Option<Slot<Conn>> {
+    ) -> Option<ConnSlot> {
         let found = self.take_idle(backend, io);
         if found.is_some() {
             io.counters.reused += 1;
@@ -127,12 +128,14 @@
     }
 
     /// An idle connection that is still good.
-    fn take_idle(&mut self, backend: BackendId, io: &mut Shared) -> Option<Slot<Conn>> {
+    fn take_idle(&mut self, backend: BackendId, io: &mut Shared) -> Option<ConnSlot> {
         loop {
             let slot = self.places.get_mut(&backend)?.idle.pop()?;
             let Some(conn) = self.conns.get_mut(slot) else { continue };
-            // Guards against writing on a connection that the backend has closed a moment ago.
-            let good = conn.link.fill(1).is_ok() && !conn.link.ended && conn.link.input.is_empty();
+            // Guards against writing on a connection that the backend has closed a moment ago, or is about to
+            // close because the proxy itself stood still.
+            let fresh = io.now < conn.used + self.idle;
+            let good = fresh && conn.link.fill(1).is_ok() && !conn.link.ended && conn.link.input.is_empty();
             if good {
                 io.deadlines.call_off(conn.deadline.take());
                 conn.stage = Stage::Busy { written: false };
@@ -142,11 +145,11 @@
         }
     }
 
-    fn dial(&mut self, backend: BackendId, io: &mut Shared) -> Result<Slot<Conn>, Ending> {
+    fn dial(&mut self, backend: BackendId, io: &mut Shared) -> Result<ConnSlot, Ending> {
         let Some(to) = self.places.get(&backend).map(|place| place.dial) else {
             return Err(Ending::Withdrawn);
         };
-        if self.conns.len() >= self.budget {
+        if self.conns.count() >= self.budget {
             // The connection that was idle for longest makes room.
             let idle = self.conns.iter().filter(|(_, conn)| matches!(conn.stage, Stage::Idle));
             let oldest = idle.min_by_key(|(_, conn)| conn.used).map(|(slot, _)| slot);
@@ -166,12 +169,12 @@
         Ok(slot)
     }
 
-    pub fn event(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+    pub fn event(&mut self, slot: ConnSlot, io: &mut Shared) {
         self.go_on(slot, io);
     }
 
     /// Does all that the connection is ready for.
-    fn go_on(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+    fn go_on(&mut self, slot: ConnSlot, io: &mut Shared) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
         if matches!(conn.stage, Stage::Dialling) {
             match conn.link.up() {
@@ -212,7 +215,7 @@
     }
 
     /// An answer came whole: the connection can be used again, or ends.
-    fn answered(&mut self, slot: Slot<Conn>, written: bool, io: &mut Shared) {
+    fn answered(&mut self, slot: ConnSlot, written: bool, io: &mut Shared) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
         let Some(head) = conn.head.take() else { return };
         let message = conn.link.used(head.length + head.body_length);
@@ -232,7 +235,7 @@
     }
 
     /// Every end of a connection, and of what it carried, comes through here.
-    fn close(&mut self, slot: Slot<Conn>, ending: Ending, io: &mut Shared) {
+    fn close(&mut self, slot: ConnSlot, ending: Ending, io: &mut Shared) {
         let Some(mut conn) = self.conns.remove(slot) else { return };
         io.deadlines.call_off(conn.deadline.take());
         conn.finish(ending, Load::default(), None, io);
@@ -243,7 +246,7 @@
         conn.link.close(&io.registry);
     }
 
-    pub fn cancel(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+    pub fn cancel(&mut self, slot: ConnSlot, io: &mut Shared) {
         self.close(slot, Ending::CalledOff, io);
     }
 
@@ -252,16 +255,16 @@
         idle.into_iter().for_each(|slot| self.close(slot, Ending::Idle, io));
     }
 
-    pub fn dial_late(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+    pub fn dial_late(&mut self, slot: ConnSlot, io: &mut Shared) {
         self.close(slot, Ending::NeverUp, io);
     }
 
-    pub fn idle_over(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+    pub fn idle_over(&mut self, slot: ConnSlot, io: &mut Shared) {
         self.close(slot, Ending::Idle, io);
     }
 
     /// The time for what the connection carries is over. What has come by now still counts.
-    pub fn late(&mut self, slot: Slot<Conn>, io: &mut Shared) {
+    pub fn late(&mut self, slot: ConnSlot, io: &mut Shared) {
         self.go_on(slot, io);
         let Some(conn) = self.conns.get(slot) else { return };
         let written = matches!(conn.stage, Stage::Busy { written: true });
@@ -275,9 +278,16 @@
         self.dial
     }
 
-    pub fn host(&self, backend: BackendId) -> Option<SocketAddr> {
+    pub fn address(&self, backend: BackendId) -> Option<SocketAddr> {
         self.places.get(&backend).map(|place| place.dial)
     }
+
+    /// The host of the backend with whose id a text begins.
+    pub fn host_in(&self, text: &str) -> Option<&str> {
+        let id = text.split(' ').next()?;
+        let named = self.places.iter().find(|(backend, _)| backend.to_string() == id);
+        named.map(|(_, place)| place.host.as_str())
+    }
 }
 
 impl Conn {
@@ -312,11 +322,11 @@
     }
 }
 
-/// A connection that can't be made for want of a descriptor says nothing of the backend.
+/// A connection that can't be made for want of a descriptor or a port says nothing of the backend.
 fn refusal(e: &std::io::Error) -> Ending {
-    const OUT_OF_FILES: [i32; 2] = [24, 23]; // EMFILE, ENFILE
+    const OWN_WANT: [i32; 3] = [23, 24, 99]; // ENFILE, EMFILE, EADDRNOTAVAIL
     match e.raw_os_error() {
-        Some(code) if OUT_OF_FILES.contains(&code) => Ending::NoRoom,
+        Some(code) if OWN_WANT.contains(&code) => Ending::NoRoom,
         _ => Ending::Refused,
     }
 }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -12,16 +12,19 @@
 use sparlug::policy::Balancer;
 use sparlug::time::{Span, Time};
 
-use crate::clients::{Client, Clients, Tariffs};
+use crate::clients::{Clients, Tariffs};
 use crate::config::Config;
 use crate::counters::Counters;
 use crate::deadlines::{Clock, DeadlineId, Deadlines};
 use crate::discovery::Discovery;
+use crate::ending::Ending;
 use crate::http;
 use crate::listing;
-use crate::pool::{Conn, Pool};
-use crate::shared::{Done, Due, Note, Owner, Purpose, Request, Shared};
-use crate::slots::{Slot, Slots};
+use crate::pool::Pool;
+use crate::shared::{
+    ClientSlot, ConnSlot, Done, Due, HeldSlot, Note, OfHeld, Owner, Purpose, Request, Shared,
+};
+use crate::slots::Slots;
 
 const EVENTS: usize = 256;
 const KEPT_FREE: usize = 24; // descriptors for the log, the loop, signals, the listener and discovery
@@ -31,22 +34,24 @@
 /// An exchange until its answer is given and all its forwards have ended.
 struct Held {
     /// `None` once it has its answer.
-    client: Option<Slot<Client>>,
+    client: Option<ClientSlot>,
     request: Request,
     /// By number, the connections that carry forwards; `None` for one that has ended.
-    forwards: Vec<Option<Slot<Conn>>>,
+    forwards: Vec<Option<ConnSlot>>,
     cut_off: DeadlineId,
 }
 
 pub struct Proxy {
     poll: Poll,
     clock: Clock,
+    /// When the last wait was over.
+    polled: Time,
     signals: Signals,
     io: Shared,
     balancer: Balancer,
     actions: Vec<Action>,
     clients: Clients,
-    held: Slots<Held>,
+    held: Slots<OfHeld, Held>,
     pool: Pool,
     discovery: Discovery,
     /// The path at which a backend is checked.
@@ -70,8 +75,8 @@
         let heard = registry.register(&mut listener, Owner::Listener.token(), Interest::READABLE);
         heard.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
 
-        let clock = Clock::new();
-        let (now, deadlines, counters) = (clock.now(), Deadlines::new(), Counters::default());
+        let clock = Clock::start();
+        let (now, deadlines, counters) = (clock.now(), Deadlines::default(), Counters::default());
         let mut io = Shared { registry, now, since: now, deadlines, counters, notes: Default::default() };
         let setup = config.setup;
         let room = config.sockets - KEPT_FREE;
@@ -94,10 +99,11 @@
         let follows = !setup.settings.list_on_request;
         let mut actions = Vec::new();
         let balancer = Balancer::new(setup.settings, config.seed, now, &mut actions);
-        let (held, leaving) = (Slots::new(), None);
+        let (held, leaving) = (Slots::default(), None);
         let mut proxy = Proxy {
             poll,
             clock,
+            polled: now,
             signals,
             io,
             balancer,
@@ -115,7 +121,8 @@
         if follows {
             proxy.discovery.watch(&mut proxy.io);
         }
-        tracing::info!(name = config.name, listen = %listen, "serving");
+        let listen = proxy.clients.address().unwrap_or(listen);
+        tracing::info!(name = config.name, %listen, "serving");
         Ok(proxy)
     }
 
@@ -124,7 +131,7 @@
         let mut events = Events::with_capacity(EVENTS);
         while !self.done() {
             let wait = self.io.deadlines.wait(self.clock.now());
-            let (before, turned) = (self.clock.now(), self.io.now);
+            let before = self.clock.now();
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
                 _ => {}
@@ -132,7 +139,8 @@
             self.io.now = self.clock.now();
             // If it hardly waited, what is there may have come at any time since the last turn.
             let waited = self.io.now.since(before) > Span::from_ms(0.05);
-            self.io.since = if waited { self.io.now } else { turned };
+            self.io.since = if waited { self.io.now } else { self.polled };
+            self.polled = self.io.now;
             for event in events.iter() {
                 self.event(Owner::of(event.token()));
                 self.pump();
@@ -168,7 +176,7 @@
             Due::Dial(slot) => self.pool.dial_late(slot, &mut self.io),
             Due::Forward(slot) => self.pool.late(slot, &mut self.io),
             Due::Idle(slot) => self.pool.idle_over(slot, &mut self.io),
-            Due::List => self.discovery.late(&mut self.io),
+            Due::List => self.discovery.due(&mut self.io),
             Due::Accept => self.clients.accept(&mut self.io),
             Due::Leave => self.leave(),
         }
@@ -196,7 +204,7 @@
     fn done(&self) -> bool {
         let Some(since) = self.leaving else { return false };
         let now = self.io.now;
-        now >= since + ACCEPT_ON && self.clients.len() == 0
+        now >= since + ACCEPT_ON && self.clients.owing() == 0
             || now >= since + ACCEPT_ON + self.longest + GONE_BY
     }
 
@@ -239,7 +247,7 @@
                     self.answer(exchange, 502, None);
                 }
                 Action::Cancel { exchange, forward } => {
-                    let held = self.held.get(Slot::from_number(exchange.0));
+                    let held = self.held.get(HeldSlot::from_number(exchange.0));
                     let out = held.and_then(|held| *held.forwards.get(usize::from(forward.0))?);
                     if let Some(slot) = out {
                         self.pool.cancel(slot, &mut self.io);
@@ -253,14 +261,17 @@
                 Action::Watch { on: true } => self.discovery.watch(&mut self.io),
                 Action::Watch { on: false } => self.discovery.stop(&mut self.io),
                 Action::FetchList => self.discovery.fetch(&mut self.io),
-                Action::Log(text) => tracing::info!("{text}"),
+                Action::Log(text) => match self.pool.host_in(&text) {
+                    Some(host) => tracing::info!(host, "{text}"),
+                    None => tracing::info!("{text}"),
+                },
                 // The instances have no way to talk to each other here.
                 Action::Tell { .. } => {}
             }
         }
     }
 
-    fn taken(&mut self, client: Slot<Client>, request: Request) {
+    fn taken(&mut self, client: ClientSlot, request: Request) {
         self.io.counters.taken += 1;
         let (tariff, cut_off) = (TariffId(request.tariff), request.cut_off);
         let deadlines = &mut self.io.deadlines;
@@ -279,7 +290,14 @@
     }
 
     fn forward(&mut self, exchange: ExchangeId, backend: BackendId, time_out: Span) {
-        let Some(held) = self.held.get_mut(Slot::from_number(exchange.0)) else { return };
+        let open = self.held.get_mut(HeldSlot::from_number(exchange.0)).filter(|held| held.client.is_some());
+        let Some(held) = open else {
+            // Every forward has an end, also one for an exchange that is over.
+            let (purpose, ending) = (Purpose::Forward(exchange, ForwardNo(u16::MAX)), Ending::NoRoom);
+            let (took, load, answer) = Default::default();
+            let done = Done { backend, purpose, ending, took, load, answer };
+            return self.io.notes.push_back(Note::Done(done));
+        };
         self.io.counters.forwards += 1;
         let number = ForwardNo(held.forwards.len() as u16);
         held.forwards.push(None);
@@ -291,7 +309,7 @@
 
     fn check(&mut self, backend: BackendId) {
         self.io.counters.checks += 1;
-        let host = self.pool.host(backend).map(|host| host.to_string()).unwrap_or_default();
+        let host = self.pool.address(backend).map(|dial| dial.to_string()).unwrap_or_default();
         let message = format!("GET {} HTTP/1.1\r\nHost: {host}\r\n\r\n", self.check_path);
         let until = self.io.now + self.pool.dial_time();
         self.pool.send(backend, Purpose::Check, message.as_bytes(), until, &mut self.io);
@@ -305,9 +323,11 @@
         };
         self.io.counters.ended(outcome);
         tracing::debug!(exchange = exchange.0, %backend, ?ending, took = took.ms(), "forward ended");
-        let slot = Slot::from_number(exchange.0);
+        let slot = HeldSlot::from_number(exchange.0);
         if let Some(held) = self.held.get_mut(slot) {
-            held.forwards[usize::from(forward.0)] = None;
+            if let Some(out) = held.forwards.get_mut(usize::from(forward.0)) {
+                *out = None;
+            }
             if let (Outcome::Honoured, Some(client), Some((head, message))) = (outcome, held.client, answer) {
                 let close = held.request.head.close || self.clients.leaving || self.clients.over_budget();
                 self.io.counters.honoured += 1;
@@ -322,7 +342,7 @@
 
     /// Gives the proxy's own answer to an exchange, if it has none yet.
     fn answer(&mut self, exchange: ExchangeId, status: u16, backoff: Option<Span>) {
-        let Some(held) = self.held.get(Slot::from_number(exchange.0)) else { return };
+        let Some(held) = self.held.get(HeldSlot::from_number(exchange.0)) else { return };
         let Some(client) = held.client else { return };
         let close = held.request.head.close || self.clients.leaving || self.clients.over_budget();
         let bytes = http::own_answer(status, backoff, close);
@@ -332,7 +352,7 @@
 
     /// The exchange is over: it has its answer, or its client is gone.
     fn finish(&mut self, exchange: ExchangeId) {
-        let Some(held) = self.held.get_mut(Slot::from_number(exchange.0)) else { return };
+        let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
         held.client = None;
         self.io.deadlines.call_off(Some(held.cut_off));
         self.forget(exchange);
@@ -340,7 +360,7 @@
 
     /// Drops the record of an exchange that is over, once no forward is out.
     fn forget(&mut self, exchange: ExchangeId) {
-        let slot = Slot::from_number(exchange.0);
+        let slot = HeldSlot::from_number(exchange.0);
         let over = |held: &Held| held.client.is_none() && held.forwards.iter().all(Option::is_none);
         if self.held.get(slot).is_some_and(over) {
             self.held.remove(slot);
@@ -349,7 +369,7 @@
 
     /// Guards against an exchange that nothing answers: at its cut-off it fails, whatever the decisions say.
     fn cut_off(&mut self, exchange: ExchangeId) {
-        let held = self.held.get(Slot::from_number(exchange.0));
+        let held = self.held.get(HeldSlot::from_number(exchange.0));
         if held.is_some_and(|held| held.client.is_some()) {
             self.io.counters.overdue += 1;
             tracing::warn!(exchange = exchange.0, "nothing was answered by the cut-off");
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -8,15 +8,25 @@
 use sparlug::id::{BackendId, ExchangeId, ForwardNo, TimerMark};
 use sparlug::time::{Span, Time};
 
-use crate::clients::Client;
 use crate::counters::Counters;
 use crate::deadlines::Deadlines;
 use crate::ending::Ending;
 use crate::http::{AnswerHead, RequestHead};
 use crate::listing::Entry;
-use crate::pool::Conn;
 use crate::slots::Slot;
 
+/// Marks of the kinds of slots.
+pub enum OfClient {}
+pub enum OfConn {}
+pub enum OfHeld {}
+
+/// A connection that a caller opened.
+pub type ClientSlot = Slot<OfClient>;
+/// A connection to a backend.
+pub type ConnSlot = Slot<OfConn>;
+/// An exchange until it is answered and all its forwards have ended.
+pub type HeldSlot = Slot<OfHeld>;
+
 pub struct Shared {
     pub registry: Registry,
     pub now: Time,
@@ -35,16 +45,16 @@
     /// An exchange's cut-off.
     CutOff(ExchangeId),
     /// A client's message that has begun and does not come to its end, or its connection's last moments.
-    Client(Slot<Client>),
+    Client(ClientSlot),
     /// More of a client's bytes are there to be read.
-    Read(Slot<Client>),
+    Read(ClientSlot),
     /// A connection that should be up.
-    Dial(Slot<Conn>),
+    Dial(ConnSlot),
     /// The end of the time for what a connection carries.
-    Forward(Slot<Conn>),
+    Forward(ConnSlot),
     /// The end of the time that a connection may stand idle.
-    Idle(Slot<Conn>),
-    /// The answer of discovery.
+    Idle(ConnSlot),
+    /// The answer of discovery, or the next call to it.
     List,
     /// Connections are to be accepted again.
     Accept,
@@ -82,7 +92,7 @@
 
 #[derive(Debug)]
 pub enum Note {
-    Taken(Slot<Client>, Request),
+    Taken(ClientSlot, Request),
     /// The client is gone; what it waited for.
     Left(ExchangeId),
     Done(Done),
@@ -99,8 +109,8 @@
     Listener,
     Signals,
     Discovery(u32),
-    Client(Slot<Client>),
-    Conn(Slot<Conn>),
+    Client(ClientSlot),
+    Conn(ConnSlot),
 }
 
 impl Owner {
--- a/crates/proxy/src/slots.rs
+++ b/crates/proxy/src/slots.rs
@@ -12,61 +12,64 @@
 /// How many records a table can hold.
 pub const PLACES: usize = 1 << PLACE_BITS;
 
-/// The name of one record of kind `T`.
-pub struct Slot<T> {
+/// The name of one record of the kind that the mark `K` stands for.
+pub struct Slot<K> {
     place: u32,
     turn: u32,
-    kind: PhantomData<fn() -> T>,
+    kind: PhantomData<fn() -> K>,
 }
 
-impl<T> Slot<T> {
+impl<K> Slot<K> {
     /// Both halves in one number; no two records have the same one within a million turns.
     pub fn number(self) -> u32 {
         self.turn << PLACE_BITS | self.place
     }
 
-    pub fn from_number(number: u32) -> Slot<T> {
+    pub fn from_number(number: u32) -> Slot<K> {
         let place = number & ((1 << PLACE_BITS) - 1);
         Slot { place, turn: number >> PLACE_BITS, kind: PhantomData }
     }
 }
 
-impl<T> Clone for Slot<T> {
-    fn clone(&self) -> Slot<T> {
+impl<K> Clone for Slot<K> {
+    fn clone(&self) -> Slot<K> {
         *self
     }
 }
 
-impl<T> Copy for Slot<T> {}
+impl<K> Copy for Slot<K> {}
 
-impl<T> PartialEq for Slot<T> {
-    fn eq(&self, other: &Slot<T>) -> bool {
+impl<K> PartialEq for Slot<K> {
+    fn eq(&self, other: &Slot<K>) -> bool {
         self.number() == other.number()
     }
 }
 
-impl<T> fmt::Debug for Slot<T> {
+impl<K> fmt::Debug for Slot<K> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}#{}", self.place, self.turn)
     }
 }
 
-pub struct Slots<T> {
+pub struct Slots<K, T> {
     records: Slab<(u32, T)>,
     turn: u32,
+    kind: PhantomData<fn() -> K>,
 }
 
-impl<T> Slots<T> {
-    pub fn new() -> Slots<T> {
-        Slots { records: Slab::new(), turn: 0 }
+impl<K, T> Default for Slots<K, T> {
+    fn default() -> Slots<K, T> {
+        Slots { records: Slab::new(), turn: 0, kind: PhantomData }
     }
+}
 
-    pub fn len(&self) -> usize {
+impl<K, T> Slots<K, T> {
+    pub fn count(&self) -> usize {
         self.records.len()
     }
 
     /// Makes a record that may need to know its own slot; `None` if none was made or the table is full.
-    pub fn insert_with(&mut self, make: impl FnOnce(Slot<T>) -> Option<T>) -> Option<Slot<T>> {
+    pub fn insert_with(&mut self, make: impl FnOnce(Slot<K>) -> Option<T>) -> Option<Slot<K>> {
         if self.records.len() >= PLACES {
             return None;
         }
@@ -78,21 +81,21 @@
         Some(slot)
     }
 
-    pub fn get(&self, slot: Slot<T>) -> Option<&T> {
+    pub fn get(&self, slot: Slot<K>) -> Option<&T> {
         self.records.get(slot.place as usize).filter(|(turn, _)| *turn == slot.turn).map(|(_, record)| record)
     }
 
-    pub fn get_mut(&mut self, slot: Slot<T>) -> Option<&mut T> {
+    pub fn get_mut(&mut self, slot: Slot<K>) -> Option<&mut T> {
         let found = self.records.get_mut(slot.place as usize);
         found.filter(|(turn, _)| *turn == slot.turn).map(|(_, record)| record)
     }
 
-    pub fn remove(&mut self, slot: Slot<T>) -> Option<T> {
+    pub fn remove(&mut self, slot: Slot<K>) -> Option<T> {
         self.get(slot)?;
         Some(self.records.remove(slot.place as usize).1)
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = (Slot<T>, &T)> {
+    pub fn iter(&self) -> impl Iterator<Item = (Slot<K>, &T)> {
         let name = |place: usize, turn| Slot { place: place as u32, turn, kind: PhantomData };
         self.records.iter().map(move |(place, (turn, record))| (name(place, *turn), record))
     }
