Keep fresh connections when room is made, and let 1,024 wait to be accepted

Seen: in the new test with 64 descriptors and 150 connections, some requests ended with no answer. Checked: a connection was closed as idle before its request was read; and the kernel counted listen overflows (TcpExtListenOverflows), since mio's backlog is 128, so that requests came by retransmission over 200 ms after their connection. Ruled out: slots, deadlines, lingering (the socket ended cleanly). At fault: Clients::make_room, which took any idle connection, and the bind in Proxy::new. Now a connection is let rest 200 ms before it may go, and the backlog is 1,024. Tests of framing, parts and the running program come with it.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -17,6 +17,7 @@
 const MESSAGE_TIME: Span = Span::from_millis(10_000); // for a message to come whole, once it has begun
 const LINGER: Span = Span::from_millis(1_000); // for the client to read a last answer
 const ACCEPT_AGAIN: Span = Span::from_millis(20); // after running out of descriptors
+const FRESH: Span = Span::from_millis(200); // a connection used no longer ago is not closed to make room
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -53,6 +54,7 @@
     budget: usize,
     /// Connections may be waiting to be accepted.
     waiting: bool,
+    again: Option<DeadlineId>,
     pub ready: bool,
     /// The proxy is going down: answers say that the connection ends.
     pub leaving: bool,
@@ -60,8 +62,8 @@
 
 impl Clients {
     pub fn new(listener: Option<TcpListener>, tariffs: Tariffs, budget: usize) -> Clients {
-        let clients = Slots::default();
-        Clients { listener, clients, tariffs, budget, waiting: false, ready: false, leaving: false }
+        let (clients, waiting, again) = Default::default();
+        Clients { listener, clients, tariffs, budget, waiting, again, ready: false, leaving: false }
     }
 
     /// Connections on which an answer may still be owed.
@@ -75,43 +77,54 @@
 
     pub fn accept(&mut self, io: &mut Shared) {
         self.waiting = true;
-        while self.waiting && self.make_room(io) {
+        while self.waiting {
+            if !self.make_room(io) {
+                return self.accept_again(io);
+            }
             let Some(listener) = &self.listener else { return };
             match listener.accept() {
                 Ok((stream, _)) => self.add(stream, io),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => self.waiting = false,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
-                    // Guards against spinning when descriptors run out: the next try is a deadline's.
                     tracing::warn!(error = %e, clients = self.clients.count(), "cannot accept");
-                    io.deadlines.set(io.now + ACCEPT_AGAIN, Due::Accept);
-                    return;
+                    return self.accept_again(io);
                 }
             }
         }
     }
 
-    /// Whether one more can be accepted. A connection that is owed nothing may have to leave for it: an idle
-    /// one first, then one that only lingers, then one whose request does not come to its end.
+    /// Whether one more can be accepted. A connection that is owed nothing may have to leave for it: one that
+    /// only lingers, then an idle one, then one whose request does not come to its end.
     fn make_room(&mut self, io: &mut Shared) -> bool {
-        if self.clients.count() < self.budget {
-            return true;
-        }
-        let rank = |client: &Client| match client.state {
-            State::Reading if client.link.input.is_empty() => Some(0),
-            State::Lingering => Some(1),
-            State::Reading => Some(2),
-            State::Waiting(_) | State::Answering { .. } => None,
-        };
-        let ranked = self.clients.iter().filter_map(|(slot, c)| Some((rank(c)?, c.used, slot)));
-        match ranked.min_by_key(|(rank, used, _)| (*rank, *used)) {
-            Some((_, _, slot)) => self.close(slot, io),
-            // Guards against leaving unread what was sent on connections that the kernel has accepted.
-            None => return self.clients.count() < self.budget + self.budget / 8,
+        while self.clients.count() >= self.budget {
+            // Guards against closing on a request that is on its way: a new connection is there to bring one.
+            let now = io.now;
+            let rested = move |client: &Client| now > client.used + FRESH;
+            let rank = |client: &Client| match client.state {
+                State::Lingering => Some(0),
+                State::Reading if rested(client) => Some(if client.link.input.is_empty() { 1 } else { 2 }),
+                _ => None,
+            };
+            let ranked = self.clients.iter().filter_map(|(slot, c)| Some((rank(c)?, c.used, slot)));
+            let Some((_, _, slot)) = ranked.min_by_key(|(rank, used, _)| (*rank, *used)) else {
+                // Guards against leaving unread what was sent on connections that the kernel has accepted.
+                return self.clients.count() < self.budget + self.budget / 8;
+            };
+            self.event(slot, io);
+            if self.clients.get(slot).is_some_and(|client| rank(client).is_some()) {
+                self.close(slot, io);
+            }
         }
         true
     }
 
+    /// Guards against spinning when there is no room or no descriptor: the next try is a deadline's.
+    fn accept_again(&mut self, io: &mut Shared) {
+        io.deadlines.call_off(self.again.take());
+        self.again = Some(io.deadlines.set(io.now + ACCEPT_AGAIN, Due::Accept));
+    }
+
     fn add(&mut self, stream: TcpStream, io: &mut Shared) {
         let mut stream = Some(stream);
         // The slot is wanted for the token, so the record is made in two steps.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -27,6 +27,7 @@
 use crate::slots::Slots;
 
 const EVENTS: usize = 256;
+const BACKLOG: i32 = 1024; // connections that may wait to be accepted
 const KEPT_FREE: usize = 24; // descriptors for the log, the loop, signals, the listener and discovery
 const ACCEPT_ON: Span = Span::from_millis(600); // how long new connections are taken after the word to go
 const GONE_BY: Span = Span::from_millis(500); // after the longest cut-off from then, nothing is owed any more
@@ -72,6 +73,9 @@
         let listen = config.listen;
         let mut listener =
             TcpListener::bind(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+        // Guards against connections dropped unseen while the loop is busy: the usual 128 are soon waiting.
+        let waiting = socket2::SockRef::from(&listener).listen(BACKLOG);
+        waiting.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
         let heard = registry.register(&mut listener, Owner::Listener.token(), Interest::READABLE);
         heard.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
 
--- /dev/null
+++ b/crates/proxy/tests/framing.rs
@@ -0,0 +1,94 @@
+//! Heads and bodies, without a socket.
+
+use sparlug::time::Span;
+use sparlug_proxy::http::{answer_head, load, request_head, Bad, BODY_MOST, HEAD_MOST};
+
+const REQUEST: &str =
+    "POST /write/7?x=1 HTTP/1.1\r\nHost: api.internal\r\nrequest-id: 9b1f\r\nX-Odd:  a\tb \r\n\
+    Request-Timeout: 0.480\r\nConnection: keep-alive\r\nContent-Length: 3\r\n\r\nabc";
+
+#[test]
+fn a_head_in_pieces_is_read_once_it_is_whole() {
+    let end = REQUEST.len() - 3;
+    for length in 0..end {
+        assert!(request_head(&REQUEST.as_bytes()[..length]).unwrap().is_none(), "at {length}");
+    }
+    let head = request_head(REQUEST.as_bytes()).unwrap().unwrap();
+    assert_eq!((head.length, head.path.as_str(), head.has_id), (end, "/write/7", true));
+    assert_eq!(head.time_out.as_deref(), Some("0.480"));
+}
+
+#[test]
+fn what_goes_on_keeps_its_bytes_and_carries_the_time_left() {
+    let head = request_head(REQUEST.as_bytes()).unwrap().unwrap();
+    let forwarded = head.forwarded(REQUEST.as_bytes(), Span::from_ms(123.45));
+    let expected =
+        "POST /write/7?x=1 HTTP/1.1\r\nHost: api.internal\r\nrequest-id: 9b1f\r\nX-Odd:  a\tb \r\n\
+        Content-Length: 3\r\nRequest-Timeout: 0.1235\r\n\r\nabc";
+    assert_eq!(String::from_utf8(forwarded).unwrap(), expected);
+    // Guards against a time of 0, which a backend may take for no time-out or for a bad one.
+    let forwarded = head.forwarded(REQUEST.as_bytes(), Span::ZERO);
+    assert!(String::from_utf8(forwarded).unwrap().contains("Request-Timeout: 0.0001\r\n"));
+}
+
+#[test]
+fn a_chunked_body_ends_where_its_trailer_does() {
+    let text = "POST /write HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;ext=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\nGET";
+    let head = request_head(text.as_bytes()).unwrap().unwrap();
+    let bytes = &text.as_bytes()[head.length..];
+    let mut body = head.body;
+    for length in 0..bytes.len() - 3 {
+        assert_eq!(body.whole(&bytes[..length], false, BODY_MOST), Ok(None), "at {length}");
+    }
+    assert_eq!(body.whole(bytes, false, BODY_MOST), Ok(Some(bytes.len() - 3)));
+    assert_eq!(body.plain(bytes), b"abcde");
+    for (chunks, bad) in
+        [("x\r\n", Bad::Malformed), ("1\r\nabc", Bad::Malformed), ("FFFFFFFF\r\n", Bad::BodyTooLarge)]
+    {
+        assert_eq!(head.body.clone().whole(chunks.as_bytes(), false, BODY_MOST), Err(bad), "{chunks:?}");
+    }
+}
+
+#[test]
+fn bad_heads_are_told_apart() {
+    let long = format!("GET /read HTTP/1.1\r\nX: {}", "a".repeat(HEAD_MOST));
+    let many = format!("GET /read HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(101));
+    let cases = [
+        ("GET /read HTTP/1.1\r\nno colon\r\n\r\n", Bad::Malformed),
+        ("GET http://elsewhere/ HTTP/1.1\r\n\r\n", Bad::Malformed),
+        ("\u{0}\u{1}\u{2}\r\n\r\n", Bad::Malformed),
+        ("GET /read HTTP/1.0\r\n\r\n", Bad::Version),
+        ("DELETE /read HTTP/1.1\r\n\r\n", Bad::Method),
+        ("POST /write HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Bad::Malformed),
+        ("POST /write HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", Bad::BodyTooLarge),
+        ("POST /write HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", Bad::Malformed),
+        // Two readings of where the request ends.
+        ("POST /write HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", Bad::Malformed),
+        ("POST /write HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", Bad::Malformed),
+        (&long, Bad::HeadTooLarge),
+        (&many, Bad::HeadTooLarge),
+    ];
+    for (text, bad) in cases {
+        assert_eq!(request_head(text.as_bytes()).unwrap_err(), bad, "{text:.60}");
+    }
+}
+
+#[test]
+fn an_answer_that_lasts_to_the_end_is_passed_on_with_its_length() {
+    let text =
+        b"HTTP/1.0 200 OK\r\nKeep-Alive: 3\r\nServer-Load: TEXT inflight=7, queue=2, util=0.6\r\n\r\nbody";
+    let mut head = answer_head(text).unwrap().unwrap();
+    assert_eq!(head.body.whole(&text[head.length..], false, BODY_MOST), Ok(None));
+    assert_eq!(head.body.whole(&text[head.length..], true, BODY_MOST), Ok(Some(4)));
+    assert_eq!((head.load.held, head.load.waiting), (Some(7.0), Some(2.0)));
+    let passed = String::from_utf8(head.passed_on(text, true)).unwrap();
+    assert!(passed.starts_with("HTTP/1.1 200 OK\r\nServer-Load"), "{passed}");
+    assert!(passed.ends_with("Content-Length: 4\r\nConnection: close\r\n\r\nbody"), "{passed}");
+}
+
+#[test]
+fn a_report_that_makes_no_sense_says_nothing() {
+    for report in ["", "TEXT", "TEXT inflight=, queue=NaN", "TEXT inflight=-3,queue=inf", "inflight"] {
+        assert_eq!(load(report), Default::default(), "{report}");
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/helper/mod.rs
@@ -0,0 +1,163 @@
+//! What the socket tests share: a proxy process on a free port, and the two sides it stands between.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::Duration;
+
+/// Long enough for anything that is going to happen; nothing waits for it to pass.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+pub struct Proxy {
+    child: Child,
+    pub address: String,
+    pub log: Receiver<String>,
+    /// Kept open and silent, as an agent is while discovery is down.
+    pub discovery: TcpListener,
+}
+
+/// The settings of a tier with a reissuable and an at-most-once tariff, and goals of `goal` ms.
+pub fn settings(goal: u32, more: &str) -> String {
+    let tariff = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","latencyGoalMs":{goal},"cutOffMs":{},"value":1,"effect":"{effect}"}}"#,
+            goal * 2
+        )
+    };
+    let tariffs = [tariff("read", "pure"), tariff("write", "side_effect")].join(",");
+    format!(
+        r#"{{"tier":0,"balancers":1,"roundMs":1.0,"discovery":"pushed","tariffs":[{tariffs}],
+        "zones":["a"],"report":{{"how":"answers","columns":["busy_reqs","pending"]}},
+        "allowed":{{"maxForwards":2,"cancelling":true,"retryAfter":true,"maxRetryAfterMs":500,
+        "dialTimeoutMs":1000{more}}},
+        "obligations":{{"coldShare":0.3,"rampTimeMs":8000,"fallMultiple":3,"tipAfterMs":3000}}}}"#
+    )
+}
+
+impl Proxy {
+    pub fn start(backends: &[&TcpListener]) -> Proxy {
+        Proxy::start_with(backends, 1024, &settings(5000, ""))
+    }
+
+    pub fn start_with(backends: &[&TcpListener], sockets: usize, settings: &str) -> Proxy {
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let host = |(place, backend): (usize, &&TcpListener)| {
+            let dial = backend.local_addr().unwrap();
+            format!(r#"{{"host":"h{place}","dial":"{dial}","site":"a","health":"Ready","share":1.0}}"#)
+        };
+        let hosts: Vec<_> = backends.iter().enumerate().map(host).collect();
+        let config = format!(
+            r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{}","seed":"1f","limits":{{"sockets":{sockets}}},
+            "known":{{"seq":4,"whole":true,"hosts":[{}]}},"settings":{settings}}}"#,
+            discovery.local_addr().unwrap(),
+            hosts.join(",")
+        );
+        let (mut child, log) = run(&config);
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| log.0.send(line)));
+        let mut address = String::new();
+        while address.is_empty() {
+            let line = log.1.recv_timeout(PATIENCE).expect("the proxy says where it serves");
+            address = line.split_once("listen=").map(|(_, at)| at.to_string()).unwrap_or_default();
+        }
+        Proxy { child, address, log: log.1, discovery }
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        patient(TcpStream::connect(&self.address).unwrap())
+    }
+
+    /// Sends one request on a connection of its own and reads all that comes until the connection ends.
+    pub fn ask(&self, request: &str) -> String {
+        let mut client = self.connect();
+        client.write_all(request.as_bytes()).unwrap();
+        let mut answer = Vec::new();
+        client.read_to_end(&mut answer).unwrap();
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    pub fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+
+    /// Waits for its end and tells its exit code.
+    pub fn end(mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+
+    /// Waits for a log line that holds a text.
+    pub fn logged(&self, text: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(PATIENCE).expect("the log goes on");
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+type Log = (std::sync::mpsc::Sender<String>, Receiver<String>);
+
+/// Starts the program with a configuration; its standard error is to be read.
+pub fn run(config: &str) -> (Child, Log) {
+    static COUNT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("sparlug-test-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sparlug-proxy"));
+    let child = command.env("ROUTER_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
+    (child, channel())
+}
+
+pub fn backend() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
+pub fn accept(listener: &TcpListener) -> TcpStream {
+    patient(listener.accept().unwrap().0)
+}
+
+fn patient(stream: TcpStream) -> TcpStream {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
+/// Reads one message with a `Content-Length` or none, and nothing of what follows.
+pub fn message(stream: &mut TcpStream) -> String {
+    let (mut text, mut byte) = (String::new(), [0]);
+    while !text.ends_with("\r\n\r\n") {
+        if stream.read(&mut byte).unwrap() == 0 {
+            return text;
+        }
+        text.push(byte[0].into());
+    }
+    let length = text.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).unwrap();
+    text + &String::from_utf8_lossy(&body)
+}
+
+pub fn write(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).unwrap();
+}
+
+/// A request for a path, that asks for the connection to end after its answer.
+pub fn request(method: &str, path: &str, time_out: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: 9b1f\r\n\
+        Request-Timeout: {time_out}\r\nConnection: close\r\n\r\n"
+    )
+}
+
+pub fn answer(status: &str, more: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len())
+}
--- /dev/null
+++ b/crates/proxy/tests/parts.rs
@@ -0,0 +1,127 @@
+//! The parts that need no process: slots, deadlines, endings, lists, links and configurations.
+
+use std::io::Read;
+
+use sparlug::event::{Condition, Outcome};
+use sparlug::id::ZoneId;
+use sparlug::time::{Span, Time};
+use sparlug_proxy::config::Config;
+use sparlug_proxy::deadlines::Deadlines;
+use sparlug_proxy::ending::Ending;
+use sparlug_proxy::link::Link;
+use sparlug_proxy::listing;
+use sparlug_proxy::shared::{OfClient, Owner};
+use sparlug_proxy::slots::{Slots, PLACES};
+
+#[test]
+fn a_stale_event_finds_nothing_in_a_slot_that_is_used_again() {
+    let mut slots: Slots<OfClient, &str> = Slots::default();
+    let first = slots.insert_with(|_| Some("first")).unwrap();
+    let token = Owner::Client(first).token();
+    slots.remove(first);
+    let second = slots.insert_with(|_| Some("second")).unwrap();
+    let Owner::Client(stale) = Owner::of(token) else { panic!("another owner") };
+    assert!(slots.get(stale).is_none() && slots.remove(stale).is_none());
+    assert_eq!(slots.get(second), Some(&"second"));
+    assert!((1..PLACES).all(|_| slots.insert_with(|_| Some("more")).is_some()));
+    assert!(slots.insert_with(|_| Some("too many")).is_none());
+}
+
+#[test]
+fn deadlines_come_in_order_and_those_set_meanwhile_wait_a_round() {
+    let mut deadlines = Deadlines::default();
+    let at = |ms| Time::ORIGIN + Span::from_millis(ms);
+    deadlines.set(at(2), "late");
+    let off = deadlines.set(at(1), "called off");
+    deadlines.set(at(1), "early");
+    deadlines.call_off(Some(off));
+    assert_eq!(deadlines.wait(Time::ORIGIN).unwrap().as_millis(), 1);
+    let set = deadlines.count();
+    assert_eq!(deadlines.due(at(2), set), Some("early"));
+    // Guards against a deadline that sets itself again at once and never lets the sockets have their turn.
+    deadlines.set(at(0), "again");
+    assert_eq!(deadlines.due(at(2), set), None);
+    assert_eq!(deadlines.due(at(2), set + 1), Some("again"));
+    assert_eq!(deadlines.due(at(1), set + 1), None);
+}
+
+#[test]
+fn only_endings_that_prove_it_say_that_a_forward_never_ran() {
+    let answered = |status, not_started| Ending::Answered { status, not_started };
+    let never = [
+        Ending::Refused,
+        Ending::NeverUp,
+        Ending::BrokeBefore,
+        Ending::OutOfTime { written: false },
+        Ending::Withdrawn,
+        Ending::NoRoom,
+        answered(503, true),
+        answered(504, true),
+    ];
+    let perhaps = [
+        Ending::BrokeAfter,
+        Ending::CutShort,
+        Ending::Garbled,
+        Ending::OutOfTime { written: true },
+        Ending::CalledOff,
+        answered(503, false),
+        answered(504, false),
+        answered(500, true),
+        answered(404, false),
+    ];
+    assert!(never.iter().all(|ending| ending.outcome().proves_not_run()));
+    assert!(!perhaps.iter().any(|ending| ending.outcome().proves_not_run()));
+    assert_eq!(answered(200, false).outcome(), Outcome::Honoured);
+}
+
+#[test]
+fn a_host_is_the_same_backend_at_whatever_address_it_is_dialled() {
+    let list = |dial: &str, health: &str| {
+        let host = format!(
+            r#"{{"host":"s-1","dial":"{dial}","site":"b","block":3,"health":"{health}","born_ms":5}}"#
+        );
+        let text = format!(r#"{{"seq":9,"whole":false,"hosts":[{host}]}}"#);
+        listing::decode(text.as_bytes(), &["a".to_string(), "b".to_string()])
+            .map(|list| list.entries[0].clone())
+    };
+    let (one, other) = (list("10.0.0.1:80", "Ready").unwrap(), list("10.9.0.1:81", "Terminating").unwrap());
+    assert_eq!(one.listing.backend, other.listing.backend);
+    assert_ne!(one.listing.backend, listing::backend_id("s-2"));
+    assert_eq!((one.listing.zone, one.listing.started), (ZoneId(1), Some(Time::from_ms(5.0))));
+    assert_eq!(other.listing.condition, Condition::Draining);
+    assert!(list("10.0.0.1:80", "Unwell").is_err() && list("nowhere", "Ready").is_err());
+}
+
+#[test]
+fn what_can_not_be_written_at_once_is_kept_and_goes_on_later() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let poll = mio::Poll::new().unwrap();
+    let mut link = Link::dial(listener.local_addr().unwrap(), poll.registry(), mio::Token(0)).unwrap();
+    let (mut peer, _) = listener.accept().unwrap();
+    while !link.up().unwrap() {}
+    let sent: Vec<u8> = (0..32_000_000_u32).map(|place| (place % 251) as u8).collect();
+    link.queue(&sent);
+    assert!(!link.flush().unwrap(), "more than the kernel takes");
+    let reader = std::thread::spawn(move || {
+        let mut read = Vec::new();
+        peer.read_to_end(&mut read).map(|_| read)
+    });
+    while !link.flush().unwrap() {}
+    link.end_sending();
+    assert!(reader.join().unwrap().unwrap() == sent);
+}
+
+#[test]
+fn a_configuration_that_is_no_use_says_why() {
+    let config = |listen: &str, seed: &str, sockets: u32, settings: &str| {
+        let text = format!(
+            r#"{{"name":"n","listen":"{listen}","discovery":"10.0.0.1:1","seed":"{seed}",
+            "limits":{{"sockets":{sockets}}},"settings":{settings}}}"#
+        );
+        Config::decode(text.as_bytes()).map(|_| ()).unwrap_err()
+    };
+    assert!(config("10.0.0.1", "1", 64, "{}").contains("socket address"));
+    assert!(config("10.0.0.1:1", "x", 64, "{}").contains("seed"));
+    assert!(config("10.0.0.1:1", "1", 64, "{}").contains("settings: missing field"));
+    assert!(Config::decode(b"{").is_err());
+}
--- /dev/null
+++ b/crates/proxy/tests/serving.rs
@@ -0,0 +1,328 @@
+//! The program as it runs, between callers, backends and discovery on loopback sockets.
+
+mod helper;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener};
+use std::time::{Duration, Instant};
+
+use helper::{accept, answer, backend, message, request, run, settings, write, Proxy};
+
+/// What a stub backend sends back, or `None` if it just closes.
+fn once(listener: &TcpListener, reply: Option<&str>) -> String {
+    let mut conn = accept(listener);
+    let seen = message(&mut conn);
+    let _ = conn.write_all(reply.unwrap_or_default().as_bytes());
+    seen
+}
+
+fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or_default()
+}
+
+#[test]
+fn bytes_go_through_unchanged_however_they_come() {
+    let backend = backend();
+    let proxy = Proxy::start(&[&backend]);
+    let mut client = proxy.connect();
+    let text = "POST /write/a?b=c HTTP/1.1\r\nHost: h\r\nRequest-Id: 7\r\nRequest-Class: write\r\n\
+        Request-Timeout: 3.0\r\nX-More: \u{e9}\r\nContent-Length: 4\r\n\r\n\r\n\0\u{1}";
+    // In pieces, and with the next request behind it on the same connection.
+    let next = request("GET", "/read", "3.0");
+    for byte in text.as_bytes() {
+        client.write_all(&[*byte]).unwrap();
+    }
+    write(&mut client, &next);
+    let mut conn = accept(&backend);
+    let seen = message(&mut conn);
+    let time_out = seen.lines().find(|line| line.starts_with("Request-Timeout")).unwrap();
+    let left: f64 = time_out["Request-Timeout: ".len()..].parse().unwrap();
+    assert!(left > 0.0 && left < 3.0, "{time_out}");
+    assert!(seen.starts_with("POST /write/a?b=c HTTP/1.1\r\nHost: h\r\nRequest-Id: 7\r\n"), "{seen}");
+    assert!(seen.ends_with("\r\n\r\n\r\n\0\u{1}"), "{seen}");
+    // The answer comes in pieces too, after a word on the way.
+    for piece in
+        ["HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nX: 1\r\nConte", "nt-Length: 3\r\n\r\na", "b\n"]
+    {
+        write(&mut conn, piece);
+    }
+    assert_eq!(message(&mut client), "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 3\r\n\r\nab\n");
+    // The connection is used again for what came behind.
+    assert!(message(&mut conn).starts_with("GET /read HTTP/1.1\r\n"));
+    write(&mut conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n");
+    let mut rest = String::new();
+    client.read_to_string(&mut rest).unwrap();
+    assert!(rest.ends_with("Connection: close\r\n\r\n1\r\nx\r\n0\r\n\r\n"), "{rest}");
+}
+
+#[test]
+fn bad_input_gets_its_status_and_harms_nobody() {
+    let backend = backend();
+    let proxy = Proxy::start(&[&backend]);
+    let get = |path: &str, time_out: &str| request("GET", path, time_out);
+    let cases = [
+        ("nonsense\r\n\r\n".to_string(), 400),
+        (get("/read", "soon"), 400),
+        (get("/read", "-1"), 400),
+        (get("/read", "0"), 400),
+        (get("/read", "1e9"), 400),
+        (get("/read", "nan"), 400),
+        (get("/read", "1").replace("Request-Id", "No-Id"), 400),
+        (get("/", "1"), 404),
+        (get("/unknown", "1"), 404),
+        (get("/read", "1").replace("Host", "Request-Class: write\r\nHost"), 404),
+        (format!("GET /read HTTP/1.1\r\nX: {}\r\n\r\n", "y".repeat(20_000)), 431),
+        (format!("POST /write HTTP/1.1\r\nContent-Length: 70000\r\n\r\n{}", "z".repeat(70_000)), 413),
+        (
+            format!(
+                "POST /write HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1FFFF\r\n{}",
+                "z".repeat(70_000)
+            ),
+            413,
+        ),
+    ];
+    for (text, expected) in cases {
+        assert_eq!(status(&proxy.ask(&text)), expected, "{text:.90}");
+    }
+    // Half a request and no more is no exchange.
+    let mut client = proxy.connect();
+    write(&mut client, "POST /write HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+    client.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(client.read(&mut [0; 9]).unwrap(), 0);
+    std::thread::scope(|scope| {
+        scope.spawn(|| once(&backend, Some(&answer("200 OK", "", "fine"))));
+        assert!(proxy.ask(&request("GET", "/read", "4")).ends_with("fine"));
+    });
+}
+
+/// One exchange before two backends, of which each sends the reply once; how often a forward came, and the
+/// answer.
+fn two_backends(method: &str, path: &str, reply: Option<&str>) -> (usize, String) {
+    let (one, other) = (backend(), backend());
+    let proxy = Proxy::start(&[&one, &other]);
+    let (counted, count) = std::sync::mpsc::channel();
+    for listener in [one, other] {
+        let (counted, reply) = (counted.clone(), reply.map(str::to_string));
+        std::thread::spawn(move || loop {
+            once(&listener, reply.as_deref());
+            let _ = counted.send(());
+        });
+    }
+    let answer = proxy.ask(&request(method, path, "4"));
+    (count.try_iter().count().max(1), answer)
+}
+
+#[test]
+fn what_may_have_run_once_is_sent_on_only_if_it_may_run_again() {
+    let error = answer("500 Internal Server Error", "", "");
+    let busy = answer("503 Service Unavailable", "", "");
+    let turned_away = answer("503 Service Unavailable", "Not-Started: 1\r\n", "");
+    let cut_short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+    for reply in [None, Some(&*error), Some(&*busy), Some(cut_short), Some("HTTP/9 what\r\n\r\n")] {
+        let (forwards, answer) = two_backends("POST", "/write", reply);
+        assert_eq!((forwards, status(&answer)), (1, 502), "{reply:?}");
+        let (forwards, answer) = two_backends("GET", "/read", reply);
+        assert_eq!((forwards, status(&answer)), (2, 503), "{reply:?}");
+        // Nothing of an answer that was not whole reaches a client as if it were.
+        assert!(!answer.contains("half"), "{answer}");
+    }
+    // Proven never to have run: it may be sent again and turned back.
+    let (forwards, answer) = two_backends("POST", "/write", Some(&turned_away));
+    assert_eq!((forwards, status(&answer)), (2, 503));
+    assert!(answer.contains("Retry-After: 0."), "{answer}");
+}
+
+#[test]
+fn a_refused_connection_costs_an_at_most_once_exchange_nothing() {
+    let (gone, alive) = (backend(), backend());
+    let proxy = Proxy::start(&[&gone, &alive]);
+    drop(gone);
+    std::thread::scope(|scope| {
+        scope.spawn(|| (0..8).for_each(|_| drop(once(&alive, Some(&answer("200 OK", "", "fine"))))));
+        for _ in 0..8 {
+            assert!(proxy.ask(&request("POST", "/write", "4")).ends_with("fine"));
+        }
+    });
+}
+
+#[test]
+fn an_idle_connection_that_the_backend_closed_is_not_used_again() {
+    let backend = backend();
+    let proxy = Proxy::start(&[&backend]);
+    for _ in 0..5 {
+        std::thread::scope(|scope| {
+            // Answers on a connection that it would keep, then closes it.
+            scope.spawn(|| once(&backend, Some(&answer("200 OK", "", "fine"))));
+            assert!(proxy.ask(&request("POST", "/write", "4")).ends_with("fine"));
+        });
+    }
+}
+
+#[test]
+fn a_client_that_goes_away_ends_its_forward() {
+    let backend = backend();
+    let proxy = Proxy::start(&[&backend]);
+    let mut client = proxy.connect();
+    write(&mut client, &request("POST", "/write", "4"));
+    let mut conn = accept(&backend);
+    message(&mut conn);
+    drop(client);
+    assert_eq!(conn.read(&mut [0; 9]).unwrap(), 0, "a cancel closes the connection");
+    proxy.signal("-USR1");
+    let counters = proxy.logged("counters=");
+    assert!(counters.contains(" left=1 ") && counters.contains("ended_cancelled=1"), "{counters}");
+}
+
+#[test]
+fn silence_is_answered_before_the_cut_off() {
+    let backend = backend();
+    let proxy = Proxy::start_with(&[&backend], 1024, &settings(200, ""));
+    for (method, path, expected) in [("POST", "/write", 502), ("GET", "/read", 503)] {
+        let start = Instant::now();
+        let answer = proxy.ask(&request(method, path, "0.3"));
+        assert_eq!(status(&answer), expected, "{answer}");
+        assert!(start.elapsed() < Duration::from_millis(300), "{:?}", start.elapsed());
+    }
+    let mut conn = accept(&backend);
+    assert!(message(&mut conn).starts_with("POST /write"));
+    assert_eq!(conn.read(&mut [0; 9]).unwrap(), 0, "what is given up is closed");
+}
+
+#[test]
+fn a_connection_that_never_comes_up_proves_that_nothing_ran() {
+    // A listener that accepts nothing, with its backlog filled, lets no further connection come up.
+    let backend = backend();
+    let full: Vec<_> = (0..5000)
+        .map_while(|_| {
+            let to = backend.local_addr().unwrap();
+            std::net::TcpStream::connect_timeout(&to, Duration::from_millis(100)).ok()
+        })
+        .collect();
+    assert!(full.len() < 5000);
+    let short = settings(5000, "").replace("\"dialTimeoutMs\":1000", "\"dialTimeoutMs\":100");
+    let proxy = Proxy::start_with(&[&backend], 1024, &short);
+    let answer = proxy.ask(&request("POST", "/write", "4"));
+    assert_eq!(status(&answer), 503, "{answer}");
+    proxy.signal("-USR1");
+    let counters = proxy.logged("counters=");
+    assert!(!counters.contains("ended_connect_failed=0"), "{counters}");
+}
+
+#[test]
+fn it_goes_down_with_nothing_lost() {
+    let backend = backend();
+    let proxy = Proxy::start(&[&backend]);
+    assert_eq!(status(&proxy.ask("GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n")), 200);
+    let (mut held, mut idle) = (proxy.connect(), proxy.connect());
+    let plain = request("POST", "/write", "4").replace("Connection: close\r\n", "");
+    write(&mut held, &plain);
+    let mut conn = accept(&backend);
+    message(&mut conn);
+    proxy.signal("-TERM");
+    proxy.logged("signal");
+    // It still takes what comes, on old connections and new ones, but is ready no more.
+    write(&mut idle, "GET /ready HTTP/1.1\r\n\r\n");
+    let unready = message(&mut idle);
+    assert!(status(&unready) == 503 && unready.contains("Connection: close"), "{unready}");
+    let mut late = proxy.connect();
+    write(&mut late, &plain);
+    let mut second = accept(&backend);
+    message(&mut second);
+    for (conn, client) in [(&mut conn, &mut held), (&mut second, &mut late)] {
+        write(conn, &answer("200 OK", "", "fine"));
+        let text = message(client);
+        assert!(text.contains("Connection: close") && text.ends_with("fine"), "{text}");
+    }
+    let counters = proxy.logged("gone");
+    assert!(counters.contains("taken=2") && counters.contains("honoured=2"), "{counters}");
+    assert_eq!(proxy.end(), Some(0));
+}
+
+#[test]
+fn the_watch_goes_on_at_once_and_binds() {
+    let (one, other) = (backend(), backend());
+    let proxy = Proxy::start(&[&one, &other]);
+    let mut agent = accept(&proxy.discovery);
+    assert!(message(&mut agent).starts_with("GET /v1/endpoints?index=4&wait="));
+    let host = |listener: &TcpListener, name: &str, health: &str| {
+        let dial = listener.local_addr().unwrap();
+        format!(r#"{{"host":"{name}","dial":"{dial}","site":"a","health":"{health}","born_ms":0}}"#)
+    };
+    let mut list = |seq: u32, whole: bool, hosts: String| {
+        let body = format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{hosts}]}}"#);
+        let told = Instant::now();
+        write(&mut agent, &answer("200 OK", "", &body));
+        assert!(message(&mut agent).starts_with(&format!("GET /v1/endpoints?index={seq}&wait=")));
+        told.elapsed()
+    };
+    let honoured_by = |listener: &TcpListener| {
+        std::thread::scope(|scope| {
+            let seen =
+                scope.spawn(|| once(listener, Some(&answer("200 OK", "Connection: close\r\n", "fine"))));
+            assert!(proxy.ask(&request("POST", "/write", "4")).ends_with("fine"));
+            seen.join().unwrap();
+        });
+    };
+    // A change: the first drains. Then the whole list without the second. Then a new address for the first.
+    assert!(list(7, false, host(&one, "h0", "Terminating")) < Duration::from_millis(200));
+    (0..4).for_each(|_| honoured_by(&other));
+    list(8, true, host(&one, "h0", "Ready"));
+    (0..4).for_each(|_| honoured_by(&one));
+    let moved = backend();
+    list(9, false, host(&moved, "h0", "Ready"));
+    honoured_by(&moved);
+    list(10, false, host(&moved, "h0", "Gone"));
+    assert_eq!(status(&proxy.ask(&request("POST", "/write", "0.05"))), 503);
+    // Guards against spinning on an agent that does not wait, yet the watch must not lapse.
+    list(11, false, String::new());
+    assert!((90..200).contains(&list(12, false, String::new()).as_millis()));
+}
+
+#[test]
+fn a_lost_watch_is_asked_for_again() {
+    let backend = backend();
+    let proxy = Proxy::start(&[&backend]);
+    for reply in ["", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"] {
+        let mut agent = accept(&proxy.discovery);
+        assert!(message(&mut agent).starts_with("GET /v1/endpoints?index=4&wait="));
+        write(&mut agent, reply);
+        drop(agent);
+        proxy.logged("list lost");
+    }
+    accept(&proxy.discovery);
+}
+
+#[test]
+fn running_out_of_descriptors_loses_nothing() {
+    let backend = backend();
+    let proxy = Proxy::start_with(&[&backend], 64, &settings(300, ""));
+    // More idle connections than it has room for, and of some only half a request.
+    let mut crowd: Vec<_> = (0..90).map(|_| proxy.connect()).collect();
+    crowd.iter_mut().step_by(3).for_each(|client| drop(client.write_all(b"GET /read HT")));
+    // More exchanges at once than it can forward or even accept: each is answered all the same.
+    let clients: Vec<_> = (0..60).map(|_| proxy.connect()).collect();
+    let text = request("GET", "/read", "5");
+    for mut client in &clients {
+        client.write_all(text.as_bytes()).unwrap();
+    }
+    for mut client in &clients {
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).unwrap();
+        assert_eq!(status(&answer), 503, "{answer}");
+    }
+    drop((crowd, clients));
+    std::thread::spawn(move || loop {
+        once(&backend, Some(&answer("200 OK", "", "fine")));
+    });
+    assert!((0..50).any(|_| proxy.ask(&text).ends_with("fine")), "it serves as before");
+    proxy.signal("-TERM");
+    assert_eq!(proxy.end(), Some(0));
+}
+
+#[test]
+fn an_unusable_configuration_ends_it_with_one_line() {
+    let (child, _) = run("{\"name\": 3}");
+    let output = child.wait_with_output().unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert_eq!((output.status.code(), text.lines().count()), (Some(1), 1), "{text}");
+}
