Read the budgets from the limits on sockets and memory, and bound what is read ahead

Idle connections to backends have a budget of their own. What came while the loop overslept counts from when it should have woken.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -9,7 +9,7 @@
 use sparlug::time::{Span, Time};
 
 use crate::deadlines::DeadlineId;
-use crate::http::{self, Bad, RequestHead, BODY_MOST, MESSAGE_MOST};
+use crate::http::{self, Bad, RequestHead, BODY_MOST, HEAD_MOST, MESSAGE_MOST};
 use crate::link::Link;
 use crate::shared::{ClientSlot, Due, Note, OfClient, Owner, Request, Shared};
 use crate::slots::Slots;
@@ -156,7 +156,9 @@
     /// Something can be read or written, or the connection has ended.
     pub fn event(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
-        let broken = client.link.fill(MESSAGE_MOST).is_err();
+        // Guards against one client's row of requests filling the memory while the first is being answered.
+        let most = if client.state == State::Reading { MESSAGE_MOST } else { HEAD_MOST };
+        let broken = client.link.fill(most).is_err();
         if client.state == State::Lingering {
             client.link.input.clear();
             if client.link.unread() {
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -6,13 +6,14 @@
 use serde_json::value::RawValue;
 use sparlug_setup::Setup;
 
+use crate::http::MESSAGE_MOST;
+
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
-    /// File descriptors that the process may hold.
-    pub sockets: usize,
+    pub budgets: Budgets,
     /// The list of backends as it was last had, in discovery's form.
     pub known: Vec<u8>,
     pub setup: Setup,
@@ -36,11 +37,41 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
+    }
+}
+
+const OWN_SOCKETS: usize = 24; // for the log, the loop, signals, the listener and discovery
+const OWN_MB: usize = 24; // for the program itself
+const EXCHANGE_KB: usize = 4 * MESSAGE_MOST / 1024; // request and answer, in the table and in a buffer each
+const LEAST: usize = 8; // connections on either side, to serve at all
+
+/// How many connections are kept of each kind.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budgets {
+    /// From callers; an eighth more are accepted, and closed after their next answer.
+    pub clients: usize,
+    /// To backends, of which at most `idle` may stand idle.
+    pub backends: usize,
+    pub idle: usize,
+}
+
+impl Limits {
+    fn budgets(&self) -> Result<Budgets, String> {
+        let Limits { sockets, memory_mb } = *self;
+        let full = memory_mb.saturating_sub(OWN_MB) * 1024 / EXCHANGE_KB;
+        let room = sockets.saturating_sub(OWN_SOCKETS);
+        // Four of nine parts, with their eighth, are half of the room.
+        let (clients, backends) = ((room * 4 / 9).min(full), (room / 2).min(full));
+        if clients < LEAST || backends < LEAST {
+            return Err(format!("limits of {sockets} sockets and {memory_mb} MB leave no room to serve"));
+        }
+        Ok(Budgets { clients, backends, idle: backends / 2 })
     }
 }
 
@@ -57,9 +88,6 @@
         let setup = sparlug_setup::decode(text.settings.get().as_bytes())?;
         let known = text.known.map(|known| known.get().as_bytes().to_vec()).unwrap_or_default();
         let (name, listen, discovery) = (text.name, text.listen, text.discovery);
-        if text.limits.sockets < 32 {
-            return Err(format!("limits.sockets {} leaves no room to serve", text.limits.sockets));
-        }
-        Ok(Config { name, listen, discovery, seed, sockets: text.limits.sockets, known, setup })
+        Ok(Config { name, listen, discovery, seed, budgets: text.limits.budgets()?, known, setup })
     }
 }
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -9,8 +9,8 @@
 
 pub const HEAD_MOST: usize = 16 * 1024;
 pub const BODY_MOST: usize = 64 * 1024;
-/// With its framing a body may take up to twice its size.
-pub const MESSAGE_MOST: usize = HEAD_MOST + 2 * BODY_MOST;
+/// A head, a body, and what the framing of the body may take besides.
+pub const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + HEAD_MOST;
 const HEADERS: usize = 100;
 
 /// Why a message can't be used.
@@ -98,7 +98,7 @@
                 Err(_) => return Err(Bad::Malformed),
             };
             let size = usize::try_from(size).map_err(|_| Bad::BodyTooLarge)?;
-            if self.size.saturating_add(size) > most || self.at > 2 * most {
+            if self.size.saturating_add(size) > most {
                 return Err(Bad::BodyTooLarge);
             }
             if size == 0 {
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -11,7 +11,13 @@
 fn log() {
     let level = std::env::var("SPARLUG_LOG").ok().and_then(|level| level.parse::<LevelFilter>().ok());
     let level = level.unwrap_or(LevelFilter::INFO);
-    tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_ansi(false).init();
+    // Guards against a crash when nobody reads the log any more.
+    tracing_subscriber::fmt()
+        .log_internal_errors(false)
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .init();
 }
 
 fn main() -> ExitCode {
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -8,6 +8,7 @@
 use sparlug::id::BackendId;
 use sparlug::time::{Span, Time};
 
+use crate::config::Budgets;
 use crate::deadlines::DeadlineId;
 use crate::ending::Ending;
 use crate::http::{self, AnswerHead, BODY_MOST, MESSAGE_MOST};
@@ -57,14 +58,14 @@
 pub struct Pool {
     places: BTreeMap<BackendId, Place>,
     conns: Slots<OfConn, Conn>,
-    budget: usize,
+    budgets: Budgets,
     dial: Span,
     idle: Span,
 }
 
 impl Pool {
-    pub fn new(budget: usize, dial: Span, idle: Span) -> Pool {
-        Pool { places: BTreeMap::new(), conns: Slots::default(), budget, dial, idle: idle.scaled(IDLE_PART) }
+    pub fn new(budgets: Budgets, dial: Span, idle: Span) -> Pool {
+        Pool { places: BTreeMap::new(), conns: Slots::default(), budgets, dial, idle: idle.scaled(IDLE_PART) }
     }
 
     /// Takes in a change of the list.
@@ -149,7 +150,7 @@
         let Some(to) = self.places.get(&backend).map(|place| place.dial) else {
             return Err(Ending::Withdrawn);
         };
-        if self.conns.count() >= self.budget {
+        if self.conns.count() >= self.budgets.backends {
             // The connection that was idle for longest makes room.
             let idle = self.conns.iter().filter(|(_, conn)| matches!(conn.stage, Stage::Idle));
             let oldest = idle.min_by_key(|(_, conn)| conn.used).map(|(slot, _)| slot);
@@ -220,7 +221,12 @@
         let Some(head) = conn.head.take() else { return };
         let message = conn.link.used(head.length + head.body_length);
         let ending = Ending::Answered { status: head.status, not_started: head.not_started };
-        let keep = written && !head.close && !conn.link.ended && conn.link.input.is_empty();
+        let idle = self.places.values().map(|place| place.idle.len()).sum::<usize>();
+        let keep = idle < self.budgets.idle
+            && written
+            && !head.close
+            && !conn.link.ended
+            && conn.link.input.is_empty();
         conn.finish(ending, head.load, Some((head, message)), io);
         let place = self.places.get_mut(&conn.backend);
         match place.filter(|place| keep && place.condition == Condition::Ready) {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -27,8 +27,8 @@
 use crate::slots::Slots;
 
 const EVENTS: usize = 256;
+const OVERSLEPT: Span = Span::from_millis(3); // more than the timer's own coarseness
 const BACKLOG: i32 = 1024; // connections that may wait to be accepted
-const KEPT_FREE: usize = 24; // descriptors for the log, the loop, signals, the listener and discovery
 const ACCEPT_ON: Span = Span::from_millis(600); // how long new connections are taken after the word to go
 const GONE_BY: Span = Span::from_millis(500); // after the longest cut-off from then, nothing is owed any more
 
@@ -83,12 +83,11 @@
         let (now, deadlines, counters) = (clock.now(), Deadlines::default(), Counters::default());
         let mut io = Shared { registry, now, since: now, deadlines, counters, notes: Default::default() };
         let setup = config.setup;
-        let room = config.sockets - KEPT_FREE;
         let cut_offs: Vec<_> = setup.settings.tariffs.iter().map(|tariff| tariff.cut_off).collect();
         let longest = cut_offs.iter().copied().max().unwrap_or_default();
         let tariffs = Tariffs { names: setup.tariff_names, cut_offs };
-        let clients = Clients::new(Some(listener), tariffs, room * 4 / 9);
-        let pool = Pool::new(room / 2, setup.dial, setup.idle);
+        let clients = Clients::new(Some(listener), tariffs, config.budgets.clients);
+        let pool = Pool::new(config.budgets, setup.dial, setup.idle);
         let known = match config.known.is_empty() {
             true => None,
             false => Some(listing::decode(&config.known, &setup.zone_names)?),
@@ -141,9 +140,16 @@
                 _ => {}
             }
             self.io.now = self.clock.now();
-            // If it hardly waited, what is there may have come at any time since the last turn.
-            let waited = self.io.now.since(before) > Span::from_ms(0.05);
-            self.io.since = if waited { self.io.now } else { self.polled };
+            // If it hardly waited, what is there may have come at any time since the last turn; if it slept for
+            // longer than it meant to, at any time since it should have woken.
+            let waited = self.io.now.since(before);
+            let meant = wait.map_or(waited, |wait| Span::from_ms(wait.as_secs_f64() * 1000.0));
+            let long = waited > meant + OVERSLEPT;
+            self.io.since = match waited > Span::from_ms(0.05) {
+                true if long => before + meant,
+                true => self.io.now,
+                false => self.polled,
+            };
             self.polled = self.io.now;
             for event in events.iter() {
                 self.event(Owner::of(event.token()));
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -1,3 +1,4 @@
+#![allow(dead_code)] // each test program uses a part of it
 //! What the socket tests share: a proxy process on a free port, and the two sides it stands between.
 
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/proxy/tests/parts.rs
+++ b/crates/proxy/tests/parts.rs
@@ -1,5 +1,7 @@
 //! The parts that need no process: slots, deadlines, endings, lists, links and configurations.
 
+mod helper;
+
 use std::io::Read;
 
 use sparlug::event::{Condition, Outcome};
@@ -124,4 +126,16 @@
     assert!(config("10.0.0.1:1", "x", 64, "{}").contains("seed"));
     assert!(config("10.0.0.1:1", "1", 64, "{}").contains("settings: missing field"));
     assert!(Config::decode(b"{").is_err());
+    let limits = |sockets: u32, memory: u32| {
+        let text = format!(
+            r#"{{"name":"n","listen":"10.0.0.1:1","discovery":"10.0.0.1:1","seed":"1",
+            "limits":{{"sockets":{sockets},"memory_mb":{memory}}},"settings":{}}}"#,
+            helper::settings(100, "")
+        );
+        Config::decode(text.as_bytes()).map(|config| config.budgets)
+    };
+    assert!(limits(30, 192).is_err() && limits(1024, 24).is_err());
+    let wide = limits(1024, 192).unwrap();
+    assert!(wide.clients + wide.clients / 8 + wide.backends <= 1000 && wide.idle < wide.backends);
+    assert!(limits(1024, 64).unwrap().clients < wide.clients);
 }
