Go on with the watch when the agent closes a connection between two calls

Seen in a test: an agent that closes after each answer made every call fail, and the next came 250 to 750 ms later, past the 200 ms in which a watch goes on. At fault: Discovery::go_on, which took the end of a reused connection for a lost watch. Now the call is made again at once on a new connection; before 4 failures in 4 calls, after none.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -26,6 +26,8 @@
     turn: u32,
     head: Option<AnswerHead>,
     asked: bool,
+    /// The call went out on a connection that had brought an answer before.
+    reused: bool,
     since: Time,
     deadline: Option<DeadlineId>,
 }
@@ -34,7 +36,18 @@
     pub fn new(address: SocketAddr, zones: Vec<String>, version: Option<u64>) -> Discovery {
         let (link, head, deadline) = Default::default();
         let since = Time::default();
-        Discovery { address, zones, version, link, turn: 0, head, asked: false, since, deadline }
+        Discovery {
+            address,
+            zones,
+            version,
+            link,
+            turn: 0,
+            head,
+            asked: false,
+            reused: false,
+            since,
+            deadline,
+        }
     }
 
     /// Asks for what is newer than the list at hand, unless such a call is under way.
@@ -60,6 +73,7 @@
     }
 
     fn ask(&mut self, io: &mut Shared) {
+        self.reused = self.link.is_some();
         if self.link.is_none() {
             self.turn = self.turn.wrapping_add(1);
             match Link::dial(self.address, &io.registry, Owner::Discovery(self.turn).token()) {
@@ -121,11 +135,15 @@
             (Some(()), _) => self.listed(io),
             (None, Some(link)) if link.ended || trouble.is_some() => {
                 let why = trouble.map_or("connection ended".to_string(), |e| e.to_string());
-                // An idle connection may end; only a call that waits for its answer has failed.
-                if self.asked {
-                    self.failed(&why, io);
-                } else {
-                    self.stop(io);
+                let (asked, unheard) = (self.asked, self.reused && link.input.is_empty());
+                // An idle connection may end, also just as it is used again: guards against a watch that lapses
+                // because the agent closes each connection. Only a call that was heard, or a new one, has failed.
+                if asked && !unheard {
+                    return self.failed(&why, io);
+                }
+                self.stop(io);
+                if asked {
+                    self.ask(io);
                 }
             }
             _ => {}
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -291,6 +291,26 @@
     assert!((90..200).contains(&list(12, false, String::new()).as_millis()));
 }
 
+#[test]
+fn the_watch_goes_on_when_the_agent_closes_each_connection() {
+    let backend = backend();
+    let proxy = Proxy::start(&[&backend]);
+    for seq in 4..8 {
+        let mut agent = accept(&proxy.discovery);
+        assert!(message(&mut agent).starts_with(&format!("GET /v1/endpoints?index={seq}&wait=")));
+        let body = format!(
+            r#"{{"seq":{},"whole":false,"hosts":[{{"host":"h9","dial":"127.0.0.1:9","health":"Gone"}}]}}"#,
+            seq + 1
+        );
+        write(&mut agent, &answer("200 OK", "", &body));
+        // It waits for the next call, so that the connection surely ends while that is out.
+        message(&mut agent);
+    }
+    proxy.signal("-USR1");
+    let counters = proxy.logged("counters=");
+    assert!(counters.contains(" lists=4 lists_failed=0 "), "{counters}");
+}
+
 #[test]
 fn a_lost_watch_is_asked_for_again() {
     let backend = backend();
