--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -55,6 +55,7 @@
     /// Connections may be waiting to be accepted.
     waiting: bool,
     again: Option<DeadlineId>,
+    full: bool,
     pub ready: bool,
     /// The proxy is going down: answers say that the connection ends.
     pub leaving: bool,
@@ -62,8 +63,8 @@
 
 impl Clients {
     pub fn new(listener: Option<TcpListener>, tariffs: Tariffs, budget: usize) -> Clients {
-        let (clients, waiting, again) = Default::default();
-        Clients { listener, clients, tariffs, budget, waiting, again, ready: false, leaving: false }
+        let (clients, waiting, again, full) = Default::default();
+        Clients { listener, clients, tariffs, budget, waiting, again, full, ready: false, leaving: false }
     }
 
     /// Connections on which an answer may still be owed.
@@ -79,12 +80,16 @@
         self.waiting = true;
         while self.waiting {
             if !self.make_room(io) {
+                self.say_full(true);
                 return self.accept_again(io);
             }
             let Some(listener) = &self.listener else { return };
             match listener.accept() {
                 Ok((stream, _)) => self.add(stream, io),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => self.waiting = false,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.waiting = false;
+                    self.say_full(false);
+                }
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
                     tracing::warn!(error = %e, clients = self.clients.count(), "cannot accept");
@@ -119,6 +124,15 @@
         true
     }
 
+    /// One line for each change, not for each connection.
+    fn say_full(&mut self, full: bool) {
+        if std::mem::replace(&mut self.full, full) != full {
+            let (clients, owing) = (self.clients.count(), self.owing());
+            let now = if full { "no room for callers, new ones wait" } else { "room for callers again" };
+            tracing::info!(clients, owing, "{now}");
+        }
+    }
+
     /// Guards against spinning when there is no room or no descriptor: the next try is a deadline's.
     fn accept_again(&mut self, io: &mut Shared) {
         io.deadlines.call_off(self.again.take());
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -4,7 +4,7 @@
 use std::io;
 
 use mio::net::TcpListener;
-use mio::{Events, Interest, Poll};
+use mio::{Events, Interest, Poll, Registry};
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 use sparlug::event::{Action, Ended, Event, Exchange, Listing, Outcome};
@@ -62,6 +62,14 @@
     leaving: Option<Time>,
 }
 
+fn listen(config: &Config, registry: &Registry) -> io::Result<TcpListener> {
+    let mut listener = TcpListener::bind(config.listen)?;
+    // Guards against connections dropped unseen while the loop is busy: the usual 128 are soon waiting.
+    socket2::SockRef::from(&listener).listen(BACKLOG)?;
+    registry.register(&mut listener, Owner::Listener.token(), Interest::READABLE)?;
+    Ok(listener)
+}
+
 impl Proxy {
     pub fn new(config: Config) -> Result<Proxy, String> {
         let poll = Poll::new().map_err(|e| format!("cannot poll: {e}"))?;
@@ -70,14 +78,8 @@
             Signals::new([SIGTERM, SIGINT, SIGUSR1]).map_err(|e| format!("cannot hear signals: {e}"))?;
         let heard = registry.register(&mut signals, Owner::Signals.token(), Interest::READABLE);
         heard.map_err(|e| format!("cannot hear signals: {e}"))?;
-        let listen = config.listen;
-        let mut listener =
-            TcpListener::bind(listen).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-        // Guards against connections dropped unseen while the loop is busy: the usual 128 are soon waiting.
-        let waiting = socket2::SockRef::from(&listener).listen(BACKLOG);
-        waiting.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-        let heard = registry.register(&mut listener, Owner::Listener.token(), Interest::READABLE);
-        heard.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+        let listener = listen(&config, &registry);
+        let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
 
         let clock = Clock::start();
         let (now, deadlines, counters) = (clock.now(), Deadlines::default(), Counters::default());
@@ -124,7 +126,7 @@
         if follows {
             proxy.discovery.watch(&mut proxy.io);
         }
-        let listen = proxy.clients.address().unwrap_or(listen);
+        let listen = proxy.clients.address().unwrap_or(config.listen);
         tracing::info!(name = config.name, %listen, "serving");
         Ok(proxy)
     }
@@ -133,8 +135,8 @@
     pub fn run(mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(EVENTS);
         while !self.done() {
-            let wait = self.io.deadlines.wait(self.clock.now());
             let before = self.clock.now();
+            let wait = self.io.deadlines.wait(before);
             match self.poll.poll(&mut events, wait) {
                 Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
                 _ => {}
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -380,6 +380,8 @@
         once(&backend, Some(&answer("200 OK", "", "fine")));
     });
     assert!((0..50).any(|_| proxy.ask(&text).ends_with("fine")), "it serves as before");
+    proxy.logged("no room for callers, new ones wait");
+    proxy.logged("room for callers again");
     proxy.signal("-TERM");
     assert_eq!(proxy.end(), Some(0));
 }
