--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -291,6 +291,10 @@
         self.places.get(&backend).map(|place| place.dial)
     }
 
+    pub fn host(&self, backend: BackendId) -> Option<&str> {
+        self.places.get(&backend).map(|place| place.host.as_str())
+    }
+
     /// The host of the backend with whose id a text begins.
     pub fn host_in(&self, text: &str) -> Option<&str> {
         let id = text.split(' ').next()?;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -336,7 +336,10 @@
             return self.decide(Event::Checked { backend, outcome, took, load });
         };
         self.io.counters.ended(outcome);
-        tracing::debug!(exchange = exchange.0, %backend, ?ending, took = took.ms(), "forward ended");
+        if outcome != Outcome::Honoured {
+            let host = self.pool.host(backend);
+            tracing::debug!(exchange = exchange.0, host, ?ending, took = took.ms(), "forward ended");
+        }
         let slot = HeldSlot::from_number(exchange.0);
         if let Some(held) = self.held.get_mut(slot) {
             if let Some(out) = held.forwards.get_mut(usize::from(forward.0)) {
