--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -158,6 +158,22 @@
     }
 }
 
+#[test]
+fn an_idle_connection_is_dropped_well_before_the_backend_would() {
+    let backend = backend();
+    let proxy = Proxy::start_with(&[&backend], 1024, &settings(5000, r#","connIdleMs":600"#));
+    let mut client = proxy.connect();
+    write(&mut client, &request("POST", "/write", "4"));
+    let mut conn = accept(&backend);
+    message(&mut conn);
+    write(&mut conn, &answer("200 OK", "", "fine"));
+    message(&mut client);
+    let start = Instant::now();
+    assert_eq!(conn.read(&mut [0; 9]).unwrap(), 0);
+    let stood = start.elapsed().as_millis();
+    assert!((200..500).contains(&stood), "kept for a while, but not for long: {stood} ms");
+}
+
 #[test]
 fn a_client_that_goes_away_ends_its_forward() {
     let backend = backend();
