--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -131,7 +131,7 @@
             Err(why) => return self.failed(&why, io),
         };
         match (whole, &self.link) {
-            (Some(()), _) if !self.asked => self.failed("an answer that was not asked for", io),
+            (Some(()), _) if !self.asked => self.failed("more than was asked for", io),
             (Some(()), _) => self.listed(io),
             (None, Some(link)) if link.ended || trouble.is_some() => {
                 let why = trouble.map_or("connection ended".to_string(), |e| e.to_string());
@@ -165,6 +165,10 @@
     fn listed(&mut self, io: &mut Shared) {
         let (Some(head), Some(link)) = (self.head.take(), &mut self.link) else { return };
         let message = link.used(head.length + head.body_length);
+        // Guards against an agent that talks without being asked, answer upon answer.
+        if !link.input.is_empty() {
+            return self.failed("more than was asked for", io);
+        }
         if head.status != 200 {
             return self.failed(&format!("status {}", head.status), io);
         }
