--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -169,12 +169,8 @@
         Ok(slot)
     }
 
-    pub fn event(&mut self, slot: ConnSlot, io: &mut Shared) {
-        self.go_on(slot, io);
-    }
-
     /// Does all that the connection is ready for.
-    fn go_on(&mut self, slot: ConnSlot, io: &mut Shared) {
+    pub fn go_on(&mut self, slot: ConnSlot, io: &mut Shared) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
         if matches!(conn.stage, Stage::Dialling) {
             match conn.link.up() {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -174,7 +174,7 @@
             Owner::Signals => self.signalled(),
             Owner::Discovery(turn) => self.discovery.event(turn, &mut self.io),
             Owner::Client(slot) => self.clients.event(slot, &mut self.io),
-            Owner::Conn(slot) => self.pool.event(slot, &mut self.io),
+            Owner::Conn(slot) => self.pool.go_on(slot, &mut self.io),
         }
     }
 
