Shrink the callers' part where fewer descriptors are left than the limits say

Seen: a small probe with 30 descriptors and limits.sockets of 1,024: idle callers held all descriptors, and new ones waited for as long as they stayed. At fault: Clients::accept, which only tried again after EMFILE; idle connections left only at the budget. Ruled out: spinning (no CPU used meanwhile). Before: the new test's request gets no answer in 10 s; after: it is answered at once.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -92,7 +92,10 @@
                 }
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
-                    tracing::warn!(error = %e, clients = self.clients.count(), "cannot accept");
+                    // Guards against idle connections keeping all others out where fewer descriptors are left
+                    // than the limits said: the part for callers shrinks, and a quarter goes to backends.
+                    self.budget = (self.clients.count() * 3 / 4).max(1);
+                    tracing::warn!(error = %e, budget = self.budget, "cannot accept");
                     return self.accept_again(io);
                 }
             }
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -42,6 +42,16 @@
     }
 
     pub fn start_with(backends: &[&TcpListener], sockets: usize, settings: &str) -> Proxy {
+        Proxy::start_limited(backends, sockets, sockets, settings)
+    }
+
+    /// With fewer descriptors than the configuration says.
+    pub fn start_limited(
+        backends: &[&TcpListener],
+        sockets: usize,
+        descriptors: usize,
+        settings: &str,
+    ) -> Proxy {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let host = |(place, backend): (usize, &&TcpListener)| {
             let dial = backend.local_addr().unwrap();
@@ -55,7 +65,7 @@
             discovery.local_addr().unwrap(),
             hosts.join(",")
         );
-        let (mut child, log) = run(&config);
+        let (mut child, log) = run(&config, descriptors);
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| log.0.send(line)));
         let mut address = String::new();
@@ -109,12 +119,13 @@
 type Log = (std::sync::mpsc::Sender<String>, Receiver<String>);
 
 /// Starts the program with a configuration; its standard error is to be read.
-pub fn run(config: &str) -> (Child, Log) {
+pub fn run(config: &str, descriptors: usize) -> (Child, Log) {
     static COUNT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("sparlug-test-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_sparlug-proxy"));
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {descriptors}; exec $0"), env!("CARGO_BIN_EXE_sparlug-proxy")]);
     let child = command.env("ROUTER_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
     (child, channel())
 }
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -405,9 +405,22 @@
     assert_eq!(proxy.end(), Some(0));
 }
 
+#[test]
+fn idle_callers_do_not_keep_others_out_where_descriptors_are_short() {
+    let backend = backend();
+    let proxy = Proxy::start_limited(&[&backend], 1024, 40, &settings(5000, ""));
+    let idle: Vec<_> = (0..60).map(|_| proxy.connect()).collect();
+    proxy.logged("cannot accept");
+    std::thread::spawn(move || loop {
+        once(&backend, Some(&answer("200 OK", "", "fine")));
+    });
+    assert!(proxy.ask(&request("GET", "/read", "9")).ends_with("fine"));
+    drop(idle);
+}
+
 #[test]
 fn an_unusable_configuration_ends_it_with_one_line() {
-    let (child, _) = run("{\"name\": 3}");
+    let (child, _) = run("{\"name\": 3}", 64);
     let output = child.wait_with_output().unwrap();
     let text = String::from_utf8(output.stderr).unwrap();
     assert_eq!((output.status.code(), text.lines().count()), (Some(1), 1), "{text}");
