--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -343,15 +343,17 @@
         }
     }
 
-    /// Closes the connections on which nothing has begun.
-    pub fn close_idle(&mut self, io: &mut Shared) {
+    /// Closes the connections on which nothing is owed. A request that is not whole yet is turned back: what
+    /// came to its end later could not be answered any more.
+    pub fn let_go(&mut self, io: &mut Shared) {
         let slots: Vec<_> = self.clients.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
             // Guards against closing on a request that has come and was not read.
             self.event(slot, io);
-            let idle = |client: &Client| client.state == State::Reading && client.link.input.is_empty();
-            if self.clients.get(slot).is_some_and(idle) {
-                self.close(slot, io);
+            match self.clients.get(slot).filter(|client| client.state == State::Reading) {
+                None => {}
+                Some(client) if client.link.input.is_empty() => self.close(slot, io),
+                Some(_) => self.reply(slot, 503, true, io),
             }
         }
     }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -209,7 +209,7 @@
 
     fn leave(&mut self) {
         self.clients.stop_listening(&mut self.io);
-        self.clients.close_idle(&mut self.io);
+        self.clients.let_go(&mut self.io);
     }
 
     /// Whether it was told to go and owes nothing more.
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -264,6 +264,7 @@
     // SIGTERM. A busy machine is allowed 0.2 s more.
     let start = Instant::now();
     proxy.signal("-TERM");
+    assert_eq!(status(&message(&mut client)), 503);
     assert_eq!(proxy.end(), Some(0));
     assert!(start.elapsed() < Duration::from_millis(400 + 700 + 200), "{:?}", start.elapsed());
 }
