--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -136,8 +136,9 @@
             (None, Some(link)) if link.ended || trouble.is_some() => {
                 let why = trouble.map_or("connection ended".to_string(), |e| e.to_string());
                 let (asked, unheard) = (self.asked, self.reused && link.input.is_empty());
-                // An idle connection may end, also just as it is used again: guards against a watch that lapses
-                // because the agent closes each connection. Only a call that was heard, or a new one, has failed.
+                // An idle connection may end, also just as it is used again: guards against a watch that
+                // lapses because the agent closes each connection. Only a call that was heard, or one on a
+                // new connection, has failed.
                 if asked && !unheard {
                     return self.failed(&why, io);
                 }
