--- /dev/null
+++ b/crates/command/src/serve.rs
@@ -0,0 +1,68 @@
+//! `sparlug serve` and `sparlug check`: the proxy, and a look at its configuration.
+
+use std::path::{Path, PathBuf};
+
+use sparlug_proxy::config::{Config, Source};
+use sparlug_proxy::proxy::{hear_signals, Proxy};
+use sparlug_setup::native::LogFormat;
+use tracing_subscriber::EnvFilter;
+
+use crate::{Failed, Format};
+
+/// What the command line says of the log; a configuration may say it too, and the command line goes first.
+pub struct Logging {
+    pub filter: Option<String>,
+    pub format: Option<Format>,
+}
+
+impl Logging {
+    pub fn start(&self, filter: Option<&str>, format: Option<LogFormat>) -> Result<(), Failed> {
+        let from_environment = std::env::var("SPARLUG_LOG").ok();
+        let filter = self.filter.as_deref().or(from_environment.as_deref()).or(filter).unwrap_or("info");
+        let wanted =
+            |e| Failed::unusable(format!("--log {filter:?}: {e}; wanted a level or TARGET=LEVEL,..."));
+        let filter = EnvFilter::try_new(filter).map_err(wanted)?;
+        // Guards against a crash when nobody reads the log any more.
+        let log = tracing_subscriber::fmt()
+            .log_internal_errors(false)
+            .with_env_filter(filter)
+            .with_writer(std::io::stderr)
+            .with_ansi(false);
+        let json = match self.format {
+            Some(format) => format == Format::Json,
+            None => format == Some(LogFormat::Json),
+        };
+        if json {
+            log.json().init();
+        } else {
+            log.init();
+        }
+        Ok(())
+    }
+}
+
+pub fn serve(config: Option<PathBuf>, log: Logging) -> Result<(), Failed> {
+    // First of all: guards against a signal that comes before the program is up and ends it.
+    let signals = hear_signals().map_err(Failed::could_not)?;
+    let source = config.map_or(Source::Environment, Source::File);
+    let config = Config::read(&source).map_err(Failed::unusable)?;
+    log.start(config.log.as_deref(), Some(config.log_format))?;
+    let proxy = Proxy::new(config, source, signals).map_err(Failed::could_not)?;
+    proxy.run().map_err(|e| Failed::could_not(format!("cannot poll: {e}")))
+}
+
+pub fn check(file: &Path) -> Result<(), Failed> {
+    let config = Config::read(&Source::File(file.to_path_buf())).map_err(Failed::unusable)?;
+    let tariffs = config.setup.tariff_names.join(", ");
+    let list = match (config.discovery, &config.known) {
+        (Some(agent), _) => format!("backends from the agent at {agent}"),
+        (None, known) => format!("{} backends listed", known.as_ref().map_or(0, |list| list.entries.len())),
+    };
+    println!(
+        "{}: usable; {} listens on {}, {list}, tariffs {tariffs}",
+        file.display(),
+        config.name,
+        config.listen
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/agent.rs
@@ -0,0 +1,262 @@
+//! A stand-in agent of discovery for one tier: the list and the watch as the platform's protocol has them, one
+//! address for each proxy, with lag, silence, an old list, a version that jumps back, and a move.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::{At, Micros};
+use crate::hub::{ConnId, Gone, Hub, ListenerId, Part};
+use crate::message;
+use crate::record::What;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    pub host: String,
+    pub dial: SocketAddr,
+    pub site: String,
+    pub health: String,
+    pub share: f64,
+    pub born_ms: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Spec {
+    pub name: String,
+    /// One address for each proxy, by its name.
+    pub listen: Vec<(String, SocketAddr)>,
+    pub entries: Vec<Entry>,
+    pub lag: Micros,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Command {
+    Set(Entry),
+    /// Says nothing to this proxy any more.
+    Mute {
+        proxy: usize,
+        on: bool,
+    },
+    /// Goes on with the list as it is now, for this proxy.
+    Stale {
+        proxy: usize,
+        on: bool,
+    },
+    JumpBack {
+        by: u64,
+    },
+    Move {
+        proxy: usize,
+        to: SocketAddr,
+    },
+}
+
+#[derive(Debug)]
+pub enum Due {
+    Set(Entry),
+    Wait(ConnId, u64),
+}
+
+struct Side {
+    name: String,
+    listener: Option<ListenerId>,
+    mute: bool,
+    /// What it goes on with while it is stale.
+    frozen: Option<(u64, Vec<Entry>)>,
+}
+
+pub struct Agent {
+    spec: Spec,
+    sides: Vec<Side>,
+    version: u64,
+    entries: BTreeMap<String, Entry>,
+    /// Which version changed which host last, and how it stood then.
+    changes: Vec<(u64, Entry)>,
+    /// Watches that wait: the side, from which version, and the number of the call.
+    waiting: BTreeMap<ConnId, (usize, u64, u64)>,
+    conns: BTreeMap<ConnId, usize>,
+    calls: u64,
+}
+
+type Loop = Hub<Due>;
+
+impl Agent {
+    pub fn new(spec: Spec) -> Agent {
+        let entries = spec.entries.iter().map(|entry| (entry.host.clone(), entry.clone())).collect();
+        let (sides, changes, waiting, conns) = Default::default();
+        Agent { spec, sides, version: 1000, entries, changes, waiting, conns, calls: 0 }
+    }
+
+    fn set(&mut self, hub: &mut Loop, entry: Entry) {
+        self.version += 1;
+        if entry.health == "Gone" {
+            self.entries.remove(&entry.host);
+        } else {
+            self.entries.insert(entry.host.clone(), entry.clone());
+        }
+        self.changes.push((self.version, entry));
+        self.tell_all(hub);
+    }
+
+    fn tell_all(&mut self, hub: &mut Loop) {
+        let all: Vec<_> = self.waiting.iter().map(|(conn, (side, from, _))| (*conn, *side, *from)).collect();
+        for (conn, side, from) in all {
+            if !self.sides[side].mute && self.sides[side].frozen.is_none() && from != self.version {
+                self.waiting.remove(&conn);
+                self.tell(hub, conn, side, Some(from));
+            }
+        }
+    }
+
+    /// Writes the list, or what changed since a version.
+    fn tell(&mut self, hub: &mut Loop, conn: ConnId, side: usize, from: Option<u64>) {
+        let frozen = self.sides[side].frozen.clone();
+        let (version, entries) =
+            frozen.unwrap_or_else(|| (self.version, self.entries.values().cloned().collect::<Vec<_>>()));
+        let known = from.filter(|from| *from <= version && *from >= 1000);
+        let (whole, hosts) = match known {
+            None => (true, entries),
+            Some(from) => {
+                let changes = self.changes.iter().filter(|(at, _)| *at > from && *at <= version);
+                let mut last = BTreeMap::new();
+                changes.for_each(|(_, entry)| drop(last.insert(entry.host.clone(), entry.clone())));
+                (false, last.into_values().collect())
+            }
+        };
+        let body = serde_json::json!({ "seq": version, "whole": whole, "hosts": hosts }).to_string();
+        hub.write(
+            conn,
+            &message::write_answer(200, &[("Content-Type", "application/json".into())], body.as_bytes()),
+        );
+        let proxy = &self.sides[side].name;
+        for entry in hosts {
+            let (host, health) = (entry.host, entry.health);
+            hub.record(What::Told { proxy: proxy.clone(), host, health, seq: version });
+        }
+    }
+
+    fn calls_on(&mut self, hub: &mut Loop, conn: ConnId) {
+        let Some(side) = self.conns.get(&conn).copied() else { return };
+        if self.sides[side].mute {
+            return;
+        }
+        while let Ok(Some(call)) = message::request(hub.input(conn)) {
+            hub.take(conn, call.length);
+            let query = call.path.split_once('?').map_or("", |(_, query)| query);
+            let field = |name: &str| {
+                let found = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+                found.and_then(|value| value.parse::<u64>().ok())
+            };
+            if !call.path.starts_with("/v1/endpoints") {
+                hub.write(conn, &message::write_answer(404, &[], b""));
+                continue;
+            }
+            let version = self.sides[side].frozen.as_ref().map_or(self.version, |(version, _)| *version);
+            match (field("index"), field("wait")) {
+                (Some(from), Some(wait)) if from == version && wait > 0 => {
+                    self.calls += 1;
+                    self.waiting.insert(conn, (side, from, self.calls));
+                    hub.after(Micros::from_millis(wait.min(60_000) as i64), Due::Wait(conn, self.calls));
+                }
+                (from, _) => self.tell(hub, conn, side, from),
+            }
+        }
+    }
+
+    /// Takes up what came in while it was silent.
+    fn speak_again(&mut self, hub: &mut Loop, side: usize) {
+        let conns: Vec<_> = self.conns.iter().filter(|(_, of)| **of == side).map(|(conn, _)| *conn).collect();
+        conns.into_iter().for_each(|conn| self.calls_on(hub, conn));
+        self.tell_all(hub);
+    }
+}
+
+impl Part for Agent {
+    type Due = Due;
+    type Command = Command;
+
+    fn start(&mut self, hub: &mut Loop) -> io::Result<()> {
+        for (name, address) in self.spec.listen.clone() {
+            let listener = Some(hub.listen(address)?);
+            self.sides.push(Side { name, listener, mute: false, frozen: None });
+        }
+        Ok(())
+    }
+
+    fn accepted(&mut self, _hub: &mut Loop, on: ListenerId, conn: ConnId) {
+        if let Some(side) = self.sides.iter().position(|side| side.listener == Some(on)) {
+            self.conns.insert(conn, side);
+        }
+    }
+
+    fn read(&mut self, hub: &mut Loop, conn: ConnId) {
+        self.calls_on(hub, conn);
+    }
+
+    fn gone(&mut self, hub: &mut Loop, conn: ConnId, _how: Gone) {
+        hub.close(conn);
+        self.conns.remove(&conn);
+        self.waiting.remove(&conn);
+    }
+
+    fn due(&mut self, hub: &mut Loop, due: Due) {
+        match due {
+            Due::Set(entry) => self.set(hub, entry),
+            Due::Wait(conn, call) => {
+                let found =
+                    self.waiting.get(&conn).filter(|(side, _, c)| *c == call && !self.sides[*side].mute);
+                if let Some((side, from, _)) = found.copied() {
+                    self.waiting.remove(&conn);
+                    self.tell(hub, conn, side, Some(from));
+                }
+            }
+        }
+    }
+
+    fn command(&mut self, hub: &mut Loop, command: Command) {
+        match command {
+            Command::Set(entry) => {
+                let lag = self.spec.lag;
+                hub.after(lag, Due::Set(entry));
+            }
+            Command::Mute { proxy, on } => {
+                self.sides[proxy].mute = on;
+                self.speak_again(hub, proxy);
+            }
+            Command::Stale { proxy, on } => {
+                let now = (self.version, self.entries.values().cloned().collect());
+                self.sides[proxy].frozen = on.then_some(now);
+                self.speak_again(hub, proxy);
+            }
+            Command::JumpBack { by } => {
+                // As after the loss of its memory: fewer versions than before, all of them new.
+                self.version = self.version.saturating_sub(by);
+                self.changes.clear();
+                self.version = self.version.min(999);
+                self.tell_all(hub);
+            }
+            Command::Move { proxy, to } => {
+                if let Some(listener) = self.sides[proxy].listener.take() {
+                    hub.conns_of(listener).into_iter().for_each(|conn| {
+                        hub.close(conn);
+                        self.conns.remove(&conn);
+                        self.waiting.remove(&conn);
+                    });
+                    hub.unlisten(listener);
+                }
+                match hub.listen(to) {
+                    Ok(listener) => self.sides[proxy].listener = Some(listener),
+                    Err(e) => hub.record(What::Note { text: format!("agent cannot move to {to}: {e}") }),
+                }
+            }
+        }
+    }
+}
+
+/// Unix time in milliseconds of a point on the lab's clock.
+pub fn unix_ms(at: At) -> f64 {
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    unix.as_secs_f64() * 1000.0 - (At::now().0 - at.0) as f64 / 1000.0
+}
--- /dev/null
+++ b/crates/lab/src/clients.rs
@@ -0,0 +1,485 @@
+//! The callers: they send what the plan says when it says so, whatever became of what they sent before, and
+//! behave as real ones do: retries, kept connections, leaving early, slowness, nonsense.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::{At, Micros};
+use crate::hub::{ConnId, Gone, Hub, ListenerId, Part};
+use crate::message;
+use crate::plan::Intent;
+use crate::record::What;
+use crate::scenario::{Callers, Class, Effect};
+
+const DOWN: Micros = Micros::from_millis(300); // how long a target that refused is passed over
+const WAIT_ON: Micros = Micros::from_millis(250); // past the cut-off, to see what comes too late
+const DIAL: Micros = Micros::from_millis(1000);
+const SETTLE: Micros = Micros::from_millis(5000); // at the end, for what is still out
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Spec {
+    pub name: String,
+    pub classes: Vec<Class>,
+    pub callers: Callers,
+    pub intents: Vec<Intent>,
+    /// So many callers in a closed loop; 0 for an open one.
+    pub closed: usize,
+    /// Whose turn is drawn at random for each try instead of by caller.
+    pub scatter: bool,
+    pub targets: Vec<(String, SocketAddr)>,
+    pub start: At,
+    pub lasts: Micros,
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Command {
+    /// A target that may or may not be used.
+    Target { name: String, up: bool, address: Option<SocketAddr> },
+    /// All callers lose their connections and come back at once.
+    Herd,
+}
+
+#[derive(Debug)]
+pub enum Due {
+    Next,
+    Retry(usize, u16),
+    /// A try's time is up: to come up, to leave early, or for good.
+    DialLate(ConnId),
+    Leave(ConnId, u64),
+    Piece(ConnId, Vec<u8>),
+    ReadOn(ConnId),
+    Close(ConnId),
+    End,
+}
+
+struct Target {
+    name: String,
+    address: SocketAddr,
+    up: bool,
+    down_until: At,
+    kept: Vec<ConnId>,
+}
+
+/// One try of an intent.
+struct Try {
+    number: u64,
+    intent: usize,
+    try_no: u16,
+    id: String,
+    target: usize,
+    kept: bool,
+    up: bool,
+    sent: Option<At>,
+    cut_off: At,
+    /// It went out a second time, as the protocol has it for a connection that was closed under it.
+    again: bool,
+}
+
+pub struct Clients {
+    spec: Spec,
+    targets: Vec<Target>,
+    tries: BTreeMap<ConnId, Try>,
+    /// Kept connections with nothing out, and connections that are only watched to their end.
+    idle: BTreeMap<ConnId, usize>,
+    next: usize,
+    open: usize,
+    count: u64,
+    first_due: BTreeMap<usize, At>,
+    rng: ChaCha8Rng,
+    ended: bool,
+}
+
+type Loop = Hub<Due>;
+
+impl Clients {
+    pub fn new(spec: Spec) -> Clients {
+        let target = |(name, address): &(String, SocketAddr)| Target {
+            name: name.clone(),
+            address: *address,
+            up: true,
+            down_until: At::default(),
+            kept: Vec::new(),
+        };
+        let targets = spec.targets.iter().map(target).collect();
+        let rng = ChaCha8Rng::seed_from_u64(spec.seed ^ 0xca11e5);
+        let (tries, idle, first_due) = Default::default();
+        Clients { spec, targets, tries, idle, next: 0, open: 0, count: 0, first_due, rng, ended: false }
+    }
+
+    fn class(&self, intent: usize) -> &Class {
+        &self.spec.classes[self.spec.intents[intent].class]
+    }
+
+    fn choose(&mut self, intent: usize, now: At) -> Option<usize> {
+        let fit = |target: &Target| target.up && target.down_until <= now;
+        let all: Vec<usize> = (0..self.targets.len()).filter(|n| fit(&self.targets[*n])).collect();
+        if all.is_empty() {
+            return None;
+        }
+        let own = self.spec.intents[intent].caller % self.targets.len();
+        if self.spec.scatter {
+            return Some(all[self.rng.random_range(0..all.len())]);
+        }
+        Some(if all.contains(&own) { own } else { all[self.spec.intents[intent].caller % all.len()] })
+    }
+
+    fn begin(&mut self, hub: &mut Loop, intent: usize, due: At) {
+        self.first_due.insert(intent, due);
+        self.open += 1;
+        if self.spec.intents[intent].bad {
+            return self.nonsense(hub, intent);
+        }
+        self.attempt(hub, intent, 0);
+    }
+
+    fn id(&self, intent: usize, try_no: u16) -> String {
+        format!("{:x}-{intent:x}-{try_no}", self.spec.seed)
+    }
+
+    fn attempt(&mut self, hub: &mut Loop, intent: usize, try_no: u16) {
+        let Some(target) = self.choose(intent, hub.now) else {
+            return self.not_taken(hub, intent, try_no, "no target is up");
+        };
+        let keep = self.spec.callers.keep;
+        let kept = std::iter::from_fn(|| self.targets[target].kept.pop()).find(|conn| hub.is_open(*conn));
+        let kept = kept.filter(|_| keep);
+        if let Some(conn) = kept {
+            self.idle.remove(&conn);
+        }
+        let conn = match kept.map_or_else(|| hub.dial(self.targets[target].address), Ok) {
+            Ok(conn) => conn,
+            Err(e) => return self.not_taken(hub, intent, try_no, &e.to_string()),
+        };
+        self.count += 1;
+        let id = self.id(intent, try_no);
+        let (number, up) = (self.count, kept.is_some());
+        let (sent, cut_off, again) = (None, hub.now, false);
+        let attempt = Try { number, intent, try_no, id, target, kept: up, up, sent, cut_off, again };
+        self.tries.insert(conn, attempt);
+        if up {
+            self.send(hub, conn);
+        } else {
+            hub.after(DIAL, Due::DialLate(conn));
+        }
+    }
+
+    fn not_taken(&mut self, hub: &mut Loop, intent: usize, try_no: u16, why: &str) {
+        hub.record(What::NotTaken { id: self.id(intent, try_no), why: why.to_string() });
+        self.retry_or_over(hub, intent, try_no, true, None);
+    }
+
+    fn send(&mut self, hub: &mut Loop, conn: ConnId) {
+        let Some(attempt) = self.tries.get(&conn) else { return };
+        let (intent, id) = (attempt.intent, attempt.id.clone());
+        let class = self.class(intent).clone();
+        let mut headers = vec![("Request-Id", id), ("Request-Class", class.name.clone())];
+        headers.push(("Request-Timeout", format!("{:.3}", class.cut_off.secs())));
+        if self.spec.callers.marks && attempt.try_no > 0 {
+            headers.push(("Client-Retry", "1".to_string()));
+        }
+        let once = class.effect == Effect::AtMostOnce;
+        let (method, body) = if once { ("POST", vec![b'b'; class.body]) } else { ("GET", Vec::new()) };
+        let bytes =
+            message::write_request(method, &format!("/{}", class.name), "api.internal", &headers, &body);
+        if self.spec.intents[intent].slow_send {
+            return self.piece(hub, conn, bytes);
+        }
+        hub.write(conn, &bytes);
+        self.sent(hub, conn);
+    }
+
+    /// Sends a few bytes now and the rest later.
+    fn piece(&mut self, hub: &mut Loop, conn: ConnId, bytes: Vec<u8>) {
+        let (now, rest) = bytes.split_at(bytes.len().min(40));
+        hub.write(conn, now);
+        if rest.is_empty() {
+            self.sent(hub, conn);
+        } else {
+            hub.after(Micros::from_millis(60), Due::Piece(conn, rest.to_vec()));
+        }
+    }
+
+    /// Notes the moment at which the last byte was written.
+    fn sent(&mut self, hub: &mut Loop, conn: ConnId) {
+        if hub.unwritten(conn) > 0 {
+            return;
+        }
+        let Some(attempt) = self.tries.get(&conn).filter(|attempt| attempt.sent.is_none()) else { return };
+        let (intent, number) = (attempt.intent, attempt.number);
+        let class = self.class(intent).clone();
+        let (now, planned) = (At::now(), &self.spec.intents[intent]);
+        let (impatient, slow_read) = (planned.impatient, planned.slow_read);
+        let due = self.first_due.get(&intent).copied().unwrap_or(now);
+        let Some(attempt) = self.tries.get_mut(&conn) else { return };
+        (attempt.sent, attempt.cut_off) = (Some(now), now + class.cut_off);
+        let (id, to) = (attempt.id.clone(), self.targets[attempt.target].name.clone());
+        let (cut_off, try_no) = (attempt.cut_off, attempt.try_no);
+        hub.record(What::Sent { id, intent: intent as u64, class: class.name, to, due, cut_off, try_no });
+        if impatient {
+            hub.at(now + class.cut_off.scaled(self.spec.callers.leave_at), Due::Leave(conn, number));
+        }
+        if slow_read {
+            hub.pause(conn, true);
+            hub.at(now + class.cut_off.scaled(0.3), Due::ReadOn(conn));
+        }
+        hub.at(cut_off + WAIT_ON, Due::Leave(conn, number));
+    }
+
+    fn answered(&mut self, hub: &mut Loop, conn: ConnId, answer: message::Message) {
+        let Some(attempt) = self.tries.remove(&conn) else { return };
+        hub.take(conn, answer.length);
+        let retry_after_ms = answer.number("Retry-After").map(|seconds| seconds * 1000.0);
+        hub.record(What::Answered { id: attempt.id.clone(), status: answer.status, retry_after_ms });
+        // More than was asked for.
+        let more = hub.input(conn).len();
+        if more > 0 {
+            hub.record(What::Unasked { id: attempt.id.clone(), bytes: more });
+            hub.close(conn);
+        } else if answer.closes() || !self.spec.callers.keep {
+            self.idle.insert(conn, usize::MAX);
+            hub.after(Micros::from_millis(200), Due::Close(conn));
+        } else {
+            self.idle.insert(conn, attempt.target);
+            self.targets[attempt.target].kept.push(conn);
+        }
+        if answer.status == 200 {
+            return self.over(hub, attempt.intent, attempt.try_no, true);
+        }
+        let refused = matches!(answer.status, 429 | 503);
+        self.retry_or_over(hub, attempt.intent, attempt.try_no, refused, retry_after_ms);
+    }
+
+    /// `safe`: it is known that nothing was done.
+    fn retry_or_over(&mut self, hub: &mut Loop, intent: usize, try_no: u16, safe: bool, after: Option<f64>) {
+        let may = safe || self.class(intent).effect == Effect::Reissuable;
+        if !may || try_no >= self.spec.callers.retries || hub.now > self.spec.start + self.spec.lasts {
+            return self.over(hub, intent, try_no, false);
+        }
+        let honours = self.rng.random::<f64>() < self.spec.callers.honour;
+        let own = self.spec.callers.backoff.scaled(f64::from(1u32 << try_no.min(8)));
+        let own = own.scaled(0.5 + self.rng.random::<f64>());
+        let wait = after.filter(|_| honours).map_or(own, Micros::from_ms);
+        hub.after(wait, Due::Retry(intent, try_no + 1));
+    }
+
+    fn over(&mut self, hub: &mut Loop, intent: usize, try_no: u16, honoured: bool) {
+        let due = self.first_due.remove(&intent).unwrap_or(hub.now);
+        let class = self.class(intent).name.clone();
+        hub.record(What::Over { intent: intent as u64, class, due, honoured, tries: try_no + 1 });
+        self.open -= 1;
+        if self.spec.closed > 0 {
+            self.next_closed(hub);
+        }
+        self.end_if_done(hub);
+    }
+
+    fn end_if_done(&mut self, hub: &mut Loop) {
+        if self.ended && self.open == 0 {
+            hub.halt();
+        }
+    }
+
+    fn next_closed(&mut self, hub: &mut Loop) {
+        if !self.ended && self.next < self.spec.intents.len() && hub.now < self.spec.start + self.spec.lasts {
+            self.next += 1;
+            self.begin(hub, self.next - 1, hub.now);
+        }
+    }
+
+    /// The connection of a try ended with no whole answer.
+    fn lost(&mut self, hub: &mut Loop, conn: ConnId, how: Gone, any: bool) {
+        let Some(mut attempt) = self.tries.remove(&conn) else { return };
+        let (intent, try_no) = (attempt.intent, attempt.try_no);
+        if how == Gone::Refused || attempt.sent.is_none() {
+            if !attempt.kept {
+                self.targets[attempt.target].down_until = hub.now + DOWN;
+            }
+            hub.record(What::NotTaken { id: attempt.id, why: format!("{how:?}") });
+            return self.retry_or_over(hub, intent, try_no, true, None);
+        }
+        let once = self.class(intent).effect == Effect::AtMostOnce;
+        if attempt.kept && !any && !attempt.again && !once {
+            if let Ok(conn) = hub.dial(self.targets[attempt.target].address) {
+                hub.record(What::SentAgain { id: attempt.id.clone() });
+                (attempt.kept, attempt.again, attempt.up, attempt.sent) = (false, true, false, None);
+                self.tries.insert(conn, attempt);
+                return hub.after(DIAL, Due::DialLate(conn));
+            }
+        }
+        let on = if attempt.kept { "kept" } else { "new" };
+        hub.record(What::Lost { id: attempt.id, how: format!("{how:?} on a {on} connection") });
+        self.retry_or_over(hub, intent, try_no, false, None);
+    }
+
+    fn nonsense(&mut self, hub: &mut Loop, intent: usize) {
+        let bytes: Vec<u8> = match intent % 6 {
+            0 => (0..300).map(|_| self.rng.random()).collect(),
+            1 => b"GET /".to_vec(),
+            2 => b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n".to_vec(),
+            3 => b"GET /no-such-class HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\n\r\n".to_vec(),
+            4 => b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc".to_vec(),
+            _ => [b"GET / HTTP/1.1\r\nX: ".as_slice(), &[b'a'; 20_000]].concat(),
+        };
+        self.open -= 1;
+        self.first_due.remove(&intent);
+        let Some(target) = self.choose(intent, hub.now) else { return };
+        if let Ok(conn) = hub.dial(self.targets[target].address) {
+            hub.write(conn, &bytes);
+            hub.after(Micros::from_millis(1500), Due::Close(conn));
+        }
+    }
+}
+
+impl Part for Clients {
+    type Due = Due;
+    type Command = Command;
+
+    fn start(&mut self, hub: &mut Loop) -> io::Result<()> {
+        hub.at(self.spec.start, Due::Next);
+        hub.at(self.spec.start + self.spec.lasts, Due::End);
+        hub.at(self.spec.start + self.spec.lasts + SETTLE, Due::End);
+        Ok(())
+    }
+
+    fn accepted(&mut self, _hub: &mut Loop, _on: ListenerId, _conn: ConnId) {}
+
+    fn up(&mut self, hub: &mut Loop, conn: ConnId) {
+        if let Some(attempt) = self.tries.get_mut(&conn) {
+            attempt.up = true;
+            self.send(hub, conn);
+        }
+    }
+
+    fn written(&mut self, hub: &mut Loop, conn: ConnId) {
+        if self.tries.get(&conn).is_some_and(|attempt| !self.spec.intents[attempt.intent].slow_send) {
+            self.sent(hub, conn);
+        }
+    }
+
+    fn read(&mut self, hub: &mut Loop, conn: ConnId) {
+        if self.idle.contains_key(&conn) {
+            let bytes = hub.input(conn).len();
+            hub.take(conn, bytes);
+            return hub.record(What::Unasked { id: String::new(), bytes });
+        }
+        if !self.tries.contains_key(&conn) {
+            let bytes = hub.input(conn).len();
+            hub.take(conn, bytes);
+            return;
+        }
+        match message::answer(hub.input(conn)) {
+            Ok(None) => {}
+            Ok(Some(answer)) if answer.status < 200 => drop(hub.take(conn, answer.length)),
+            Ok(Some(answer)) => self.answered(hub, conn, answer),
+            Err(e) => {
+                hub.close(conn);
+                if let Some(attempt) = self.tries.remove(&conn) {
+                    hub.record(What::Lost { id: attempt.id, how: format!("no HTTP: {e}") });
+                    self.retry_or_over(hub, attempt.intent, attempt.try_no, false, None);
+                }
+            }
+        }
+    }
+
+    fn gone(&mut self, hub: &mut Loop, conn: ConnId, how: Gone) {
+        let any = !hub.input(conn).is_empty();
+        hub.close(conn);
+        if let Some(target) = self.idle.remove(&conn) {
+            if let Some(target) = self.targets.get_mut(target) {
+                target.kept.retain(|kept| *kept != conn);
+            }
+        }
+        self.lost(hub, conn, how, any);
+    }
+
+    fn due(&mut self, hub: &mut Loop, due: Due) {
+        match due {
+            Due::Next if self.spec.closed > 0 => {
+                for _ in 0..self.spec.closed {
+                    self.next_closed(hub);
+                }
+            }
+            Due::Next => {
+                while self.next < self.spec.intents.len() {
+                    let at = self.spec.start + self.spec.intents[self.next].at;
+                    if at > hub.now {
+                        return hub.at(at, Due::Next);
+                    }
+                    self.next += 1;
+                    self.begin(hub, self.next - 1, at);
+                }
+            }
+            Due::Retry(intent, try_no) => self.attempt(hub, intent, try_no),
+            Due::DialLate(conn) => {
+                if self.tries.get(&conn).is_some_and(|attempt| !attempt.up) {
+                    hub.close(conn);
+                    self.lost(hub, conn, Gone::Refused, false);
+                }
+            }
+            Due::Leave(conn, number) => {
+                let Some(attempt) = self.tries.get(&conn).filter(|attempt| attempt.number == number) else {
+                    return;
+                };
+                let (intent, try_no, own) = (attempt.intent, attempt.try_no, hub.now < attempt.cut_off);
+                hub.record(What::GaveUp { id: attempt.id.clone(), own });
+                self.tries.remove(&conn);
+                hub.close(conn);
+                if own {
+                    self.over(hub, intent, try_no, false);
+                } else {
+                    self.retry_or_over(hub, intent, try_no, false, None);
+                }
+            }
+            Due::Piece(conn, bytes) => {
+                if self.tries.contains_key(&conn) {
+                    self.piece(hub, conn, bytes);
+                }
+            }
+            Due::ReadOn(conn) => hub.pause(conn, false),
+            Due::Close(conn) => {
+                if !self.tries.contains_key(&conn) {
+                    self.idle.remove(&conn);
+                    hub.close(conn);
+                }
+            }
+            Due::End if self.ended => hub.halt(),
+            Due::End => {
+                self.ended = true;
+                self.end_if_done(hub);
+            }
+        }
+    }
+
+    fn command(&mut self, hub: &mut Loop, command: Command) {
+        match command {
+            Command::Target { name, up, address } => {
+                if let Some(target) = self.targets.iter_mut().find(|target| target.name == name) {
+                    target.up = up;
+                    target.address = address.unwrap_or(target.address);
+                }
+            }
+            Command::Herd => {
+                let all: Vec<_> = self.idle.keys().copied().collect();
+                for conn in all {
+                    self.idle.remove(&conn);
+                    hub.close(conn);
+                }
+                for target in 0..self.targets.len() {
+                    let lost = std::mem::take(&mut self.targets[target].kept).len();
+                    for _ in 0..lost {
+                        if let Ok(conn) = hub.dial(self.targets[target].address) {
+                            self.idle.insert(conn, target);
+                            self.targets[target].kept.push(conn);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,325 @@
+//! A scenario's variants and seeds, run paired and interleaved, and what comes of them together.
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ledger::{self, Verdict};
+use crate::outcome::Figures;
+use crate::record;
+use crate::scenario::{Scenario, Source, Variant};
+use crate::world::{self, Failure, Ran};
+
+/// Of the JSON results; goes up when a field changes its meaning.
+pub const SCHEMA: u32 = 1;
+
+pub struct Plan {
+    pub source: Source,
+    pub seed: Option<u64>,
+    pub seeds: u64,
+    pub short: bool,
+    pub program: PathBuf,
+    /// Where records stay; without it they go with the run.
+    pub out: Option<PathBuf>,
+    pub stop: Arc<AtomicBool>,
+}
+
+/// One run of one variant.
+pub struct Run {
+    pub variant: String,
+    pub seed: u64,
+    pub lawless: bool,
+    pub scenario: Scenario,
+    pub ran: Ran,
+    pub figures: Figures,
+    pub verdict: Verdict,
+    pub missed: Vec<String>,
+    /// The breaches' timelines, as they are printed.
+    pub timelines: Vec<String>,
+}
+
+/// A ratio between two variants over all seeds.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Ratio {
+    pub figure: String,
+    pub of: String,
+    pub to: String,
+    /// The median over the seeds, and how far they spread.
+    pub ratio: f64,
+    pub least: f64,
+    pub most: f64,
+    pub missed: Option<String>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RunResult {
+    pub variant: String,
+    pub seed: u64,
+    pub lawless: bool,
+    pub rules_broken: usize,
+    pub breaches: Vec<String>,
+    pub taken: usize,
+    pub excused: usize,
+    pub crossed: usize,
+    pub late_p99_us: i64,
+    pub late_max_us: i64,
+    /// The machine was too busy for times to be judged.
+    pub unsure: bool,
+    pub missed: Vec<String>,
+    pub figures: Figures,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Results {
+    pub schema: u32,
+    pub scenario: String,
+    pub lasts_s: f64,
+    /// Of all runs whose rules are judged.
+    pub rules_broken: usize,
+    pub bounds_missed: usize,
+    pub unsure: bool,
+    pub runs: Vec<RunResult>,
+    pub ratios: Vec<Ratio>,
+}
+
+impl Results {
+    /// The exit status that they come to.
+    pub fn status(&self) -> u8 {
+        match self {
+            r if r.rules_broken > 0 => 3,
+            r if r.bounds_missed > 0 && r.unsure => 1,
+            r if r.bounds_missed > 0 => 4,
+            _ => 0,
+        }
+    }
+}
+
+impl Plan {
+    /// Checks all that can be checked before anything is started.
+    pub fn variants(&self) -> Result<Vec<(Variant, Scenario)>, String> {
+        let base = self.source.scenario(None, self.short)?;
+        let plain =
+            Variant { name: "sparlug".to_string(), set: toml::Table::new(), bounds: None, lawless: false };
+        let variants = if base.variants.is_empty() { vec![plain] } else { base.variants.clone() };
+        let with = |variant: Variant| {
+            let scenario = self.source.scenario(Some(&variant), self.short)?;
+            Ok((variant, scenario))
+        };
+        variants.into_iter().map(with).collect()
+    }
+
+    /// Runs all; `progress` is told how many runs are done, of how many, and what part of the present one.
+    pub fn run(&self, progress: &mut dyn FnMut(usize, usize, f64, &str)) -> Result<Vec<Run>, Failure> {
+        let variants = self.variants().map_err(Failure::Unusable)?;
+        let first = self.seed.unwrap_or_else(|| variants.first().map_or(1, |(_, scenario)| scenario.seed));
+        let total = variants.len() * self.seeds as usize;
+        let scratch = Scratch::new(self.out.as_deref()).map_err(Failure::CouldNot)?;
+        let mut runs = Vec::new();
+        for seed in first..first + self.seeds {
+            for (variant, scenario) in &variants {
+                let done = runs.len();
+                let dir = scratch.dir.join(format!("{}-{seed}", variant.name.replace(['/', ' '], "-")));
+                let (program, stop) = (self.program.clone(), self.stop.clone());
+                let options = world::Options { program, dir, stop };
+                let mut told = |part: f64| progress(done, total, part, &variant.name);
+                let ran = world::run(scenario, seed, &options, &mut told)?;
+                let run = Run::of(variant, scenario.clone(), seed, ran).map_err(Failure::CouldNot)?;
+                runs.push(run);
+                if self.out.is_none() {
+                    let _ = std::fs::remove_dir_all(&options.dir);
+                }
+            }
+        }
+        Ok(runs)
+    }
+}
+
+/// A folder that goes when the runs are over, unless it was asked for.
+struct Scratch {
+    dir: PathBuf,
+    keep: bool,
+}
+
+impl Scratch {
+    fn new(out: Option<&Path>) -> Result<Scratch, String> {
+        let scratch = || {
+            use std::sync::atomic::{AtomicU32, Ordering};
+            static COUNT: AtomicU32 = AtomicU32::new(0);
+            let count = COUNT.fetch_add(1, Ordering::Relaxed);
+            std::env::temp_dir().join(format!("sparlug-lab-{}-{count}", std::process::id()))
+        };
+        let dir = out.map_or_else(scratch, Path::to_path_buf);
+        std::fs::create_dir_all(&dir).map_err(|e| format!("cannot write to {}: {e}", dir.display()))?;
+        let dir = dir.canonicalize().map_err(|e| format!("{}: {e}", dir.display()))?;
+        Ok(Scratch { dir, keep: out.is_some() })
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        if !self.keep {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+impl Run {
+    fn of(variant: &Variant, scenario: Scenario, seed: u64, ran: Ran) -> Result<Run, String> {
+        let records = record::read(&world::records_of(&ran.dir))?;
+        let verdict = ledger::judge(&records, &scenario);
+        let figures = Figures::of(&records, &scenario, ran.start);
+        let mut missed = figures.missed(&scenario.bounds);
+        if figures.intents == 0 {
+            missed.push("no intent was ever over: nothing was measured".to_string());
+        }
+        let mut timelines = Vec::new();
+        for breach in verdict.breaches.iter().take(5) {
+            let at = (breach.at.0 - ran.start.0) as f64 / 1000.0;
+            timelines.push(format!("rule broken: {}, at {at:.1} ms: {}", breach.rule.name(), breach.text));
+            if let Some(id) = &breach.id {
+                let logs = logs_of(&ran.dir);
+                timelines.extend(
+                    ledger::timeline(&records, id, ran.start, &logs).into_iter().map(|l| format!("    {l}")),
+                );
+            }
+        }
+        let (variant, lawless) = (variant.name.clone(), variant.lawless);
+        Ok(Run { variant, seed, lawless, scenario, ran, figures, verdict, missed, timelines })
+    }
+
+    fn result(&self) -> RunResult {
+        let v = &self.verdict;
+        RunResult {
+            variant: self.variant.clone(),
+            seed: self.seed,
+            lawless: self.lawless,
+            rules_broken: v.breaches.len(),
+            breaches: v.breaches.iter().take(50).map(|b| format!("{}: {}", b.rule.name(), b.text)).collect(),
+            taken: v.taken,
+            excused: v.excused,
+            crossed: v.crossed,
+            late_p99_us: v.late_p99.0,
+            late_max_us: v.late.0,
+            unsure: v.unsure(),
+            missed: self.missed.clone(),
+            figures: self.figures.clone(),
+        }
+    }
+}
+
+fn logs_of(dir: &Path) -> Vec<(String, String)> {
+    let files = std::fs::read_dir(dir).into_iter().flatten().flatten().map(|entry| entry.path());
+    let logs = files.filter(|path| path.extension().is_some_and(|e| e == "log"));
+    let read = |path: PathBuf| {
+        let name = path.file_stem()?.to_string_lossy().into_owned();
+        Some((name, std::fs::read_to_string(&path).ok()?))
+    };
+    logs.filter_map(read).collect()
+}
+
+/// Sums the runs up.
+pub fn results(runs: &[Run]) -> Results {
+    let scenario = runs.first().map(|run| &run.scenario);
+    let of = |variant: &str, figure: &str| -> Vec<(u64, f64)> {
+        let own = runs.iter().filter(|run| run.variant == variant);
+        own.filter_map(|run| Some((run.seed, run.figures.get(figure)?))).collect()
+    };
+    let mut ratios = Vec::new();
+    for compare in scenario.iter().flat_map(|scenario| &scenario.compares) {
+        let (a, b) = (of(&compare.of, &compare.figure), of(&compare.to, &compare.figure));
+        let mut all: Vec<f64> = Vec::new();
+        for (seed, value) in a {
+            let other = b.iter().find(|(other, _)| *other == seed);
+            all.extend(other.filter(|(_, other)| *other != 0.0).map(|(_, other)| value / other));
+        }
+        all.sort_by(f64::total_cmp);
+        let ratio = all.get(all.len() / 2).copied().unwrap_or(f64::NAN);
+        let words = || format!("{} of {} to {} is {ratio:.3}", compare.figure, compare.of, compare.to);
+        let high = compare.most.filter(|most| ratio > *most || ratio.is_nan());
+        let low = compare.least.filter(|least| ratio < *least || ratio.is_nan());
+        let high = high.map(|most| format!("{}, wanted at most {most}", words()));
+        let missed = high.or_else(|| low.map(|least| format!("{}, wanted at least {least}", words())));
+        ratios.push(Ratio {
+            figure: compare.figure.clone(),
+            of: compare.of.clone(),
+            to: compare.to.clone(),
+            ratio,
+            least: all.first().copied().unwrap_or(f64::NAN),
+            most: all.last().copied().unwrap_or(f64::NAN),
+            missed,
+        });
+    }
+    let judged = runs.iter().filter(|run| !run.lawless);
+    Results {
+        schema: SCHEMA,
+        scenario: scenario.map(|scenario| scenario.name.clone()).unwrap_or_default(),
+        lasts_s: scenario.map_or(0.0, |scenario| scenario.lasts.secs()),
+        rules_broken: judged.map(|run| run.verdict.breaches.len()).sum(),
+        bounds_missed: runs.iter().map(|run| run.missed.len()).sum::<usize>()
+            + ratios.iter().filter(|ratio| ratio.missed.is_some()).count(),
+        unsure: runs.iter().any(|run| run.verdict.unsure()),
+        runs: runs.iter().map(Run::result).collect(),
+        ratios,
+    }
+}
+
+/// The table at the end of a run.
+pub fn table(results: &Results) -> String {
+    let mut out = format!(
+        "{:<14} {:>6} {:>8} {:>9} {:>9} {:>8} {:>8} {:>8} {:>7} {:>7} {:>6}\n",
+        "variant",
+        "seed",
+        "intents",
+        "honoured",
+        "at end",
+        "p50 ms",
+        "p99 ms",
+        "refused",
+        "failed",
+        "amplif.",
+        "rules"
+    );
+    for run in &results.runs {
+        let f = &run.figures;
+        let rules = match run.rules_broken {
+            0 => "kept".to_string(),
+            n if run.lawless => format!("({n})"),
+            n => n.to_string(),
+        };
+        out += &format!(
+            "{:<14} {:>6} {:>8} {:>8.2}% {:>8.2}% {:>8.1} {:>8.1} {:>8} {:>7} {:>7.2} {:>6}\n",
+            run.variant,
+            run.seed,
+            f.intents,
+            100.0 * f.honoured_share,
+            100.0 * f.end_honoured_share,
+            f.p50_ms,
+            f.p99_ms,
+            f.turned_back,
+            f.forfeited + f.lost,
+            f.amplification,
+            rules
+        );
+    }
+    for r in &results.ratios {
+        let (figure, of, to) = (&r.figure, &r.of, &r.to);
+        out +=
+            &format!("{figure}, {of} to {to}: {:.3} ({:.3} to {:.3} over seeds)\n", r.ratio, r.least, r.most);
+    }
+    for run in results.runs.iter().filter(|run| run.unsure) {
+        let late = run.late_p99_us as f64 / 1000.0;
+        out += &format!(
+            "{} {}: the machine was too busy, the lab itself ran {late:.1} ms late (p99)\n",
+            run.variant, run.seed
+        );
+    }
+    let missed = results
+        .runs
+        .iter()
+        .flat_map(|run| run.missed.iter().map(|m| format!("{} {}: {m}", run.variant, run.seed)));
+    let missed = missed.chain(results.ratios.iter().filter_map(|r| r.missed.clone()));
+    missed.for_each(|line| out += &format!("bound missed: {line}\n"));
+    out
+}
--- /dev/null
+++ b/crates/lab/src/hub.rs
@@ -0,0 +1,407 @@
+//! One loop over sockets and timers, on which a part of the world runs. A part is told what happened and acts
+//! on its hub; it never waits.
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::mpsc::{Receiver, TryRecvError};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+use slab::Slab;
+
+use crate::clock::{At, Micros};
+use crate::record::{Recorder, What};
+
+const WAKER: Token = Token(0);
+const PIECE: usize = 64 * 1024;
+const BACKLOG: i32 = 1024;
+
+/// A connection of a hub; one that has ended is never named again by another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ConnId(u64);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ListenerId(usize);
+
+/// How the other side ended a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gone {
+    /// It never came up.
+    Refused,
+    Reset,
+    /// It ended its sending; what is queued may still be written.
+    Closed,
+}
+
+pub trait Part {
+    type Due;
+    type Command;
+
+    fn start(&mut self, hub: &mut Hub<Self::Due>) -> io::Result<()>;
+    fn accepted(&mut self, _hub: &mut Hub<Self::Due>, _on: ListenerId, _conn: ConnId) {}
+    fn up(&mut self, _hub: &mut Hub<Self::Due>, _conn: ConnId) {}
+    /// Bytes came; they wait in the hub.
+    fn read(&mut self, hub: &mut Hub<Self::Due>, conn: ConnId);
+    /// All that was queued is written.
+    fn written(&mut self, _hub: &mut Hub<Self::Due>, _conn: ConnId) {}
+    /// The other side ended. Unless it was `Closed`, the connection is no more.
+    fn gone(&mut self, hub: &mut Hub<Self::Due>, conn: ConnId, how: Gone);
+    fn due(&mut self, hub: &mut Hub<Self::Due>, due: Self::Due);
+    fn command(&mut self, hub: &mut Hub<Self::Due>, command: Self::Command);
+    /// The run is over.
+    fn stop(&mut self, _hub: &mut Hub<Self::Due>) {}
+}
+
+struct Conn {
+    stream: TcpStream,
+    id: u64,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    at: usize,
+    up: bool,
+    paused: bool,
+    ended: bool,
+    on: Option<ListenerId>,
+}
+
+pub struct Hub<D> {
+    poll: Poll,
+    conns: Slab<Conn>,
+    listeners: Slab<(TcpListener, bool)>,
+    timers: BTreeMap<(At, u64), D>,
+    count: u64,
+    pub now: At,
+    late: Histogram<u64>,
+    again: Vec<ConnId>,
+    /// Listeners that take connections again: what waits brings no event of its own.
+    accept_again: Vec<ListenerId>,
+    pub recorder: Recorder,
+    stopping: bool,
+}
+
+impl<D> Hub<D> {
+    pub fn new(recorder: Recorder) -> io::Result<Hub<D>> {
+        let late = Histogram::new_with_bounds(1, 60_000_000, 2).map_err(io::Error::other)?;
+        Ok(Hub {
+            poll: Poll::new()?,
+            conns: Slab::new(),
+            listeners: Slab::new(),
+            timers: BTreeMap::new(),
+            count: 0,
+            now: At::now(),
+            late,
+            again: Vec::new(),
+            accept_again: Vec::new(),
+            recorder,
+            stopping: false,
+        })
+    }
+
+    pub fn waker(&self) -> io::Result<Arc<Waker>> {
+        Ok(Arc::new(Waker::new(self.poll.registry(), WAKER)?))
+    }
+
+    pub fn record(&self, what: What) {
+        self.recorder.write(At::now(), what);
+    }
+
+    pub fn listen(&mut self, address: SocketAddr) -> io::Result<ListenerId> {
+        let mut listener = TcpListener::bind(address)?;
+        socket2::SockRef::from(&listener).listen(BACKLOG)?;
+        let entry = self.listeners.vacant_entry();
+        let key = entry.key();
+        self.poll.registry().register(&mut listener, Token(key * 2 + 1), Interest::READABLE)?;
+        entry.insert((listener, true));
+        Ok(ListenerId(key))
+    }
+
+    /// New connections are refused from here on.
+    pub fn unlisten(&mut self, id: ListenerId) {
+        if self.listeners.contains(id.0) {
+            let (mut listener, _) = self.listeners.remove(id.0);
+            let _ = self.poll.registry().deregister(&mut listener);
+        }
+    }
+
+    /// Whether connections that the kernel has accepted are taken.
+    pub fn accepting(&mut self, id: ListenerId, accepting: bool) {
+        if let Some((_, on)) = self.listeners.get_mut(id.0) {
+            *on = accepting;
+            self.accept_again.push(id);
+        }
+    }
+
+    pub fn dial(&mut self, to: SocketAddr) -> io::Result<ConnId> {
+        let stream = TcpStream::connect(to)?;
+        self.add(stream, false, None)
+    }
+
+    fn add(&mut self, mut stream: TcpStream, up: bool, on: Option<ListenerId>) -> io::Result<ConnId> {
+        self.count += 1;
+        let entry = self.conns.vacant_entry();
+        let key = entry.key();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, Token(key * 2 + 2), interest)?;
+        let _ = stream.set_nodelay(true);
+        let id = self.count << 20 | key as u64;
+        let (input, output) = Default::default();
+        entry.insert(Conn { stream, id, input, output, at: 0, up, paused: false, ended: false, on });
+        Ok(ConnId(id))
+    }
+
+    fn conn(&mut self, id: ConnId) -> Option<&mut Conn> {
+        let conn = self.conns.get_mut((id.0 & 0xf_ffff) as usize)?;
+        Some(conn).filter(|conn| conn.id == id.0)
+    }
+
+    pub fn is_open(&mut self, id: ConnId) -> bool {
+        self.conn(id).is_some()
+    }
+
+    /// The bytes that came and were not taken.
+    pub fn input(&mut self, id: ConnId) -> &[u8] {
+        self.conn(id).map(|conn| conn.input.as_slice()).unwrap_or_default()
+    }
+
+    pub fn take(&mut self, id: ConnId, bytes: usize) -> Vec<u8> {
+        let Some(conn) = self.conn(id) else { return Vec::new() };
+        let rest = conn.input.split_off(bytes.min(conn.input.len()));
+        std::mem::replace(&mut conn.input, rest)
+    }
+
+    /// Bytes that still wait to be written.
+    pub fn unwritten(&mut self, id: ConnId) -> usize {
+        self.conn(id).map_or(0, |conn| conn.output.len() - conn.at)
+    }
+
+    /// Queues bytes; they go out in this turn of the loop or when there is room.
+    pub fn write(&mut self, id: ConnId, bytes: &[u8]) {
+        if let Some(conn) = self.conn(id) {
+            conn.output.extend_from_slice(bytes);
+            let _ = flush(conn);
+        }
+    }
+
+    /// Stops reading from a connection, or goes on.
+    pub fn pause(&mut self, id: ConnId, paused: bool) {
+        if let Some(conn) = self.conn(id) {
+            let was = std::mem::replace(&mut conn.paused, paused);
+            if was && !paused {
+                self.again.push(id);
+            }
+        }
+    }
+
+    pub fn end_sending(&mut self, id: ConnId) {
+        if let Some(conn) = self.conn(id) {
+            let _ = conn.stream.shutdown(Shutdown::Write);
+        }
+    }
+
+    pub fn close(&mut self, id: ConnId) {
+        if self.conn(id).is_some() {
+            let mut conn = self.conns.remove((id.0 & 0xf_ffff) as usize);
+            let _ = flush(&mut conn);
+            let _ = self.poll.registry().deregister(&mut conn.stream);
+        }
+    }
+
+    /// Closes with a reset: what is unread or unwritten is thrown away.
+    pub fn reset(&mut self, id: ConnId) {
+        if let Some(conn) = self.conn(id) {
+            let _ = socket2::SockRef::from(&conn.stream).set_linger(Some(Duration::ZERO));
+            conn.output.clear();
+            conn.at = 0;
+            self.close(id);
+        }
+    }
+
+    pub fn conns(&self) -> Vec<ConnId> {
+        self.conns.iter().map(|(_, conn)| ConnId(conn.id)).collect()
+    }
+
+    /// The connections that came in by a listener.
+    pub fn conns_of(&self, on: ListenerId) -> Vec<ConnId> {
+        self.conns.iter().filter(|(_, conn)| conn.on == Some(on)).map(|(_, conn)| ConnId(conn.id)).collect()
+    }
+
+    pub fn at(&mut self, when: At, due: D) {
+        self.count += 1;
+        self.timers.insert((when, self.count), due);
+    }
+
+    pub fn after(&mut self, span: Micros, due: D) {
+        self.at(self.now + span, due);
+    }
+
+    pub fn halt(&mut self) {
+        self.stopping = true;
+    }
+}
+
+fn flush(conn: &mut Conn) -> io::Result<bool> {
+    if !conn.up {
+        return Ok(false);
+    }
+    while conn.at < conn.output.len() {
+        match conn.stream.write(&conn.output[conn.at..]) {
+            Ok(n) => conn.at += n,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+            Err(e) => return Err(e),
+        }
+    }
+    conn.output.clear();
+    conn.at = 0;
+    Ok(true)
+}
+
+/// Runs a part until it halts or the other end of its commands is gone.
+pub fn run<P: Part>(
+    part: &mut P,
+    hub: &mut Hub<P::Due>,
+    commands: &Receiver<P::Command>,
+    ready: impl FnOnce(),
+) -> io::Result<()> {
+    part.start(hub)?;
+    ready();
+    let mut events = Events::with_capacity(1024);
+    while !hub.stopping {
+        let wait = match hub.timers.first_key_value() {
+            _ if !hub.again.is_empty() || !hub.accept_again.is_empty() => Some(Duration::ZERO),
+            Some(((at, _), _)) => Some(at.since(At::now()).duration()),
+            None => None,
+        };
+        match hub.poll.poll(&mut events, wait) {
+            Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
+            _ => {}
+        }
+        hub.now = At::now();
+        for event in events.iter() {
+            match event.token().0 {
+                0 => {}
+                odd if odd % 2 == 1 => accept(part, hub, ListenerId(odd / 2)),
+                even => {
+                    if let Some(id) = hub.conns.get(even / 2 - 1).map(|conn| ConnId(conn.id)) {
+                        serve(part, hub, id);
+                    }
+                }
+            }
+        }
+        for id in std::mem::take(&mut hub.again) {
+            serve(part, hub, id);
+        }
+        for id in std::mem::take(&mut hub.accept_again) {
+            accept(part, hub, id);
+        }
+        loop {
+            match commands.try_recv() {
+                Ok(command) => part.command(hub, command),
+                Err(TryRecvError::Empty) => break,
+                Err(TryRecvError::Disconnected) => {
+                    hub.stopping = true;
+                    break;
+                }
+            }
+        }
+        hub.now = At::now();
+        // Only what was set before this turn: guards against a timer that sets itself again at once.
+        let before = hub.count;
+        while let Some(first) = hub.timers.first_entry() {
+            let (at, number) = *first.key();
+            if at > hub.now || number > before {
+                break;
+            }
+            let due = first.remove();
+            let _ = hub.late.record((hub.now.since(at).0 as u64).max(1));
+            part.due(hub, due);
+        }
+    }
+    hub.now = At::now();
+    part.stop(hub);
+    // Of few timers the highest one would pass for what is usual.
+    let p99 = if hub.late.len() >= 200 { hub.late.value_at_quantile(0.99) } else { 0 };
+    let (p99_us, max_us) = (p99 as i64, hub.late.max() as i64);
+    hub.record(What::Late { p99_us, max_us });
+    Ok(())
+}
+
+fn accept<P: Part>(part: &mut P, hub: &mut Hub<P::Due>, id: ListenerId) {
+    while let Some((listener, true)) = hub.listeners.get(id.0) {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                if let Ok(conn) = hub.add(stream, true, Some(id)) {
+                    part.accepted(hub, id, conn);
+                }
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+            Err(_) => return,
+        }
+    }
+}
+
+fn serve<P: Part>(part: &mut P, hub: &mut Hub<P::Due>, id: ConnId) {
+    let Some(conn) = hub.conn(id) else { return };
+    if !conn.up {
+        let failed = conn.stream.take_error().ok().flatten().is_some();
+        match conn.stream.peer_addr() {
+            _ if failed => {
+                hub.close(id);
+                return part.gone(hub, id, Gone::Refused);
+            }
+            Ok(_) => conn.up = true,
+            Err(e) if e.kind() == ErrorKind::NotConnected => return,
+            Err(_) => {
+                hub.close(id);
+                return part.gone(hub, id, Gone::Refused);
+            }
+        }
+        part.up(hub, id);
+    }
+    let Some(conn) = hub.conn(id) else { return };
+    let had = conn.output.len() > conn.at;
+    let flushed = flush(conn);
+    let (mut got, mut failed, mut ended, mut more) = (false, flushed.is_err(), false, false);
+    let mut piece = [0; PIECE];
+    for round in 0.. {
+        if conn.paused || conn.ended || failed {
+            break;
+        }
+        // Guards against one busy connection holding up all others.
+        if round == 16 {
+            more = true;
+            break;
+        }
+        match conn.stream.read(&mut piece) {
+            Ok(0) => (conn.ended, ended) = (true, true),
+            Ok(n) => {
+                conn.input.extend_from_slice(&piece[..n]);
+                got = true;
+            }
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+            Err(_) => failed = true,
+        }
+    }
+    if more {
+        hub.again.push(id);
+    }
+    if had && matches!(flushed, Ok(true)) {
+        part.written(hub, id);
+    }
+    if got {
+        part.read(hub, id);
+    }
+    if failed {
+        if hub.is_open(id) {
+            hub.close(id);
+            part.gone(hub, id, Gone::Reset);
+        }
+    } else if ended && hub.is_open(id) {
+        part.gone(hub, id, Gone::Closed);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/ledger.rs
@@ -0,0 +1,395 @@
+//! Joins what callers, backends and agents saw, and judges the four rules by it. It reads nothing that a proxy
+//! says of itself.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::clock::{At, Micros};
+use crate::record::{Record, What};
+use crate::scenario::{Effect, Scenario, Tier};
+
+/// The rules' own allowance on sockets, on top of which comes what the lab itself was late by.
+const ALLOWANCE: Micros = Micros::from_millis(50);
+/// A kept connection that ended so soon under a request was being closed as the request was on its way.
+const CROSSING: Micros = Micros::from_millis(20);
+/// Beyond this lateness of its own the lab's judgement of times is not to be trusted.
+const TOO_LATE: Micros = Micros::from_millis(40);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// Each taken exchange has one final answer before its cut-off, and nothing after.
+    OneAnswer,
+    /// What may run only once runs once, and never after it was turned back.
+    OneEffect,
+    /// Nothing new goes to a backend once its drain was told, past the grace.
+    Drains,
+    /// No cold backend is pushed over.
+    Cold,
+    /// A proxy's process ended without being told to.
+    Alive,
+}
+
+impl Rule {
+    pub fn name(self) -> &'static str {
+        match self {
+            Rule::OneAnswer => "one answer",
+            Rule::OneEffect => "one effect",
+            Rule::Drains => "drains kept",
+            Rule::Cold => "cold spared",
+            Rule::Alive => "no crash",
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Breach {
+    pub rule: Rule,
+    /// The exchange, if it is about one.
+    pub id: Option<String>,
+    pub at: At,
+    pub text: String,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    pub breaches: Vec<Breach>,
+    /// Exchanges that were judged.
+    pub taken: usize,
+    /// Exchanges with no answer for which a kill or a cut of the plan answers.
+    pub excused: usize,
+    /// Requests that crossed the close of a kept connection.
+    pub crossed: usize,
+    /// How late the lab's own timers were.
+    pub late: Micros,
+    pub late_p99: Micros,
+}
+
+impl Verdict {
+    /// Whether the machine was too busy for times to be judged.
+    pub fn unsure(&self) -> bool {
+        self.late_p99 > TOO_LATE
+    }
+}
+
+#[derive(Default)]
+struct Exchange {
+    class: String,
+    to: String,
+    sent: At,
+    cut_off: At,
+    answers: Vec<(At, u16)>,
+    lost: Option<(At, String)>,
+    gave_up: Option<(At, bool)>,
+    unasked: bool,
+    /// The backend that called, for a call of a lower tier.
+    caller: Option<String>,
+    /// It was sent, and is not of those that never went out whole.
+    taken: bool,
+}
+
+type Spans = BTreeMap<String, Vec<(At, At, String)>>;
+
+#[derive(Default)]
+struct Book {
+    exchanges: BTreeMap<String, Exchange>,
+    begun: BTreeMap<String, Vec<(At, String)>>,
+    arrived: BTreeMap<String, Vec<(At, String)>>,
+    offered: BTreeMap<String, Vec<At>>,
+    dropped: BTreeSet<String>,
+    /// What each proxy was told of each backend: when, and whether it may be used.
+    told: BTreeMap<(String, String), Vec<(At, bool)>>,
+    downs: Spans,
+    cuts: Spans,
+    starts: BTreeMap<String, Vec<(At, bool)>>,
+    /// When a backend's process ended.
+    stops: BTreeMap<String, Vec<At>>,
+    end: At,
+}
+
+fn open(spans: &mut Spans, name: &str, at: At, how: &str) {
+    spans.entry(name.to_string()).or_default().push((at, At(i64::MAX), how.to_string()));
+}
+
+fn shut(spans: &mut Spans, name: &str, at: At) {
+    if let Some(last) = spans.get_mut(name).and_then(|spans| spans.last_mut()) {
+        last.1 = last.1.min(at);
+    }
+}
+
+impl Book {
+    fn of(records: &[Record]) -> Book {
+        let mut book = Book::default();
+        for record in records {
+            book.enter(record);
+        }
+        book
+    }
+
+    fn exchange(&mut self, id: &str) -> &mut Exchange {
+        self.exchanges.entry(id.to_string()).or_default()
+    }
+
+    fn enter(&mut self, record: &Record) {
+        let Record { t, part, what } = record;
+        let t = *t;
+        self.end = self.end.max(t);
+        match what {
+            What::Sent { id, class, to, cut_off, .. } => {
+                let e = self.exchange(id);
+                (e.class, e.to, e.sent, e.cut_off, e.taken) = (class.clone(), to.clone(), t, *cut_off, true);
+            }
+            What::Called { id, to, cut_off, .. } => {
+                let (class, part) = (id.clone(), part.clone());
+                let e = self.exchange(id);
+                (e.class, e.to, e.sent, e.cut_off) = (class, to.clone(), t, *cut_off);
+                (e.caller, e.taken) = (Some(part), true);
+            }
+            What::Answered { id, status, .. } => self.exchange(id).answers.push((t, *status)),
+            What::CallEnded { id, status: 0 } => {
+                self.exchange(id).lost = Some((t, "a call's end".to_string()))
+            }
+            What::CallEnded { id, status } => self.exchange(id).answers.push((t, *status)),
+            What::Lost { id, how } => self.exchange(id).lost = Some((t, how.clone())),
+            What::GaveUp { id, own } => self.exchange(id).gave_up = Some((t, *own)),
+            What::Unasked { id, .. } if !id.is_empty() => self.exchange(id).unasked = true,
+            What::Unasked { .. } => {
+                // On a kept connection after its last answer: of no exchange any more, but never allowed.
+                let e = self.exchange(&format!("unasked at {}", t.0));
+                e.unasked = true;
+            }
+            What::SentAgain { id } => self.exchange(id).taken = false,
+            What::NotTaken { id, .. } => self.exchange(id).taken = false,
+            What::Began { id } => self.begun.entry(id.clone()).or_default().push((t, part.clone())),
+            What::Arrived { id, first, .. } => {
+                self.arrived.entry(id.clone()).or_default().push((*first, part.clone()));
+                self.offered.entry(part.clone()).or_default().push(t);
+            }
+            What::Dropped { id, .. } => drop(self.dropped.insert(id.clone())),
+            What::Told { proxy, host, health, .. } => {
+                let told = self.told.entry((proxy.clone(), host.clone())).or_default();
+                told.push((t, health == "Ready"));
+            }
+            What::ProxyDown { proxy, how } => {
+                open(&mut self.downs, proxy, t, how);
+                // A new life knows only what it is told anew.
+                if how != "freeze" {
+                    self.told
+                        .iter_mut()
+                        .filter(|((p, _), _)| p == proxy)
+                        .for_each(|(_, told)| told.push((t, true)));
+                }
+            }
+            What::ProxyUp { proxy } => shut(&mut self.downs, proxy, t),
+            What::Cut { link, how } => open(&mut self.cuts, link, t, how),
+            What::Healed { link } => shut(&mut self.cuts, link, t),
+            What::Started { warm, .. } => self.starts.entry(part.clone()).or_default().push((t, *warm)),
+            What::Stopped { .. } => self.stops.entry(part.clone()).or_default().push(t),
+            _ => {}
+        }
+    }
+
+    /// Whether the plan itself took away the way to an answer, or the time for it.
+    fn excused(&self, e: &Exchange, until: At) -> bool {
+        let over = |spans: &Spans, name: &str, skip: &str| {
+            let spans = spans.get(name).into_iter().flatten();
+            spans
+                .filter(|(_, _, how)| how != skip)
+                .any(|(from, to, _)| *from <= until && *to + ALLOWANCE >= e.sent)
+        };
+        let link = e.to.replacen("/p-", "/c-", 1);
+        let caller_gone = e.caller.as_ref().is_some_and(|caller| {
+            self.stops.get(caller).is_some_and(|stops| stops.iter().any(|at| *at >= e.sent && *at <= until))
+        });
+        over(&self.downs, &e.to, "term") || over(&self.cuts, &link, "") || caller_gone
+    }
+}
+
+/// Judges a run's records.
+pub fn judge(records: &[Record], scenario: &Scenario) -> Verdict {
+    let book = Book::of(records);
+    let mut verdict = Verdict::default();
+    for record in records {
+        if let What::Late { p99_us, max_us } = record.what {
+            verdict.late = verdict.late.max(Micros(max_us));
+            verdict.late_p99 = verdict.late_p99.max(Micros(p99_us));
+        }
+    }
+    let slack = ALLOWANCE + verdict.late;
+    for (id, e) in &book.exchanges {
+        one_answer(&book, id, e, slack, &mut verdict);
+        one_effect(&book, id, e, scenario, &mut verdict);
+        drains(&book, id, e, scenario, slack, &mut verdict);
+    }
+    for (host, starts) in &book.starts {
+        let tier = scenario.tiers.iter().find(|tier| host.split('/').next() == Some(&tier.name));
+        for (from, _) in starts.iter().filter(|(_, warm)| !warm) {
+            if let Some(tier) = tier {
+                cold(&book, host, *from, tier, &mut verdict);
+            }
+        }
+    }
+    for (proxy, spans) in &book.downs {
+        for (at, _, how) in spans.iter().filter(|(_, _, how)| how.starts_with("crash")) {
+            let text = format!("{proxy}: {how}");
+            verdict.breaches.push(Breach { rule: Rule::Alive, id: None, at: *at, text });
+        }
+    }
+    verdict.breaches.sort_by_key(|breach| breach.at);
+    verdict
+}
+
+fn one_answer(book: &Book, id: &str, e: &Exchange, slack: Micros, verdict: &mut Verdict) {
+    let mut breach = |at, text: String| {
+        let id = Some(id.to_string());
+        verdict.breaches.push(Breach { rule: Rule::OneAnswer, id, at, text });
+    };
+    if e.unasked {
+        let at = e.answers.first().map_or(e.sent, |(at, _)| *at);
+        return breach(at, "more came after the answer".to_string());
+    }
+    if !e.taken {
+        return;
+    }
+    verdict.taken += 1;
+    if e.answers.len() > 1 {
+        return breach(e.answers[1].0, format!("{} answers", e.answers.len()));
+    }
+    if let Some((at, status)) = e.answers.first() {
+        if *at > e.cut_off + slack {
+            if book.excused(e, *at) {
+                verdict.excused += 1;
+            } else {
+                let late = at.since(e.cut_off);
+                breach(*at, format!("status {status} came {late} after the cut-off"));
+            }
+        }
+        return;
+    }
+    if e.gave_up.as_ref().is_some_and(|(_, own)| *own) {
+        return;
+    }
+    let end = e.lost.as_ref().map(|(at, _)| *at).or(e.gave_up.map(|(at, _)| at)).unwrap_or(book.end);
+    // A call whose backend gave it up is a caller that left.
+    let left = e.caller.is_some() && e.lost.is_none();
+    if book.excused(e, end) {
+        verdict.excused += 1;
+    } else if left && end < e.cut_off + slack || left && parent_dropped(book, id) {
+        // Nothing was owed any more, or it is not over yet.
+    } else if let Some((at, how)) = &e.lost {
+        let kept = how.contains("kept") || e.caller.is_some();
+        if kept && at.since(e.sent) <= CROSSING && !book.arrived.contains_key(id) {
+            verdict.crossed += 1;
+        } else {
+            breach(*at, format!("no answer: {how}"));
+        }
+    } else if book.end > e.cut_off + slack {
+        breach(end, "no answer by the cut-off, nor after".to_string());
+    }
+}
+
+/// Whether the exchange that made this call was given up by its own caller.
+fn parent_dropped(book: &Book, id: &str) -> bool {
+    let parent = id.rsplitn(3, '.').last().unwrap_or_default();
+    book.dropped.contains(parent)
+}
+
+fn one_effect(book: &Book, id: &str, e: &Exchange, scenario: &Scenario, verdict: &mut Verdict) {
+    let Some(begun) = book.begun.get(id) else { return };
+    let class = class_of(book, id, e);
+    let effect = scenario.class(&class).map(|class| class.effect);
+    if effect != Some(Effect::AtMostOnce) {
+        return;
+    }
+    let mut breach = |at, text| {
+        let id = Some(id.to_string());
+        verdict.breaches.push(Breach { rule: Rule::OneEffect, id, at, text });
+    };
+    if let [_, second, ..] = begun.as_slice() {
+        breach(second.0, format!("begun {} times, then at {}", begun.len(), second.1));
+    }
+    let refused = e.answers.iter().find(|(_, status)| matches!(status, 429 | 503));
+    if let Some((at, status)) = refused {
+        breach(*at, format!("turned back with {status} though {} had begun it", begun[0].1));
+    }
+}
+
+/// A call bears the class of the exchange that it serves.
+fn class_of(book: &Book, id: &str, e: &Exchange) -> String {
+    match e.caller {
+        None => e.class.clone(),
+        Some(_) => {
+            let first = id.split('.').next().unwrap_or(id);
+            book.exchanges.get(first).map(|e| e.class.clone()).unwrap_or_default()
+        }
+    }
+}
+
+fn drains(book: &Book, id: &str, e: &Exchange, scenario: &Scenario, slack: Micros, verdict: &mut Verdict) {
+    for (first, host) in book.arrived.get(id).into_iter().flatten() {
+        let Some(told) = book.told.get(&(e.to.clone(), host.clone())) else { continue };
+        let grace = scenario.tiers.iter().find(|tier| host.split('/').next() == Some(&tier.name));
+        let grace = grace.map_or(Micros::ZERO, |tier| tier.drain_grace);
+        let Some((at, false)) = told.iter().rev().find(|(at, _)| at <= first) else { continue };
+        // The first of the words that say so: a second one does not give the grace anew.
+        let since = told.iter().rev().skip_while(|(t, _)| t > at).take_while(|(_, ready)| !ready).last();
+        let since = since.map_or(*at, |(at, _)| *at);
+        if *first > since + grace + slack {
+            let text = format!("sent to {host} {} after {} was told of its drain", first.since(since), e.to);
+            verdict.breaches.push(Breach { rule: Rule::Drains, id: Some(id.to_string()), at: *first, text });
+        }
+    }
+}
+
+fn cold(book: &Book, host: &str, from: At, tier: &Tier, verdict: &mut Verdict) {
+    let window = tier.fall_window;
+    let offered = book.offered.get(host).map_or(&[][..], |all| all.as_slice());
+    let ended = book.stops.get(host).into_iter().flatten().find(|at| **at > from).copied();
+    let until = (from + tier.cold_ramp).min(ended.unwrap_or(At(i64::MAX)) + Micros(1));
+    for (n, at) in offered.iter().enumerate().filter(|(_, at)| **at > from + window && **at <= until) {
+        let first = offered[..n].partition_point(|earlier| at.since(*earlier) > window);
+        let age = at.since(from).secs() / tier.cold_ramp.secs().max(1e-6);
+        let warmth = (tier.cold_share + (1.0 - tier.cold_share) * age).min(1.0);
+        let bearable = window.secs() / tier.service.secs().max(1e-6) * tier.cores as f64 * warmth;
+        let count = (n + 1 - first) as f64;
+        if count > (bearable * tier.fall_multiple).max(30.0) {
+            let text = format!(
+                "{host} was offered {count} in {window} and can bear {bearable:.0}, {} after its start",
+                at.since(from)
+            );
+            verdict.breaches.push(Breach { rule: Rule::Cold, id: None, at: *at, text });
+            return;
+        }
+    }
+}
+
+/// All that was seen of an exchange and of its calls, a line each, with what else went on meanwhile.
+pub fn timeline(records: &[Record], id: &str, start: At, logs: &[(String, String)]) -> Vec<String> {
+    let below = format!("{id}.");
+    let about =
+        |record: &Record| record.what.id().is_some_and(|found| found == id || found.starts_with(&below));
+    let own: Vec<&Record> = records.iter().filter(|record| about(record)).collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else { return Vec::new() };
+    let (from, to) = (first.t, last.t);
+    let around = |record: &&Record| {
+        let kind = matches!(
+            record.what,
+            What::Fault { .. }
+                | What::Cut { .. }
+                | What::Healed { .. }
+                | What::ProxyDown { .. }
+                | What::ProxyUp { .. }
+        ) || matches!(&record.what, What::Told { health, .. } if health != "Ready");
+        kind && record.t >= from - Micros::from_millis(2000) && record.t <= to
+    };
+    let mut all: Vec<&Record> = own.iter().copied().chain(records.iter().filter(around)).collect();
+    all.sort_by_key(|record| record.t);
+    let line = |record: &&Record| {
+        let what = serde_json::to_string(&record.what).unwrap_or_default();
+        format!("{:>12.3} ms  {:<14} {what}", (record.t.0 - start.0) as f64 / 1000.0, record.part)
+    };
+    let mut lines: Vec<String> = all.iter().map(line).collect();
+    for (proxy, log) in logs {
+        let found = log.lines().filter(|line| line.contains(id)).take(20);
+        lines.extend(found.map(|line| format!("{proxy} log: {line}")));
+    }
+    lines
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,21 @@
+//! The lab: a model of the systems that the proxy serves. It starts stand-ins of callers, backends, agents and
+//! links round real proxies, plays faults by a plan and a seed, and judges the four rules by what the two sides
+//! saw. See `docs/design/lab.md`.
+
+pub mod agent;
+pub mod backend;
+pub mod balancer;
+pub mod clients;
+pub mod clock;
+pub mod experiment;
+pub mod hub;
+pub mod ledger;
+pub mod message;
+pub mod outcome;
+pub mod peer;
+pub mod plan;
+pub mod record;
+pub mod relay;
+pub mod report;
+pub mod scenario;
+pub mod world;
--- /dev/null
+++ b/crates/lab/src/plan.rs
@@ -0,0 +1,108 @@
+//! What the callers will do, drawn from the seed before the run begins, so that the same seed gives the same
+//! arrivals whatever becomes of them.
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution as _, Exp, LogNormal};
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Micros;
+use crate::scenario::{Distribution, Load, Scenario, Tier};
+
+/// One exchange that a caller means to have.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Intent {
+    /// From the start of the load.
+    pub at: Micros,
+    pub class: usize,
+    pub caller: usize,
+    /// It leaves before its time.
+    pub impatient: bool,
+    pub slow_read: bool,
+    pub slow_send: bool,
+    pub bad: bool,
+}
+
+fn rate_at(load: &Load, at: Micros) -> f64 {
+    let mut rate = load.rate;
+    for (n, step) in load.steps.iter().enumerate() {
+        let (from, before) =
+            if n == 0 { (Micros::ZERO, load.rate) } else { (load.steps[n - 1].at, load.steps[n - 1].rate) };
+        if at >= step.at {
+            rate = step.rate;
+        } else if step.ramp && at >= from {
+            let part = (at.0 - from.0) as f64 / (step.at.0 - from.0).max(1) as f64;
+            return before + (step.rate - before) * part;
+        }
+    }
+    rate
+}
+
+/// All arrivals of an open loop, or for a closed one the intents that callers take one after another.
+pub fn intents(scenario: &Scenario, seed: u64) -> Vec<Intent> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x1a7e);
+    let load = &scenario.load;
+    let mut times = Vec::new();
+    if load.closed > 0 {
+        times.resize(4_000_000.min(load.closed * 200_000), Micros::ZERO);
+    } else {
+        let most = load.steps.iter().map(|step| step.rate).fold(load.rate, f64::max);
+        let gaps = Exp::new(most.max(1e-6)).expect("a rate above 0");
+        let mut at = 0.0;
+        loop {
+            // Thinned from the highest rate: a Poisson process whose rate changes.
+            at += gaps.sample(&mut rng);
+            let now = Micros::from_ms(at * 1000.0);
+            if now >= scenario.lasts {
+                break;
+            }
+            if rng.random::<f64>() * most < rate_at(load, now) {
+                times.push(now);
+            }
+        }
+        if let Some(burst) = load.burst.filter(|burst| burst.every > Micros::ZERO) {
+            let mut at = burst.every;
+            while at < scenario.lasts {
+                times.extend(std::iter::repeat_n(at, burst.size));
+                at = at + burst.every;
+            }
+            times.sort();
+        }
+    }
+    let shares: f64 = scenario.classes.iter().map(|class| class.share).sum();
+    let callers = &scenario.callers;
+    let intent = |at| {
+        let mut left = rng.random::<f64>() * shares;
+        let class = scenario.classes.iter().position(|class| {
+            left -= class.share;
+            left < 0.0
+        });
+        let caller = if rng.random::<f64>() < load.hot { 0 } else { rng.random_range(0..load.callers) };
+        let mut draw = |share: f64| rng.random::<f64>() < share;
+        let (impatient, slow_read) = (draw(callers.impatient), draw(callers.slow_read));
+        let (slow_send, bad) = (draw(callers.slow_send), draw(callers.bad));
+        Intent { at, class: class.unwrap_or(0), caller, impatient, slow_read, slow_send, bad }
+    };
+    times.into_iter().map(intent).collect()
+}
+
+/// A generator of its own for one exchange at one backend, the same in every run.
+pub fn rng_of(seed: u64, id: &str, salt: u64) -> ChaCha8Rng {
+    let step = |sum: u64, byte: u8| (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    ChaCha8Rng::seed_from_u64(id.bytes().fold(seed ^ salt ^ 0xcbf2_9ce4_8422_2325, step))
+}
+
+/// How long an exchange of work 1 takes on an unhurried core.
+pub fn service(tier: &Tier, rng: &mut ChaCha8Rng) -> Micros {
+    let mean = tier.service.0 as f64;
+    let drawn = match tier.distribution {
+        Distribution::Fixed => mean,
+        Distribution::Exponential => Exp::new(1.0 / mean.max(1.0)).map_or(mean, |d| d.sample(rng)),
+        Distribution::Lognormal => {
+            let variance = (1.0 + tier.cv * tier.cv).ln();
+            let d = LogNormal::new(mean.max(1.0).ln() - variance / 2.0, variance.sqrt());
+            d.map_or(mean, |d| d.sample(rng))
+        }
+    };
+    Micros(drawn.round() as i64)
+}
--- /dev/null
+++ b/crates/lab/src/record.rs
@@ -0,0 +1,224 @@
+//! What the parts write down as it happens, one JSON object a line. The ledger and the reports read nothing
+//! else; `docs/operate/lab.md` lists the fields.
+
+use std::fs::{File, OpenOptions};
+use std::io::{self, BufRead, BufReader, Write};
+use std::path::Path;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::At;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    pub t: At,
+    pub part: String,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum What {
+    /// A client wrote the last byte of a request. `due` is when it meant to send the first try.
+    Sent {
+        id: String,
+        intent: u64,
+        class: String,
+        to: String,
+        due: At,
+        cut_off: At,
+        try_no: u16,
+    },
+    /// The same request again, since its kept connection was closed before anything of an answer came.
+    SentAgain {
+        id: String,
+    },
+    /// A whole answer came.
+    Answered {
+        id: String,
+        status: u16,
+        retry_after_ms: Option<f64>,
+    },
+    /// The connection ended with no whole answer.
+    Lost {
+        id: String,
+        how: String,
+    },
+    /// The client stopped waiting, of its own accord or when its time was up.
+    GaveUp {
+        id: String,
+        own: bool,
+    },
+    /// The request never went out whole.
+    NotTaken {
+        id: String,
+        why: String,
+    },
+    /// Bytes came that no request asked for.
+    Unasked {
+        id: String,
+        bytes: usize,
+    },
+    /// An intent of a client is over, with or without an answer that counts.
+    Over {
+        intent: u64,
+        class: String,
+        due: At,
+        honoured: bool,
+        tries: u16,
+    },
+
+    /// A backend's process started; cold from now on unless it says warm.
+    Started {
+        warm: bool,
+        life: u32,
+    },
+    Stopped {
+        how: String,
+    },
+    /// A request came whole; `first` is when its first byte came.
+    Arrived {
+        id: String,
+        first: At,
+        class: String,
+    },
+    Began {
+        id: String,
+    },
+    Refused {
+        id: String,
+        why: String,
+    },
+    Done {
+        id: String,
+        status: u16,
+    },
+    /// Its caller went away before it ended.
+    Dropped {
+        id: String,
+        began: bool,
+    },
+    /// A backend calls the next tier, through a proxy.
+    Called {
+        id: String,
+        by: String,
+        to: String,
+        cut_off: At,
+    },
+    CallEnded {
+        id: String,
+        status: u16,
+    },
+    /// It was pushed over while cold.
+    Fell {
+        offered: f64,
+        bearable: f64,
+    },
+
+    /// An agent wrote to a proxy what became of a backend.
+    Told {
+        proxy: String,
+        host: String,
+        health: String,
+        seq: u64,
+    },
+
+    /// A link was cut or mended, or the connections of a proxy's life ended.
+    Cut {
+        link: String,
+        how: String,
+    },
+    Healed {
+        link: String,
+    },
+    /// A proxy's process.
+    ProxyUp {
+        proxy: String,
+    },
+    ProxyDown {
+        proxy: String,
+        how: String,
+    },
+
+    Fault {
+        text: String,
+        on: bool,
+    },
+    /// The lab's own lateness: how much later than meant its timers ran.
+    Late {
+        p99_us: i64,
+        max_us: i64,
+    },
+    /// What a baseline or a proxy used of the processor, in microseconds.
+    Used {
+        proxy: String,
+        cpu_us: u64,
+    },
+    Note {
+        text: String,
+    },
+}
+
+impl What {
+    /// The exchange that it speaks of.
+    pub fn id(&self) -> Option<&str> {
+        use What::*;
+        match self {
+            Sent { id, .. }
+            | SentAgain { id }
+            | Answered { id, .. }
+            | Lost { id, .. }
+            | GaveUp { id, .. } => Some(id),
+            NotTaken { id, .. } | Unasked { id, .. } | Arrived { id, .. } | Began { id } => Some(id),
+            Refused { id, .. } | Done { id, .. } | Dropped { id, .. } | Called { id, .. } => Some(id),
+            CallEnded { id, .. } => Some(id),
+            _ => None,
+        }
+    }
+}
+
+/// Writes each record at once: guards against losing what a killed part had seen.
+#[derive(Clone)]
+pub struct Recorder {
+    file: Arc<File>,
+    part: String,
+}
+
+impl Recorder {
+    pub fn open(path: &Path, part: &str) -> io::Result<Recorder> {
+        let file = OpenOptions::new().create(true).append(true).open(path)?;
+        Ok(Recorder { file: Arc::new(file), part: part.to_string() })
+    }
+
+    pub fn named(&self, part: &str) -> Recorder {
+        Recorder { file: self.file.clone(), part: part.to_string() }
+    }
+
+    pub fn write(&self, t: At, what: What) {
+        let record = Record { t, part: self.part.clone(), what };
+        let Ok(mut line) = serde_json::to_vec(&record) else { return };
+        line.push(b'\n');
+        // One call a record: lines of several writers do not mix in an appended file.
+        if let Err(e) = (&*self.file).write_all(&line) {
+            tracing::error!(error = %e, "a record could not be written");
+        }
+    }
+}
+
+/// Reads all records of a file in the order of time. A last line that was cut short is left out.
+pub fn read(path: &Path) -> Result<Vec<Record>, String> {
+    let file = File::open(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+    let mut records = Vec::new();
+    for (number, line) in BufReader::new(file).lines().enumerate() {
+        let line = line.map_err(|e| format!("{}:{}: {e}", path.display(), number + 1))?;
+        match serde_json::from_str::<Record>(&line) {
+            Ok(record) => records.push(record),
+            Err(e) if e.is_eof() => {}
+            Err(e) => return Err(format!("{}:{}: no record: {e}", path.display(), number + 1)),
+        }
+    }
+    records.sort_by_key(|record| record.t);
+    Ok(records)
+}
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,236 @@
+//! One page for a run, with pictures, that needs nothing beside it; and two results set beside each other.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::clock::{At, Micros};
+use crate::experiment::{Results, Run};
+use crate::outcome::{self, Slice, SLICES};
+use crate::record::{self, Record, What};
+use crate::scenario::Source;
+use crate::world;
+
+/// What is drawn of one run.
+pub struct Picture {
+    pub title: String,
+    pub svgs: Vec<String>,
+}
+
+/// A fault's time in the pictures.
+struct Band {
+    from: f64,
+    to: f64,
+    text: String,
+}
+
+pub fn pictures(runs: &[Run]) -> Result<Vec<Picture>, String> {
+    let picture = |run: &Run| picture(&run.variant, run.seed, &run.ran.dir, run.ran.start, run.ran.lasts);
+    runs.iter().map(picture).collect()
+}
+
+/// From the records that a run has left.
+pub fn pictures_of(results: &Results, source: &Source, out: &Path) -> Result<Vec<Picture>, String> {
+    let lasts = source.scenario(None, false)?.lasts;
+    let lasts = if results.lasts_s > 0.0 { Micros::from_ms(results.lasts_s * 1000.0) } else { lasts };
+    let one = |run: &crate::experiment::RunResult| {
+        let dir = out.join(format!("{}-{}", run.variant.replace(['/', ' '], "-"), run.seed));
+        let records = record::read(&world::records_of(&dir))?;
+        let first = records.iter().find_map(|r| match &r.what {
+            What::Sent { due, .. } => Some(*due),
+            _ => None,
+        });
+        picture(&run.variant, run.seed, &dir, first.unwrap_or_default(), lasts)
+    };
+    results.runs.iter().map(one).collect()
+}
+
+fn picture(variant: &str, seed: u64, dir: &Path, start: At, lasts: Micros) -> Result<Picture, String> {
+    let records = record::read(&world::records_of(dir))?;
+    let slices = outcome::slices(&records, start, lasts);
+    let bands = bands(&records, start, lasts);
+    let seconds = lasts.secs();
+    let rate = SLICES as f64 / seconds;
+    let line = |name: &str, value: &dyn Fn(&Slice) -> f64| -> Line {
+        let points = slices.iter().enumerate();
+        (name.to_string(), points.map(|(n, slice)| ((n as f64 + 0.5) / rate, value(slice))).collect())
+    };
+    let latency = [line("p50", &|s| s.p50_ms), line("p99", &|s| s.p99_ms)];
+    let outcomes = [
+        line("honoured", &|s| s.honoured as f64 * rate),
+        line("turned back", &|s| s.turned_back as f64 * rate),
+        line("forfeited", &|s| s.forfeited as f64 * rate),
+        line("lost", &|s| s.lost as f64 * rate),
+    ];
+    let hosts: Vec<String> = slices.iter().flat_map(|slice| slice.held.keys().cloned()).collect();
+    let hosts: BTreeMap<String, ()> = hosts.into_iter().map(|host| (host, ())).collect();
+    let held = |host: &String| line(host, &|s: &Slice| s.held.get(host).copied().unwrap_or(0) as f64);
+    let held: Vec<Line> = hosts.keys().take(24).map(held).collect();
+    let mut svgs = vec![
+        chart("Latency of honoured exchanges, ms", seconds, &latency, &bands)?,
+        chart("Answers a second", seconds, &outcomes, &bands)?,
+        chart("Held by each backend", seconds, &held, &bands)?,
+    ];
+    let limits = limits(dir, start);
+    if !limits.is_empty() {
+        svgs.push(chart("The limit, as the proxies' logs tell it", seconds, &limits, &bands)?);
+    }
+    Ok(Picture { title: format!("{variant}, seed {seed}"), svgs })
+}
+
+fn bands(records: &[Record], start: At, lasts: Micros) -> Vec<Band> {
+    let mut bands: Vec<Band> = Vec::new();
+    let second = |t: At| (t.0 - start.0) as f64 / 1e6;
+    for record in records {
+        match &record.what {
+            What::Fault { text, on: true } => {
+                bands.push(Band { from: second(record.t), to: f64::NAN, text: text.clone() });
+            }
+            What::Fault { text, on: false } => {
+                let open = bands.iter_mut().find(|band| band.to.is_nan() && band.text == *text);
+                if let Some(band) = open {
+                    band.to = second(record.t);
+                }
+            }
+            _ => {}
+        }
+    }
+    // What has no end is an event, not a state.
+    bands
+        .iter_mut()
+        .filter(|band| band.to.is_nan())
+        .for_each(|band| band.to = band.from + lasts.secs() / 200.0);
+    bands
+}
+
+type Line = (String, Vec<(f64, f64)>);
+
+/// The limit as the proxies' lines on a change of mode tell it.
+fn limits(dir: &Path, start: At) -> Vec<Line> {
+    let files = std::fs::read_dir(dir).into_iter().flatten().flatten().map(|entry| entry.path());
+    let mut lines = Vec::new();
+    for path in files.filter(|path| path.extension().is_some_and(|e| e == "log")) {
+        let text = std::fs::read_to_string(&path).unwrap_or_default();
+        let point = |line: &str| {
+            let limit = line.split_once("limit ")?.1.split([',', ' ']).next()?.parse().ok()?;
+            Some((unix_second(line.split(' ').next()?)? - world_second(start), limit))
+        };
+        let points: Vec<(f64, f64)> = text.lines().filter_map(point).collect();
+        if points.len() > 1 {
+            let name = path.file_stem().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default();
+            lines.push((name, points));
+        }
+    }
+    lines
+}
+
+fn world_second(start: At) -> f64 {
+    crate::agent::unix_ms(start) / 1000.0
+}
+
+/// Seconds since 1970 of a time such as `2026-12-01T12:00:00.000000Z`.
+fn unix_second(text: &str) -> Option<f64> {
+    let (date, time) = text.strip_suffix('Z')?.split_once('T')?;
+    let mut date = date.split('-').map(|part| part.parse::<i64>().ok());
+    let (year, month, day) = (date.next()??, date.next()??, date.next()??);
+    let mut time = time.split(':').map(|part| part.parse::<f64>().ok());
+    let (hour, minute, second) = (time.next()??, time.next()??, time.next()??);
+    // Days from the civil calendar, with March as the first month.
+    let (y, m) = if month > 2 { (year, month - 3) } else { (year - 1, month + 9) };
+    let (era, of_era) = (y.div_euclid(400), y.rem_euclid(400));
+    let day_of_year = (153 * m + 2) / 5 + day - 1;
+    let days = era * 146_097 + of_era * 365 + of_era / 4 - of_era / 100 + day_of_year - 719_468;
+    Some(days as f64 * 86_400.0 + hour * 3600.0 + minute * 60.0 + second)
+}
+
+fn chart(title: &str, seconds: f64, lines: &[Line], bands: &[Band]) -> Result<String, String> {
+    let mut svg = String::new();
+    let most = lines.iter().flat_map(|(_, points)| points.iter().map(|(_, y)| *y)).fold(1.0, f64::max) * 1.08;
+    {
+        let draw = |e: &dyn std::fmt::Display| format!("cannot draw: {e}");
+        let area = SVGBackend::with_string(&mut svg, (760, 260)).into_drawing_area();
+        area.fill(&WHITE).map_err(|e| draw(&e))?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 15))
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(48)
+            .build_cartesian_2d(0.0..seconds, 0.0..most)
+            .map_err(|e| draw(&e))?;
+        let mesh = chart.configure_mesh().light_line_style(WHITE).x_desc("s").draw();
+        mesh.map_err(|e| draw(&e))?;
+        let band = |band: &Band| {
+            let corners = [(band.from.max(0.0), 0.0), (band.to.min(seconds), most)];
+            Rectangle::new(corners, RGBColor(230, 120, 60).mix(0.16).filled())
+        };
+        chart.draw_series(bands.iter().map(band)).map_err(|e| draw(&e))?;
+        for (n, (name, points)) in lines.iter().enumerate() {
+            let color = Palette99::pick(n).to_rgba();
+            let series = LineSeries::new(points.iter().copied(), color.stroke_width(2));
+            let series = chart.draw_series(series).map_err(|e| draw(&e))?;
+            if lines.len() <= 12 {
+                let key = move |(x, y)| PathElement::new(vec![(x, y), (x + 14, y)], color.stroke_width(2));
+                series.label(name).legend(key);
+            }
+        }
+        if lines.len() <= 12 {
+            let mut labels = chart.configure_series_labels();
+            labels.position(SeriesLabelPosition::UpperLeft).background_style(WHITE.mix(0.8));
+            labels.draw().map_err(|e| draw(&e))?;
+        }
+        area.present().map_err(|e| draw(&e))?;
+    }
+    Ok(svg)
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+pub fn page(results: &Results, pictures: &[Picture]) -> String {
+    let mut out = format!(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{name}</title><style>\
+         body{{font:14px/1.5 sans-serif;margin:2em;max-width:1640px}}pre{{background:#f5f5f2;padding:1em;overflow:auto}}\
+         .runs{{display:flex;flex-wrap:wrap;gap:1.5em}}.bad{{color:#a00}}svg{{max-width:100%}}</style>\
+         <h1>{name}</h1><pre>{}</pre><p>rules broken: <b>{}</b>, bounds missed: <b>{}</b>. Shaded: faults.</p>",
+        escape(&crate::experiment::table(results)),
+        results.rules_broken,
+        results.bounds_missed,
+        name = escape(&results.scenario),
+    );
+    for run in results.runs.iter().filter(|run| !run.breaches.is_empty()) {
+        out += &format!("<h3 class=\"bad\">{} {}</h3><pre>", escape(&run.variant), run.seed);
+        run.breaches.iter().for_each(|breach| out += &format!("{}\n", escape(breach)));
+        out += "</pre>";
+    }
+    out += "<div class=\"runs\">";
+    for picture in pictures {
+        out += &format!("<div><h2>{}</h2>{}</div>", escape(&picture.title), picture.svgs.join("<br>"));
+    }
+    out + "</div></html>\n"
+}
+
+/// The figures of two results, by variant, as means over their seeds.
+pub fn compare(a: &Results, b: &Results) -> String {
+    use crate::outcome::Figures;
+    let means = |results: &Results| {
+        let mut sums: BTreeMap<(String, &str), (f64, u32)> = BTreeMap::new();
+        for run in &results.runs {
+            for name in Figures::NAMES {
+                let sum = sums.entry((run.variant.clone(), name)).or_default();
+                *sum = (sum.0 + run.figures.get(name).unwrap_or(0.0), sum.1 + 1);
+            }
+        }
+        sums
+    };
+    let (first, second) = (means(a), means(b));
+    let mut out = format!("{:<16} {:<20} {:>12} {:>12} {:>8}\n", "variant", "figure", "a", "b", "b/a");
+    for ((variant, name), (sum, count)) in &first {
+        let Some((other, others)) = second.get(&(variant.clone(), name)) else { continue };
+        let (x, y) = (sum / f64::from(*count), other / f64::from(*others));
+        let ratio = if x == 0.0 { "-".to_string() } else { format!("{:.3}", y / x) };
+        out += &format!("{variant:<16} {name:<20} {x:>12.3} {y:>12.3} {ratio:>8}\n");
+    }
+    out + &format!("rules broken: {} and {}\n", a.rules_broken, b.rules_broken)
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,23 +1,39 @@
-//! What the proxy is told at its start: the environment names a file, the file holds all.
+//! What the proxy is told at its start: a file holds all, in the platform's JSON or in the project's own TOML.
 
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use sparlug::event::{Condition, Listing};
+use sparlug::id::{PodId, ZoneId};
+use sparlug_setup::native::{self, Directory, LogFormat, Native};
 use sparlug_setup::Setup;
 
 use crate::http::MESSAGE_MOST;
+use crate::listing::{self, Entry, List};
 
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// The agent; without one the list in the file is all there is.
+    pub discovery: Option<SocketAddr>,
     pub seed: u64,
     pub budgets: Budgets,
-    /// The list of backends as it was last had, in discovery's form.
-    pub known: Vec<u8>,
+    /// The list of backends as it was last had.
+    pub known: Option<List>,
     pub setup: Setup,
     pub fixed: Fixed,
+    pub log: Option<String>,
+    pub log_format: LogFormat,
+}
+
+/// Where a configuration is read, also when it is read anew.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Source {
+    /// The file that `ROUTER_CONFIG` names.
+    Environment,
+    File(PathBuf),
 }
 
 /// What of a configuration can't change while the program runs, as it is written.
@@ -89,20 +105,85 @@
     }
 }
 
+impl Source {
+    fn path(&self) -> Result<PathBuf, String> {
+        match self {
+            Source::File(path) => Ok(path.clone()),
+            Source::Environment => {
+                let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
+                Ok(PathBuf::from(path))
+            }
+        }
+    }
+}
+
 impl Config {
-    pub fn from_environment() -> Result<Config, String> {
-        let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_string())?;
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        Config::decode(&text).map_err(|e| format!("{path}: {e}"))
+    /// Reads a configuration; each line of an error is one thing that is wrong.
+    pub fn read(source: &Source) -> Result<Config, String> {
+        let path = source.path()?;
+        let text = std::fs::read(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+        Config::of(&path, &text)
+    }
+
+    /// Decodes by the name: what ends in `.toml` is in the project's own form.
+    pub fn of(path: &Path, text: &[u8]) -> Result<Config, String> {
+        if path.extension().is_none_or(|extension| extension != "toml") {
+            return Config::decode(text).map_err(|e| format!("{}: {e}", path.display()));
+        }
+        let text = std::str::from_utf8(text).map_err(|e| format!("{}: {e}", path.display()))?;
+        let found = native::decode(text).map_err(|faults| {
+            let lines = faults.iter().map(|fault| format!("{}:{fault}", path.display()));
+            lines.collect::<Vec<_>>().join("\n")
+        })?;
+        Config::of_native(found).map_err(|e| format!("{}: {e}", path.display()))
     }
 
     pub fn decode(text: &[u8]) -> Result<Config, String> {
         let text: Text = serde_json::from_slice(text).map_err(|e| e.to_string())?;
         let seed = u64::from_str_radix(&text.seed, 16).map_err(|e| format!("seed {:?}: {e}", text.seed))?;
         let setup = sparlug_setup::decode(text.settings.get().as_bytes())?;
-        let known = text.known.map(|known| known.get().as_bytes().to_vec()).unwrap_or_default();
-        let (name, listen, discovery) = (text.name, text.listen, text.discovery);
-        let fixed = Fixed { name: name.clone(), listen, settings: text.settings.get().to_string() };
-        Ok(Config { name, listen, discovery, seed, budgets: text.limits.budgets()?, known, setup, fixed })
+        let known = text.known.map(|known| listing::decode(known.get().as_bytes(), &setup.zone_names));
+        let (name, listen, discovery) = (text.name, text.listen, Some(text.discovery));
+        let (known, budgets) = (known.transpose()?, text.limits.budgets()?);
+        let fixed = Fixed::of(&name, listen, &setup);
+        let (log, log_format) = (None, LogFormat::Text);
+        Ok(Config { name, listen, discovery, seed, budgets, known, setup, fixed, log, log_format })
+    }
+
+    fn of_native(found: Native) -> Result<Config, String> {
+        let Native { name, listen, seed, sockets, memory_mb, log, log_format, directory, setup } = found;
+        let budgets = Limits { sockets, memory_mb }.budgets()?;
+        // Without a seed, each start has one of its own.
+        let drawn = || std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let seed = seed.unwrap_or_else(|| drawn().as_nanos() as u64 ^ u64::from(std::process::id()) << 32);
+        let (discovery, known) = match directory {
+            Directory::Agent(agent) => (Some(agent), None),
+            Directory::Listed(backends) => {
+                let entries = backends.into_iter().map(entry).collect();
+                (None, Some(List { version: 0, whole: true, entries }))
+            }
+        };
+        let fixed = Fixed::of(&name, listen, &setup);
+        Ok(Config { name, listen, discovery, seed, budgets, known, setup, fixed, log, log_format })
+    }
+}
+
+impl Fixed {
+    fn of(name: &str, listen: SocketAddr, setup: &Setup) -> Fixed {
+        let Setup { settings, tariff_names, zone_names, dial, idle, .. } = setup;
+        let settings = format!("{settings:?} {tariff_names:?} {zone_names:?} {dial:?} {idle:?}");
+        Fixed { name: name.to_string(), listen, settings }
     }
 }
+
+fn entry(backend: native::Backend) -> Entry {
+    let listing = Listing {
+        backend: listing::backend_id(&backend.name),
+        zone: ZoneId(backend.zone.map_or(u16::MAX, |zone| zone as u16)),
+        pod: PodId(0),
+        condition: if backend.drains { Condition::Draining } else { Condition::Ready },
+        started: None,
+        size: backend.size,
+    };
+    Entry { host: backend.name, dial: backend.address, listing }
+}
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -17,7 +17,8 @@
 const LIST_MOST: usize = 4 * 1024 * 1024;
 
 pub struct Discovery {
-    address: SocketAddr,
+    /// The agent; without one there is nothing to ask.
+    address: Option<SocketAddr>,
     zones: Vec<String>,
     /// The version that the proxy has; `None` asks for the whole list.
     version: Option<u64>,
@@ -33,7 +34,7 @@
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, zones: Vec<String>, version: Option<u64>) -> Discovery {
+    pub fn new(address: Option<SocketAddr>, zones: Vec<String>, version: Option<u64>) -> Discovery {
         let (link, head, deadline) = Default::default();
         let since = Time::default();
         Discovery {
@@ -66,7 +67,7 @@
 
     /// Moves the watch to another agent, if it is another one; whether it was. The new watch begins with the
     /// whole list: one agent's versions mean nothing to another. Until it has come, the old list goes on.
-    pub fn go_to(&mut self, address: SocketAddr, io: &mut Shared) -> bool {
+    pub fn go_to(&mut self, address: Option<SocketAddr>, io: &mut Shared) -> bool {
         let moved = std::mem::replace(&mut self.address, address) != address;
         if moved {
             self.fetch(io);
@@ -83,10 +84,11 @@
     }
 
     fn ask(&mut self, io: &mut Shared) {
+        let Some(address) = self.address else { return };
         self.reused = self.link.is_some();
         if self.link.is_none() {
             self.turn = self.turn.wrapping_add(1);
-            match Link::dial(self.address, &io.registry, Owner::Discovery(self.turn).token()) {
+            match Link::dial(address, &io.registry, Owner::Discovery(self.turn).token()) {
                 Ok(link) => self.link = Some(link),
                 Err(e) => return self.failed(&e.to_string(), io),
             }
@@ -94,7 +96,7 @@
         (self.asked, self.since) = (true, io.now);
         let query = self.version.map(|version| format!("?index={version}&wait={:.0}", WAIT.ms()));
         let wait = if query.is_some() { WAIT } else { Span::ZERO };
-        let host = self.address;
+        let host = address;
         let call = format!("GET /v1/endpoints{} HTTP/1.1\r\nHost: {host}\r\n\r\n", query.unwrap_or_default());
         io.deadlines.call_off(self.deadline.take());
         self.deadline = Some(io.deadlines.set(io.now + wait + GRACE, Due::List));
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -3,7 +3,7 @@
 
 use std::process::ExitCode;
 
-use sparlug_proxy::config::Config;
+use sparlug_proxy::config::{Config, Source};
 use sparlug_proxy::proxy::{hear_signals, Proxy};
 use tracing::level_filters::LevelFilter;
 
@@ -23,9 +23,9 @@
 fn main() -> ExitCode {
     // First of all: guards against a signal that comes before the program is up and ends it.
     let served = hear_signals().and_then(|signals| {
-        let config = Config::from_environment()?;
+        let config = Config::read(&Source::Environment)?;
         log();
-        Proxy::new(config, signals)?.run().map_err(|e| format!("cannot poll: {e}"))
+        Proxy::new(config, Source::Environment, signals)?.run().map_err(|e| format!("cannot poll: {e}"))
     });
     match served {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -14,13 +14,12 @@
 use sparlug::time::{Span, Time};
 
 use crate::clients::{Clients, Tariffs};
-use crate::config::{Config, Fixed};
+use crate::config::{Config, Fixed, Source};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, DeadlineId, Deadlines};
 use crate::discovery::Discovery;
 use crate::ending::Ending;
 use crate::http;
-use crate::listing;
 use crate::pool::Pool;
 use crate::shared::{
     ClientSlot, ConnSlot, Done, Due, HeldSlot, Note, OfHeld, Owner, Purpose, Request, Shared,
@@ -61,6 +60,7 @@
     longest: Span,
     /// What can't change while it runs, to say so when a new configuration differs.
     fixed: Fixed,
+    source: Source,
     /// Since when it is going down.
     leaving: Option<Time>,
 }
@@ -79,7 +79,8 @@
 }
 
 impl Proxy {
-    pub fn new(config: Config, mut signals: Signals) -> Result<Proxy, String> {
+    /// `source` is where the configuration came from, to be read again on SIGHUP.
+    pub fn new(config: Config, source: Source, mut signals: Signals) -> Result<Proxy, String> {
         let poll = Poll::new().map_err(|e| format!("cannot poll: {e}"))?;
         let registry = poll.registry().try_clone().map_err(|e| format!("cannot poll: {e}"))?;
         let heard = registry.register(&mut signals, Owner::Signals.token(), Interest::READABLE);
@@ -99,10 +100,7 @@
         let tariffs = Tariffs { names: setup.tariff_names, cut_offs, methods };
         let clients = Clients::new(Some(listener), tariffs, config.budgets);
         let pool = Pool::new(config.budgets, setup.dial, setup.idle);
-        let known = match config.known.is_empty() {
-            true => None,
-            false => Some(listing::decode(&config.known, &setup.zone_names)?),
-        };
+        let known = config.known;
         let version = known.as_ref().map(|known| known.version);
         let discovery = Discovery::new(config.discovery, setup.zone_names, version);
         let check_path =
@@ -129,6 +127,7 @@
             check_path,
             longest,
             fixed: config.fixed,
+            source,
             leaving,
         };
         proxy.carry_out();
@@ -222,7 +221,7 @@
 
     /// Reads the configuration anew. What can't be used changes nothing.
     fn reload(&mut self) {
-        let config = match Config::from_environment() {
+        let config = match Config::read(&self.source) {
             Ok(config) => config,
             Err(why) => return tracing::warn!(why, "configuration kept as it was"),
         };
@@ -230,7 +229,11 @@
         self.clients.set_budgets(config.budgets);
         self.pool.set_budgets(config.budgets);
         let moved = self.discovery.go_to(discovery, &mut self.io);
-        tracing::info!(%discovery, moved, "configuration read anew");
+        if let (None, Some(list)) = (discovery, config.known) {
+            self.io.notes.push_back(Note::Listed { whole: true, entries: list.entries });
+        }
+        let discovery = discovery.map_or("a list in the file".to_string(), |agent| agent.to_string());
+        tracing::info!(discovery, moved, "configuration read anew");
         if restart {
             tracing::warn!("name, listen and settings stay as they were until a restart");
         }
@@ -375,7 +378,9 @@
         self.io.counters.ended(outcome);
         if outcome != Outcome::Honoured {
             let host = self.pool.host(backend);
-            tracing::debug!(exchange = exchange.0, host, ?ending, took = took.ms(), "forward ended");
+            let held = self.held.get(HeldSlot::from_number(exchange.0));
+            let id = held.and_then(|held| held.request.head.id.as_deref());
+            tracing::debug!(id, exchange = exchange.0, host, ?ending, took = took.ms(), "forward ended");
         }
         let slot = HeldSlot::from_number(exchange.0);
         if let Some(held) = self.held.get_mut(slot) {
@@ -400,6 +405,8 @@
     fn answer(&mut self, exchange: ExchangeId, status: u16, backoff: Option<Span>) {
         let Some(held) = self.held.get(HeldSlot::from_number(exchange.0)) else { return };
         let Some(client) = held.client else { return };
+        let id = held.request.head.id.as_deref();
+        tracing::debug!(id, status, backoff = backoff.map(Span::ms), "answered without a backend's answer");
         let close = held.request.head.close || self.clients.leaving || self.clients.over_budget();
         let bytes = http::own_answer(status, backoff, close);
         self.clients.answer(client, &bytes, close, &mut self.io);
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -1,6 +1,8 @@
 //! The settings text of an instance, decoded into what the decisions read, and what the adapters need of it
 //! besides. The outside's words end here: each adapter takes the decisions' own words from this package.
 
+pub mod native;
+
 use serde::Deserialize;
 use sparlug::event::Load;
 use sparlug::id::ZoneId;
