Test the lab: forged records for the ledger, planted faults, the command line, configurations

Need: a ledger that has never caught anything proves nothing.

A fault that follows from another one is no longer told by the configuration's check (found by its test).

--- a/crates/lab/src/agent.rs
+++ b/crates/lab/src/agent.rs
@@ -17,6 +17,7 @@
     pub host: String,
     pub dial: SocketAddr,
     pub site: String,
+    pub block: usize,
     pub health: String,
     pub share: f64,
     pub born_ms: f64,
--- a/crates/lab/src/backend.rs
+++ b/crates/lab/src/backend.rs
@@ -13,7 +13,7 @@
 use crate::message::{self, Message};
 use crate::plan;
 use crate::record::What;
-use crate::scenario::{Class, FaultKind, Tier};
+use crate::scenario::{Class, Effect, FaultKind, Tier};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Spec {
@@ -366,7 +366,7 @@
         }
         let id = format!("{}.{}.{}", job.id, self.spec.name.replace('/', "-"), job.made);
         let class = self.spec.classes.iter().find(|class| class.name == job.class).cloned();
-        let at_most_once = class.is_some_and(|class| class.effect == crate::scenario::Effect::AtMostOnce);
+        let at_most_once = class.is_some_and(|class| class.effect != Effect::Reissuable);
         let method = if at_most_once { "POST" } else { "GET" };
         let headers = [
             ("Request-Id", id.clone()),
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -183,7 +183,7 @@
         if self.spec.callers.marks && attempt.try_no > 0 {
             headers.push(("Client-Retry", "1".to_string()));
         }
-        let once = class.effect == Effect::AtMostOnce;
+        let once = class.effect != Effect::Reissuable;
         let (method, body) = if once { ("POST", vec![b'b'; class.body]) } else { ("GET", Vec::new()) };
         let bytes =
             message::write_request(method, &format!("/{}", class.name), "api.internal", &headers, &body);
--- a/crates/lab/src/peer.rs
+++ b/crates/lab/src/peer.rs
@@ -16,7 +16,7 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Spec {
-    Backend(backend::Spec),
+    Backend(Box<backend::Spec>),
     Agent(agent::Spec),
     Relay(relay::Spec),
     Balancer(balancer::Spec),
@@ -65,7 +65,7 @@
         }};
     }
     match spec {
-        Spec::Backend(spec) => run!(backend::Backend::new(spec), Backend),
+        Spec::Backend(spec) => run!(backend::Backend::new(*spec), Backend),
         Spec::Agent(spec) => run!(agent::Agent::new(spec), Agent),
         Spec::Relay(spec) => run!(relay::Relay::new(spec), Relay),
         Spec::Balancer(spec) => run!(balancer::Balancer::new(spec), Balancer),
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -119,6 +119,9 @@
     pub plant: Option<Planted>,
     /// Each backend is a process of its own, which a crash kills.
     pub apart: bool,
+    /// Backends and proxies are dealt out over so many zones, and backends into pods of so many.
+    pub zones: usize,
+    pub pod: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
@@ -163,6 +166,8 @@
             try_time: None,
             plant: None,
             apart: false,
+            zones: 1,
+            pod: 4,
         }
     }
 }
@@ -189,9 +194,20 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Effect {
     Reissuable,
+    /// Repeats are dropped by the backends of a group, within a window.
+    Numbered,
     AtMostOnce,
 }
 
+/// The backends that drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Group {
+    All,
+    Zone,
+    Pod,
+}
+
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
@@ -201,6 +217,8 @@
     #[serde(default = "one")]
     pub value: f64,
     pub effect: Effect,
+    pub group: Option<Group>,
+    pub window: Option<Micros>,
     /// Its part of the arrivals.
     #[serde(default = "one")]
     pub share: f64,
@@ -305,7 +323,7 @@
     #[serde(rename = "for")]
     pub lasts: Option<Micros>,
     /// Such as `front/s-0`, or `front/s-*` for all: s backends, p proxies, a agents, l links before backends,
-    /// c links before proxies.
+    /// c links before proxies; or `callers`.
     pub part: String,
     pub kind: FaultKind,
     /// For the parts that match, one after another with this between.
@@ -333,6 +351,17 @@
     1
 }
 
+impl Fault {
+    /// One that begins when it is given, by the name of its kind.
+    pub fn now(part: &str, kind: &str, lasts: Micros) -> Option<Fault> {
+        let kind = serde_json::from_value(serde_json::Value::String(kind.to_string())).ok()?;
+        let (at, step, every, part) = (Micros::ZERO, Micros::ZERO, Micros::ZERO, part.to_string());
+        let (amount, chance, nth, direction) = Default::default();
+        let (times, moves, lasts) = (1, false, Some(lasts));
+        Some(Fault { at, lasts, part, kind, step, times, every, amount, chance, nth, moves, direction })
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Direction {
@@ -375,6 +404,8 @@
     Kill,
     Term,
     Freeze,
+    // of the callers
+    Herd,
 }
 
 impl FaultKind {
@@ -385,6 +416,7 @@
             Mute | Stale | JumpBack | Move => "a",
             Reset | Close | HalfOpen | BlackHole | Delay => "lc",
             Kill | Term | Freeze => "p",
+            Herd => "k",
             _ => "s",
         }
     }
@@ -519,6 +551,9 @@
                 t if t.calls[0] > t.calls[1] => "calls: wanted the least before the most",
                 t if t.calls[1] > 0 && last => "calls: there is no next tier to call",
                 t if t.balance == Balance::Direct && n > 0 => "balance: direct is for the first tier only",
+                t if !(1..=26).contains(&t.zones) || t.pod == 0 => {
+                    "zones and pod: wanted 1 to 26 zones, pods above 0"
+                }
                 t if t.plant.is_some() && t.balance == Balance::Sparlug => "plant: only stand-ins have one",
                 t if scenario.tiers[..n].iter().any(|o| o.name == t.name) => {
                     "name: there is one of that name"
@@ -527,6 +562,16 @@
             };
             return Err(format!("{path}:{at}: tier {:?}: {why}", tier.name));
         }
+        for (n, class) in scenario.classes.iter().enumerate() {
+            let numbered = class.effect == Effect::Numbered;
+            if numbered != class.group.is_some() || numbered != class.window.is_some() {
+                let at = self.line_of("[[class]]", n);
+                let name = &class.name;
+                return Err(format!(
+                    "{path}:{at}: class {name:?}: a numbered effect, and only it, has group and window"
+                ));
+            }
+        }
         for (n, fault) in scenario.faults.iter().enumerate() {
             let at = self.line_of("[[fault]]", n);
             let fail = |why: String| Err(format!("{path}:{at}: fault {:?}: {why}", fault.part));
@@ -536,6 +581,9 @@
                 return fail(format!("there is no such part; there are {}", parts.join(", ")));
             }
             let letter = found[0].1;
+            if fault.kind == FaultKind::Herd && fault.lasts.is_some() {
+                return fail("a herd has no length: it is gone and comes back at once".to_string());
+            }
             if !fault.kind.letters().contains(letter) {
                 let kind = serde_json::to_string(&fault.kind).unwrap_or_default();
                 return fail(format!("{kind} befalls parts of the kind {:?} only", fault.kind.letters()));
@@ -566,6 +614,9 @@
 impl Scenario {
     /// The parts that a name or a pattern means: tier, letter, number.
     pub fn parts(&self, pattern: &str) -> Vec<(usize, char, usize)> {
+        if pattern == "callers" {
+            return vec![(0, 'k', 0)];
+        }
         let Some((tier, rest)) = pattern.split_once('/') else { return Vec::new() };
         let Some((letter, number)) = rest.split_once('-') else { return Vec::new() };
         let mut letters = letter.chars();
@@ -598,7 +649,10 @@
         let kinds = |tier: usize| "spalc".chars().map(move |letter| (tier, letter));
         let all =
             (0..self.tiers.len()).flat_map(kinds).filter(|(tier, letter)| self.count(*tier, *letter) > 0);
-        all.map(|(tier, l)| format!("{}/{l}-0..{}", self.tiers[tier].name, self.count(tier, l) - 1)).collect()
+        let named = |(tier, l): (usize, char)| {
+            format!("{}/{l}-0..{}", self.tiers[tier].name, self.count(tier, l) - 1)
+        };
+        all.map(named).chain(["callers".to_string()]).collect()
     }
 
     fn draw_together(&mut self, by: f64) {
@@ -611,6 +665,7 @@
         self.load.steps.iter_mut().for_each(|step| step.at = step.at.scaled(by));
         for tier in &mut self.tiers {
             tier.cold_ramp = tier.cold_ramp.scaled(by);
+            tier.fall_window = tier.fall_window.scaled(by);
         }
     }
 
--- /dev/null
+++ b/crates/lab/tests/parts.rs
@@ -0,0 +1,198 @@
+//! Plans, scenarios and their errors, spans, records and messages: all that needs no process.
+
+use std::path::Path;
+
+use sparlug_lab::clock::{At, Micros};
+use sparlug_lab::outcome::Figures;
+use sparlug_lab::record::{self, Record, Recorder, What};
+use sparlug_lab::scenario::{Bounds, Source};
+use sparlug_lab::{message, plan};
+
+fn calm() -> String {
+    std::fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/calm.toml")).unwrap()
+}
+
+fn source(text: String) -> Result<Source, String> {
+    Source::of(Path::new("x.toml"), text)
+}
+
+fn fault(text: String) -> String {
+    source(text).and_then(|source| source.scenario(None, false)).map(|_| ()).unwrap_err()
+}
+
+#[test]
+fn the_same_seed_gives_the_same_arrivals_and_another_one_others() {
+    let mut source = source(calm()).unwrap();
+    source.set("callers.impatient=0.1").unwrap();
+    source.set("load.burst={every=\"1s\", size=5}").unwrap();
+    let scenario = source.scenario(None, false).unwrap();
+    let first = plan::intents(&scenario, 3);
+    assert!((0..10).all(|_| plan::intents(&scenario, 3) == first));
+    assert_ne!(plan::digest(&plan::intents(&scenario, 4)), plan::digest(&first));
+    assert!(first.windows(2).all(|two| two[0].at <= two[1].at));
+    let impatient = first.iter().filter(|intent| intent.impatient).count() as f64 / first.len() as f64;
+    assert!((0.06..0.14).contains(&impatient), "{impatient}");
+}
+
+#[test]
+fn arrivals_follow_steps_and_ramps() {
+    let mut source = source(calm()).unwrap();
+    source.set("load.rate=100").unwrap();
+    source.set("load.step=[{at=\"2s\", rate=1000, ramp=true}, {at=\"6s\", rate=50}]").unwrap();
+    let all = plan::intents(&source.scenario(None, false).unwrap(), 1);
+    let between = |from: i64, to: i64| {
+        let within = |at: Micros| at >= Micros::from_millis(from) && at < Micros::from_millis(to);
+        all.iter().filter(|intent| within(intent.at)).count()
+    };
+    // A line from 100 to 1,000 a second over two seconds, then level, then 50.
+    assert!((900..1300).contains(&between(0, 2000)), "{}", between(0, 2000));
+    assert!((3700..4300).contains(&between(2000, 6000)));
+    assert!((60..145).contains(&between(6000, 8000)));
+}
+
+#[test]
+fn service_times_have_the_mean_that_is_asked_for() {
+    let scenario = source(calm()).unwrap().scenario(None, false).unwrap();
+    let mut tier = scenario.tiers[0].clone();
+    for distribution in ["fixed", "exponential", "lognormal"] {
+        tier.distribution = serde_json::from_value(distribution.into()).unwrap();
+        let drawn = (0..4000).map(|n| plan::service(&tier, &mut plan::rng_of(1, &format!("id-{n}"), 2)).ms());
+        let mean = drawn.sum::<f64>() / 4000.0;
+        assert!((18.5..21.5).contains(&mean), "{distribution}: {mean}");
+    }
+}
+
+#[test]
+fn a_scenario_that_cannot_be_used_is_told_in_one_line_with_its_place() {
+    let with = |more: &str| calm() + more;
+    let cases = [
+        (calm().replace("cores = 2", "coers = 2"), "x.toml:10: unknown field `coers`"),
+        (calm().replace("\"20ms\"", "\"20 miles\""), "x.toml:11: \"20 miles\" is no span"),
+        (calm().replace("rate = 130", ""), "x.toml: [load]: wanted one of rate and closed"),
+        (
+            calm().replace("backends = 4", "backends = 0"),
+            "x.toml:6: tier \"front\": backends: wanted 1 to 200",
+        ),
+        (
+            with("[[fault]]\nat = \"1s\"\npart = \"front/s-9\"\nkind = \"stall\"\n"),
+            "x.toml:36: fault \"front/s-9\": there is no such part; there are front/s-0..3",
+        ),
+        (
+            with("[[fault]]\nat = \"1s\"\npart = \"front/p-0\"\nkind = \"stall\"\n"),
+            "x.toml:36: fault \"front/p-0\": \"stall\" befalls parts of the kind \"s\" only",
+        ),
+        (
+            with("[[compare]]\nfigure = \"p50_ms\"\nof = \"a\"\nto = \"b\"\n"),
+            "x.toml:36: compare: there is no variant \"a\"",
+        ),
+        (
+            calm().replace("effect = \"at-most-once\"", "effect = \"numbered\""),
+            "x.toml:20: class \"book-slot\": a numbered effect",
+        ),
+    ];
+    for (text, wanted) in cases {
+        let found = fault(text);
+        assert!(found.starts_with(wanted) && !found.contains('\n'), "{found:?} is not {wanted:?}");
+    }
+}
+
+#[test]
+fn fields_can_be_set_and_variants_change_them() {
+    let text =
+        calm() + "[[variant]]\nname = \"wide\"\nset = { \"tier.0.backends\" = 9, \"load.rate\" = 7 }\n";
+    let mut source = source(text).unwrap();
+    source.set("tier.0.balance=least").unwrap();
+    source.set("callers.retries=4").unwrap();
+    let base = source.scenario(None, false).unwrap();
+    let wide = source.scenario(base.variants.first(), false).unwrap();
+    assert_eq!((base.tiers[0].backends, wide.tiers[0].backends), (4, 9));
+    assert_eq!((base.load.rate, wide.load.rate, wide.callers.retries), (130.0, 7.0, 4));
+    assert!(source.set("tier.4.backends=1").unwrap_err().contains("wanted a place from 0 to 0"));
+    assert!(source.set("nothing").unwrap_err().contains("KEY=VALUE"));
+    source.set("tier.0.nonsense=1").unwrap();
+    assert!(source.scenario(None, false).map(|_| ()).unwrap_err().contains("unknown field `nonsense`"));
+}
+
+#[test]
+fn the_short_form_draws_all_times_together() {
+    let text = calm()
+        + "[[fault]]\nat = \"4s\"\nfor = \"2s\"\npart = \"front/s-*\"\nkind = \"stall\"\nstep = \"800ms\"\n";
+    let short = source(text).unwrap().scenario(None, true).unwrap();
+    let fault = &short.faults[0];
+    assert_eq!(short.lasts, Micros::from_millis(3000));
+    assert_eq!((fault.at, fault.lasts), (Micros::from_millis(1500), Some(Micros::from_millis(750))));
+    assert_eq!(fault.step, Micros::from_millis(300));
+}
+
+#[test]
+fn records_come_back_as_they_were_and_a_torn_last_line_costs_only_itself() {
+    let path = std::env::temp_dir().join(format!("sparlug-records-{}.jsonl", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    let recorder = Recorder::open(&path, "lab").unwrap();
+    let what = What::Answered { id: "a".into(), status: 200, retry_after_ms: Some(1.5) };
+    recorder.named("callers").write(At(20), what.clone());
+    recorder.write(At(10), What::Note { text: "first".into() });
+    let whole = std::fs::read(&path).unwrap();
+    std::fs::write(&path, [&whole[..], b"{\"t\":30,\"part\":\"cal"].concat()).unwrap();
+    let read = record::read(&path).unwrap();
+    assert_eq!(read.len(), 2);
+    assert_eq!(read[1], Record { t: At(20), part: "callers".into(), what });
+    std::fs::write(&path, "{\"t\":30,\"nonsense\":1}\n").unwrap();
+    assert!(record::read(&path).unwrap_err().contains(":1: no record"));
+    std::fs::remove_file(&path).unwrap();
+}
+
+#[test]
+fn messages_are_read_the_same_however_they_are_cut() {
+    let bytes = message::write_request("POST", "/book-slot?x=1", "h", &[("Request-Id", "7".into())], b"body");
+    for cut in 0..bytes.len() {
+        assert_eq!(message::request(&bytes[..cut]), Ok(None));
+    }
+    let read = message::request(&bytes).unwrap().unwrap();
+    assert_eq!(
+        (read.class(), read.header("request-id"), read.body.as_slice()),
+        ("book-slot", Some("7"), &b"body"[..])
+    );
+    assert_eq!(read.length, bytes.len());
+    assert!(message::answer(b"HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\n").is_err());
+    assert!(message::answer(b"nonsense\r\n\r\n").is_err());
+}
+
+#[test]
+fn spans_are_read_and_written_as_people_write_them() {
+    for (text, us) in
+        [("250us", 250), ("1.5ms", 1500), ("40ms", 40_000), ("2s", 2_000_000), ("1min", 60_000_000)]
+    {
+        assert_eq!(text.parse::<Micros>().unwrap(), Micros(us));
+        assert_eq!(Micros(us).to_string().parse::<Micros>().unwrap(), Micros(us));
+    }
+    for text in ["", "5", "ms", "-1s", "1 day", "nans"] {
+        assert!(text.parse::<Micros>().unwrap_err().contains("wanted a number"), "{text}");
+    }
+}
+
+#[test]
+fn figures_count_from_when_an_exchange_was_meant_and_bounds_say_what_they_miss() {
+    let scenario = source(calm()).unwrap().scenario(None, false).unwrap();
+    let over = |t, due, honoured| Record {
+        t: At(t),
+        part: "callers".into(),
+        what: What::Over { intent: 1, class: "read".into(), due: At(due), honoured, tries: 1 },
+    };
+    // Sent late by a stalled caller or not: 900 ms is what it took.
+    let records =
+        [over(1_000_000, 100_000, true), over(1_010_000, 1_000_000, true), over(7_500_000, 7_000_000, false)];
+    let figures = Figures::of(&records, &scenario, At(0));
+    assert_eq!((figures.intents, figures.honoured), (3, 2));
+    assert!((899.0..901.0).contains(&figures.max_ms));
+    assert_eq!(figures.end_honoured_share, 0.0);
+    let bounds = Bounds {
+        honoured_least: Some(0.9),
+        end_honoured_most: Some(0.5),
+        p99_most: Some(Micros::from_millis(500)),
+        ..Bounds::default()
+    };
+    let missed = figures.missed(&bounds);
+    assert_eq!(missed.len(), 2, "{missed:?}");
+    assert!(missed[0].starts_with("honoured_share is 0.667, wanted at least 0.9"));
+}
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -277,9 +277,10 @@
                 format!("{}: missing; wanted reissuable, numbered or at-most-once", field("effect")),
             );
         }
+        let before = self.faults.len();
         let goal = self.above(&field("goal"), &t.goal, "1s");
         let cut_off = self.above(&field("cut_off"), &t.cut_off, "1s");
-        if t.goal.is_some() && t.cut_off.is_some() && goal > cut_off {
+        if self.faults.len() == before && t.goal.is_some() && t.cut_off.is_some() && goal > cut_off {
             self.fault(at, format!("{}: is longer than the cut-off", field("goal")));
         }
         let effect = self.value(&field("effect"), &t.effect, |text| match text.as_str() {
--- /dev/null
+++ b/crates/setup/tests/native.rs
@@ -0,0 +1,108 @@
+//! The project's own configuration: what it means, and that all its faults are told with their lines.
+
+use sparlug::settings::{Effect, Group};
+use sparlug::time::Span;
+use sparlug_setup::native::{decode, Directory, LogFormat};
+
+const SMALL: &str = r#"name = "n1"
+
+[[listener]]
+address = "127.0.0.1:8080"
+
+[discovery]
+agent = "127.0.0.1:8500"
+
+[tariff.check-free]
+goal = "210ms"
+cut_off = "530ms"
+effect = "reissuable"
+"#;
+
+fn faults(text: &str) -> Vec<String> {
+    let faults = decode(text).map(|_| ()).unwrap_err();
+    faults.iter().map(|fault| fault.to_string()).collect()
+}
+
+#[test]
+fn a_small_configuration_has_defaults_for_the_rest() {
+    let found = decode(SMALL).unwrap_or_else(|faults| panic!("{faults:?}"));
+    assert_eq!(found.directory, Directory::Agent("127.0.0.1:8500".parse().unwrap()));
+    assert_eq!((found.sockets, found.memory_mb, found.log_format), (1024, 192, LogFormat::Text));
+    assert_eq!(found.setup.tariff_names, ["check-free"]);
+    let settings = &found.setup.settings;
+    assert_eq!((settings.max_forwards, settings.instances, settings.max_backoff), (3, 1, None));
+    assert_eq!(settings.tariffs[0].goal, Span::from_millis(210));
+    assert_eq!(settings.tariffs[0].effect, Effect::Reissuable);
+}
+
+#[test]
+fn a_list_of_backends_and_numbered_tariffs_are_read() {
+    let text = SMALL.replace("agent = \"127.0.0.1:8500\"", "")
+        + "effect_of = 1\n[[discovery.backend]]\nname = \"s-1\"\naddress = \"127.0.0.2:80\"\nzone = \"b\"\nsize = 2.0\n\
+           [tier]\nzones = [\"a\", \"b\"]\nzone = \"b\"\n[tariff.mark]\ngoal = \"1s\"\ncut_off = \"2s\"\n\
+           effect = \"numbered\"\ngroup = \"pod\"\nwindow = \"3s\"\n";
+    assert_eq!(faults(&text).len(), 1, "{:?}", faults(&text));
+    let found = decode(&text.replace("effect_of = 1\n", "")).unwrap_or_else(|faults| panic!("{faults:?}"));
+    let Directory::Listed(backends) = &found.directory else { panic!("an agent") };
+    assert_eq!((backends[0].name.as_str(), backends[0].zone, backends[0].size), ("s-1", Some(1), 2.0));
+    let window = Span::from_millis(3000);
+    assert_eq!(found.setup.settings.tariffs[1].effect, Effect::Numbered { group: Group::Pod, window });
+}
+
+#[test]
+fn each_fault_is_told_with_its_line_and_what_would_be_right() {
+    let cases = [
+        (SMALL.replace("name", "nmae"), "1: unknown field `nmae`"),
+        (
+            SMALL.replace("127.0.0.1:8080", "127.0.0.1"),
+            "4: listener.address: \"127.0.0.1\": wanted an address and a port",
+        ),
+        (SMALL.replace("210ms", "900ms"), "9: tariff.check-free.goal: is longer than the cut-off"),
+        (SMALL.replace("530ms", "530"), "11: tariff.check-free.cut_off: \"530\" is no span"),
+        (
+            SMALL.replace("reissuable", "safe"),
+            "12: tariff.check-free.effect: \"safe\": wanted reissuable, numbered or at-most-once",
+        ),
+        (
+            SMALL.replace("reissuable", "numbered"),
+            "9: tariff.check-free: a numbered effect wants group and window",
+        ),
+        (SMALL.replace("effect = \"reissuable\"", ""), "9: tariff.check-free.effect: missing"),
+        (
+            SMALL.replace("agent = ", "# "),
+            "6: discovery: wanted an agent or at least one [[discovery.backend]]",
+        ),
+        (SMALL.replace("[[listener]]\naddress = \"127.0.0.1:8080\"", ""), "1: listener: missing"),
+        (
+            SMALL.to_string() + "[limits]\nsockets = 3\n",
+            "14: limits.sockets: 3: wanted a whole number from 64",
+        ),
+        (
+            SMALL.to_string() + "[backends]\ncold_share = 7.0\n",
+            "14: backends.cold_share: 7: wanted a number from",
+        ),
+        (
+            SMALL.to_string() + "[tier]\nzone = \"x\"\n",
+            "14: tier.zone: \"x\": wanted one of tier.zones: local",
+        ),
+        (SMALL.to_string() + "[log]\nformat = \"xml\"\n", "14: log.format: \"xml\": wanted text or json"),
+        ("name = \"x\" =\n".to_string() + SMALL, "1: "),
+    ];
+    for (text, wanted) in cases {
+        let found = faults(&text);
+        assert!(found.iter().any(|fault| fault.starts_with(wanted)), "{found:?} lacks {wanted:?}");
+    }
+}
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let text = SMALL
+        .replace("name", "nmae")
+        .replace("210ms", "x")
+        .replace("8080", "port")
+        .replace("reissuable", "no")
+        + "[limit]\nsockets = 1\n[backends]\nidle = 4\n";
+    let found = faults(&text);
+    let lines: Vec<&str> = found.iter().filter_map(|fault| fault.split(':').next()).collect();
+    assert_eq!(lines, ["1", "4", "10", "12", "13", "16"], "{found:#?}");
+}
