--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,96 @@
+//! What a decision costs, by how many backends are listed and how many exchanges are held.
+
+use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
+use sparlug::event::{Action, Condition, Ended, Event, Exchange, Listing, Load, Outcome};
+use sparlug::id::{BackendId, ExchangeId, ForwardNo, PodId, TariffId, TenantId, ZoneId};
+use sparlug::policy::Balancer;
+use sparlug::settings::{Effect, Settings, Tariff};
+use sparlug::time::{Span, Time};
+
+fn listing(n: u32) -> Listing {
+    let [_, a, b, c] = n.to_be_bytes();
+    Listing {
+        backend: BackendId { address: [10, a, b, c], port: 80 },
+        zone: ZoneId(0),
+        pod: PodId((n / 6) as u16),
+        condition: Condition::Ready,
+        started: None,
+        size: 1.0,
+    }
+}
+
+/// A balancer before so many backends that holds so many exchanges, and the time by then. What it turns back for
+/// want of room it does not hold, so it is offered more until it holds enough.
+fn balancer(backends: u32, held: usize) -> (Balancer, Time) {
+    let tariff = |effect| Tariff::new(Span::from_millis(210), Span::from_millis(530), effect);
+    let tariffs = vec![tariff(Effect::Reissuable), tariff(Effect::AtMostOnce)];
+    let (start, mut actions) = (Time::from_ms(1000.0), Vec::new());
+    let mut balancer = Balancer::new(Settings::for_tariffs(tariffs), 7, start, &mut actions);
+    let timers = std::mem::take(&mut actions);
+    let listings = (0..backends).map(listing).collect();
+    balancer.handle(start, Event::Listed { whole: true, listings }, &mut actions);
+    // With its first beat it takes the measure of the list.
+    let mut start = start;
+    for timer in timers {
+        if let Action::Timer { after, mark } = timer {
+            start = start + after;
+            balancer.handle(start, Event::Timer(mark), &mut actions);
+        }
+    }
+    let (mut holds, mut id) = (0, 0);
+    while holds < held {
+        assert!(id < 4 * held as u32, "{holds} are held, {held} can't be");
+        actions.clear();
+        take(&mut balancer, start, id, &mut actions);
+        id += 1;
+        holds += 1 - actions.iter().filter(|action| matches!(action, Action::TurnBack { .. })).count();
+    }
+    (balancer, start)
+}
+
+fn take(balancer: &mut Balancer, now: Time, id: u32, actions: &mut Vec<Action>) {
+    let (tariff, cut_off) = (TariffId((id % 2) as u16), now + Span::from_millis(530));
+    let exchange = Exchange { id: ExchangeId(id), tariff, tenant: TenantId(0), cut_off, cost: None };
+    balancer.handle(now, Event::Taken(exchange), actions);
+}
+
+/// One exchange from its taking to its answer.
+fn exchange(balancer: &mut Balancer, now: Time, id: u32, actions: &mut Vec<Action>) {
+    take(balancer, now, id, actions);
+    let forwards = std::mem::take(actions);
+    for action in forwards {
+        let Action::Forward { exchange, backend, .. } = action else { continue };
+        let (outcome, took, load) = (Outcome::Honoured, Span::from_millis(20), Load::default());
+        let (forward, answered) = (ForwardNo(0), true);
+        let ended = Ended { exchange, forward, backend, outcome, answered, took, load };
+        balancer.handle(now, Event::Ended(ended), actions);
+    }
+    actions.clear();
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("exchange");
+    for backends in [10, 100, 1000] {
+        group.bench_function(BenchmarkId::new("backends", backends), |b| {
+            let ((mut balancer, now), mut actions, mut id) = (balancer(backends, 0), Vec::new(), 1_000_000);
+            b.iter(|| {
+                id += 1;
+                exchange(&mut balancer, now, id, &mut actions);
+            });
+        });
+    }
+    // Before so many backends that the limit has room for them all.
+    for held in [10, 1000, 10_000] {
+        group.bench_function(BenchmarkId::new("held", held), |b| {
+            b.iter_batched_ref(
+                || (balancer(4000, held), Vec::new()),
+                |((balancer, now), actions)| take(balancer, *now, 1_000_000, actions),
+                BatchSize::LargeInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -350,7 +350,8 @@
     fn accepted(&mut self, _hub: &mut Loop, _on: ListenerId, _conn: ConnId) {}
 
     fn up(&mut self, hub: &mut Loop, conn: ConnId) {
-        if let Some(attempt) = self.tries.get_mut(&conn) {
+        // One taken from those kept was written to already, though it may not have been up yet.
+        if let Some(attempt) = self.tries.get_mut(&conn).filter(|attempt| !attempt.up) {
             attempt.up = true;
             self.send(hub, conn);
         }
--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -154,7 +154,7 @@
             What::Unasked { .. } => {
                 // On a kept connection after its last answer: of no exchange any more, but never allowed.
                 let e = self.exchange(&format!("unasked at {}", t.0));
-                e.unasked = true;
+                (e.unasked, e.sent) = (true, t);
             }
             What::SentAgain { id } => self.exchange(id).taken = false,
             What::NotTaken { id, .. } => self.exchange(id).taken = false,
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -163,7 +163,7 @@
     let mut held: BTreeMap<&str, i64> = BTreeMap::new();
     let place = |t: At| {
         let part = (t.0 - start.0) as f64 / lasts.0.max(1) as f64;
-        (part >= 0.0).then(|| ((part * SLICES as f64) as usize).min(SLICES - 1))
+        (0.0..1.0).contains(&part).then_some((part * SLICES as f64) as usize)
     };
     for record in records {
         let Some(n) = place(record.t) else { continue };
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -9,6 +9,9 @@
 use crate::clock::Micros;
 use crate::scenario::{Distribution, Load, Scenario, Tier};
 
+/// More than a closed loop takes in a second.
+const CLOSED_MOST: usize = 80_000;
+
 /// One exchange that a caller means to have.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Intent {
@@ -44,7 +47,8 @@
     let load = &scenario.load;
     let mut times = Vec::new();
     if load.closed > 0 {
-        times.resize(4_000_000.min(load.closed * 200_000), Micros::ZERO);
+        let most = scenario.lasts.secs().ceil() as usize * CLOSED_MOST;
+        times.resize(most, Micros::ZERO);
     } else {
         let most = load.steps.iter().map(|step| step.rate).fold(load.rate, f64::max);
         let gaps = Exp::new(most.max(1e-6)).expect("a rate above 0");
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -56,7 +56,9 @@
         let points = slices.iter().enumerate();
         (name.to_string(), points.map(|(n, slice)| ((n as f64 + 0.5) / rate, value(slice))).collect())
     };
-    let latency = [line("p50", &|s| s.p50_ms), line("p99", &|s| s.p99_ms)];
+    let mut latency = [line("p50", &|s| s.p50_ms), line("p99", &|s| s.p99_ms)];
+    // Where nothing was honoured there is no latency, and none is drawn.
+    latency.iter_mut().for_each(|(_, points)| points.retain(|(_, ms)| *ms > 0.0));
     let outcomes = [
         line("honoured", &|s| s.honoured as f64 * rate),
         line("turned back", &|s| s.turned_back as f64 * rate),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -615,12 +615,14 @@
             }
             _ => (0..front.proxies).map(|n| (self.name(0, 'p', n), self.front(0, n))).collect(),
         };
+        // Before the start is set: it may take a while.
+        let intents = plan::intents(scenario, self.seed);
         self.start = At::now() + Micros::from_millis(150);
         let spec = clients::Spec {
             name: "callers".to_string(),
             classes: scenario.classes.clone(),
             callers: scenario.callers.clone(),
-            intents: plan::intents(scenario, self.seed),
+            intents,
             closed: scenario.load.closed,
             scatter: front.balance == Balance::Direct,
             targets,
--- /dev/null
+++ b/crates/proxy/benches/parts.rs
@@ -0,0 +1,43 @@
+//! What the proxy's own parts cost: reading heads, writing messages anew, and deadlines.
+
+use std::hint::black_box;
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use sparlug::time::{Span, Time};
+use sparlug_proxy::deadlines::Deadlines;
+use sparlug_proxy::http;
+
+const REQUEST: &[u8] = b"POST /book-slot HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: 9b1f03aa5c7e2d41\r\n\
+    Request-Class: book-slot\r\nRequest-Timeout: 0.480\r\nUser-Agent: app/3.1\r\nContent-Length: 8\r\n\r\n12345678";
+const ANSWER: &[u8] =
+    b"HTTP/1.1 200 OK\r\nServer-Load: TEXT inflight=7, queue=2, util=0.61\r\nContent-Length: 2\r\n\r\nok";
+
+fn heads(c: &mut Criterion) {
+    c.bench_function("request head", |b| b.iter(|| http::request_head(black_box(REQUEST))));
+    c.bench_function("answer head", |b| b.iter(|| http::answer_head(black_box(ANSWER))));
+    if let Ok(Some(head)) = http::request_head(REQUEST) {
+        let left = Span::from_millis(333);
+        c.bench_function("request written anew", |b| b.iter(|| head.forwarded(black_box(REQUEST), left)));
+    }
+}
+
+fn deadlines(c: &mut Criterion) {
+    let mut group = c.benchmark_group("deadline set and called off");
+    for waiting in [10, 1000, 20_000] {
+        group.bench_function(BenchmarkId::new("waiting", waiting), |b| {
+            let (mut deadlines, mut at) = (Deadlines::default(), 0);
+            for n in 0..waiting {
+                deadlines.set(Time::ORIGIN + Span::from_millis(n * 7 % 15_000), n);
+            }
+            b.iter(|| {
+                at = (at + 7919) % 15_000;
+                let id = deadlines.set(Time::ORIGIN + Span::from_millis(at), 0);
+                deadlines.call_off(Some(id));
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, heads, deadlines);
+criterion_main!(benches);
