--- a/crates/command/src/lab.rs
+++ b/crates/command/src/lab.rs
@@ -41,8 +41,9 @@
 
 #[derive(Args)]
 pub struct Run {
-    /// The scenario, a TOML file
-    file: PathBuf,
+    /// The scenarios, TOML files; with several, --out and --json name folders
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
     /// Draw everything from this seed instead of the file's
     #[arg(long)]
     seed: Option<u64>,
@@ -107,13 +108,55 @@
 }
 
 impl Run {
+    /// Runs all files; a broken rule counts more than what could not be run, and that more than a bound.
     fn run(&self) -> Result<(), Failed> {
-        let mut source = Source::read(&self.file).map_err(Failed::unusable)?;
-        self.set.iter().try_for_each(|set| source.set(set)).map_err(Failed::unusable)?;
         let stop = interrupted()?;
+        let mut worst: Option<Failed> = None;
+        for file in &self.files {
+            let below = |dir: &PathBuf| match self.files.len() {
+                1 => dir.clone(),
+                _ => dir.join(file.file_stem().unwrap_or_default()),
+            };
+            let (out, json) = (self.out.as_ref().map(below), self.json.as_ref().map(below));
+            let json = json.map(|json| if self.files.len() > 1 { json.with_extension("json") } else { json });
+            if let (Some(folder), true) = (json.as_ref().and_then(|json| json.parent()), self.files.len() > 1)
+            {
+                let made = std::fs::create_dir_all(folder);
+                made.map_err(|e| Failed::could_not(format!("cannot write to {}: {e}", folder.display())))?;
+            }
+            let rank = |failed: &Failed| [4, 1, 2, 3].iter().position(|status| *status == failed.status);
+            if let Err(failed) = self.one(file, out.as_deref(), json.as_deref(), stop.clone()) {
+                if stop.load(std::sync::atomic::Ordering::Relaxed) {
+                    return Err(failed);
+                }
+                let text = format!("{}: {}", file.display(), failed.text);
+                let failed = Failed { status: failed.status, text };
+                worst = match worst {
+                    Some(before) if rank(&before) >= rank(&failed) => {
+                        Some(Failed { text: format!("{}\n{}", before.text, failed.text), ..before })
+                    }
+                    Some(before) => {
+                        Some(Failed { text: format!("{}\n{}", before.text, failed.text), ..failed })
+                    }
+                    None => Some(failed),
+                };
+            }
+        }
+        worst.map_or(Ok(()), Err)
+    }
+
+    fn one(
+        &self,
+        file: &Path,
+        out: Option<&Path>,
+        json: Option<&Path>,
+        stop: Arc<AtomicBool>,
+    ) -> Result<(), Failed> {
+        let mut source = Source::read(file).map_err(Failed::unusable)?;
+        self.set.iter().try_for_each(|set| source.set(set)).map_err(Failed::unusable)?;
         let program = own_program()?;
-        let (seed, seeds, short, out) = (self.seed, self.seeds, self.short, self.out.clone());
-        let plan = Plan { source, seed, seeds, short, program, out, stop };
+        let (seed, seeds, short, kept) = (self.seed, self.seeds, self.short, out.map(Path::to_path_buf));
+        let plan = Plan { source, seed, seeds, short, program, out: kept, stop };
         let bar = if self.quiet || !std::io::stderr().is_terminal() {
             ProgressBar::hidden()
         } else {
@@ -136,16 +179,16 @@
                 run.timelines.iter().for_each(|line| println!("  {line}"));
             }
         }
-        println!("{}: {}", results.scenario, self.file.display());
+        println!("{}: {}", results.scenario, file.display());
         print!("{}", experiment::table(&results));
         println!("rules_broken: {}", results.rules_broken);
-        let json = serde_json::to_vec_pretty(&results).map_err(|e| Failed::could_not(e.to_string()))?;
-        if let Some(path) = &self.json {
-            write(path, &json)?;
+        let bytes = serde_json::to_vec_pretty(&results).map_err(|e| Failed::could_not(e.to_string()))?;
+        if let Some(path) = json {
+            write(path, &bytes)?;
         }
-        if let Some(out) = &self.out {
-            write(&out.join("results.json"), &json)?;
-            let scenario = std::fs::read_to_string(&self.file).unwrap_or_default();
+        if let Some(out) = out {
+            write(&out.join("results.json"), &bytes)?;
+            let scenario = std::fs::read_to_string(file).unwrap_or_default();
             write(&out.join("scenario.toml"), scenario.as_bytes())?;
             let page = report::page(&results, &report::pictures(&runs).map_err(Failed::could_not)?);
             write(&out.join("report.html"), page.as_bytes())?;
--- a/crates/command/tests/command.rs
+++ b/crates/command/tests/command.rs
@@ -204,6 +204,10 @@
 
 #[test]
 fn what_cannot_be_run_is_told_in_one_line_with_status_2() {
+    // Of two runs the worse status tells, and both are told.
+    let both = sparlug(&["lab", "run", "lab/no-such.toml", "lab/calm.toml", "--short", "--quiet"]);
+    assert_eq!(both.status.code(), Some(2));
+    assert!(text(&both.stdout).contains("calm: lab/calm.toml"));
     let cases: [(&[&str], &str); 5] = [
         (&["lab", "run", "lab/no-such.toml"], "cannot read lab/no-such.toml"),
         (
