--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -105,7 +105,16 @@
         let base = self.source.scenario(None, self.short)?;
         let plain =
             Variant { name: "sparlug".to_string(), set: toml::Table::new(), bounds: None, lawless: false };
-        let variants = if base.variants.is_empty() { vec![plain] } else { base.variants.clone() };
+        let mut variants = if base.variants.is_empty() { vec![plain] } else { base.variants.clone() };
+        for (key, values) in &base.matrix {
+            let with = |variant: &Variant, value: &toml::Value| {
+                let mut variant = variant.clone();
+                variant.name = format!("{} {key}={value}", variant.name);
+                variant.set.insert(key.clone(), value.clone());
+                variant
+            };
+            variants = variants.iter().flat_map(|v| values.iter().map(move |value| with(v, value))).collect();
+        }
         let with = |variant: Variant| {
             let scenario = self.source.scenario(Some(&variant), self.short)?;
             Ok((variant, scenario))
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -31,6 +31,9 @@
     pub bounds: Bounds,
     #[serde(default, rename = "variant")]
     pub variants: Vec<Variant>,
+    /// Fields with several values each; every variant is run with every choice of them.
+    #[serde(default)]
+    pub matrix: std::collections::BTreeMap<String, Vec<Value>>,
     #[serde(default, rename = "compare")]
     pub compares: Vec<Compare>,
 }
--- a/crates/lab/tests/parts.rs
+++ b/crates/lab/tests/parts.rs
@@ -3,9 +3,10 @@
 use std::path::Path;
 
 use sparlug_lab::clock::{At, Micros};
+use sparlug_lab::experiment::Plan;
 use sparlug_lab::outcome::Figures;
 use sparlug_lab::record::{self, Record, Recorder, What};
-use sparlug_lab::scenario::{Bounds, Source};
+use sparlug_lab::scenario::{Bounds, Scenario, Source};
 use sparlug_lab::{message, plan};
 
 fn calm() -> String {
@@ -113,6 +114,19 @@
     assert!(source.scenario(None, false).map(|_| ()).unwrap_err().contains("unknown field `nonsense`"));
 }
 
+#[test]
+fn a_matrix_gives_each_variant_each_choice() {
+    let text = calm() + "[matrix]\n\"tier.0.backends\" = [3, 5]\n\"load.rate\" = [10, 20]\n";
+    let (seed, seeds, short, out) = (None, 1, true, None);
+    let (program, stop) = ("none".into(), Default::default());
+    let plan = Plan { source: source(text).unwrap(), seed, seeds, short, program, out, stop };
+    let found = plan.variants().unwrap();
+    let of = |s: &Scenario| (s.tiers[0].backends, s.load.rate);
+    let choices: Vec<_> = found.iter().map(|(_, scenario)| of(scenario)).collect();
+    assert_eq!(choices, [(3, 10.0), (5, 10.0), (3, 20.0), (5, 20.0)]);
+    assert_eq!(found[1].0.name, "sparlug load.rate=10 tier.0.backends=5");
+}
+
 #[test]
 fn the_short_form_draws_all_times_together() {
     let text = calm()
