Tell a proxy's address that is in use instead of taking another program for the proxy

Where what held the port answered /ready with 200, the lab took it for its proxy, which had ended: a demonstration beside another one ended with status 0.

Change: the address is tried before the proxy is started. The new test fails without it (status 0, no line).

--- a/crates/command/tests/command.rs
+++ b/crates/command/tests/command.rs
@@ -148,6 +148,21 @@
     assert_eq!(sparlug(&["demo", "--for", "5s", "--fault", "flood"]).status.code(), Some(2));
 }
 
+#[test]
+fn an_address_that_another_program_answers_on_is_told_and_not_taken_for_the_proxy() {
+    let other = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = other.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for mut stream in other.incoming().map_while(Result::ok) {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        }
+    });
+    let done = sparlug(&["demo", "--for", "2s", "--listen", &address]);
+    let said = text(&done.stderr);
+    assert_eq!((done.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+    assert!(said.contains(&format!("demo/p-0 cannot listen on {address}")), "{said}");
+}
+
 #[test]
 fn a_balancer_that_resends_or_lies_about_what_ran_is_caught() {
     for fault in ["resend", "false-refusal"] {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -243,6 +243,12 @@
                     });
                     let place = self.proxies.len() - 1;
                     self.configure(place, self.address(t, 'a', n))?;
+                    // Guards against another program on that address, whose answers would pass for the proxy's.
+                    let free = std::net::TcpListener::bind(self.proxies[place].address);
+                    free.map_err(|e| {
+                        let Proxy { name, address, .. } = &self.proxies[place];
+                        Failure::Unusable(format!("{name} cannot listen on {address}: {e}"))
+                    })?;
                     self.start_proxy(place)?;
                 }
             }
