Settle each caller once for an event, name each path once, and count all of a setup as fixed

Cause: a reading of the whole change. A caller's place in the orders was set twice for each request; a changed report column on SIGHUP was no longer said to wait for a restart, as the comparison left columns out; the folder of a run and the name of its records were spelled in six places; a fault's part was worked out again from its pattern.

Change: the sum of unread bytes is corrected where it is needed; Fixed compares the whole setup; world::dir_of and records_of; steps_of is handed the part's name.

--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -132,7 +132,7 @@
         for seed in first..first + self.seeds {
             for (variant, scenario) in &variants {
                 let done = runs.len();
-                let dir = scratch.dir.join(format!("{}-{seed}", variant.name.replace(['/', ' '], "-")));
+                let dir = world::dir_of(&scratch.dir, &variant.name, seed);
                 let (program, stop) = (self.program.clone(), self.stop.clone());
                 let options = world::Options { program, dir, stop, front: None };
                 let mut told = |part: f64| progress(done, total, part, &variant.name);
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -35,7 +35,7 @@
     let lasts = source.scenario(None, false)?.lasts;
     let lasts = if results.lasts_s > 0.0 { Micros::from_ms(results.lasts_s * 1000.0) } else { lasts };
     let one = |run: &crate::experiment::RunResult| {
-        let dir = out.join(format!("{}-{}", run.variant.replace(['/', ' '], "-"), run.seed));
+        let dir = world::dir_of(out, &run.variant, run.seed);
         let records = record::read(&world::records_of(&dir))?;
         let first = records.iter().find_map(|r| match &r.what {
             What::Sent { due, .. } => Some(*due),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -136,10 +136,9 @@
         format!("{}/{letter}-{n}", self.scenario.tiers[tier].name)
     }
 
-    /// Where callers, or the tier above, find a proxy.
-    fn front(&self, tier: usize, n: usize) -> SocketAddr {
-        let linked = tier == 0 && self.scenario.callers.link.is_some();
-        self.address(tier, if linked { 'c' } else { 'p' }, n)
+    /// Where callers find a proxy of the first tier.
+    fn front(&self, n: usize) -> SocketAddr {
+        self.address(0, if self.scenario.callers.link.is_some() { 'c' } else { 'p' }, n)
     }
 
     fn backend_spec(&self, tier: usize, n: usize, warm: bool) -> backend::Spec {
@@ -161,7 +160,7 @@
     }
 
     fn add(&mut self, spec: Spec, apart: bool) -> Result<(), Failure> {
-        let records = self.options.dir.join("records.jsonl");
+        let records = records_of(&self.options.dir);
         let peer = match apart {
             true => Peer::apart(spec, &self.options.program, &records),
             false => Peer::on_thread(spec, &self.recorder),
@@ -384,7 +383,7 @@
                     if let Some(off) = off {
                         steps.push((off, Step::Say { text, on: false }));
                     }
-                    self.steps_of(fault, (tier, n), (at, off), number, &mut steps);
+                    self.steps_of(fault, (tier, n, name), (at, off), number, &mut steps);
                 }
             }
         }
@@ -396,25 +395,24 @@
     fn steps_of(
         &self,
         fault: &Fault,
-        (tier, n): (usize, usize),
+        (tier, n, name): (usize, usize, String),
         (at, off): (Micros, Option<Micros>),
         number: u32,
         steps: &mut Vec<(Micros, Step)>,
     ) {
         use FaultKind::*;
         let t = &self.scenario.tiers[tier];
-        let backend = self.name(tier, 's', n);
         let word = |health| Step::Word { tier, n, health };
         let mut push = |at, step| steps.push((at, step));
         match fault.kind {
             Crash => {
-                push(at, Step::KillBackend(backend.clone()));
+                push(at, Step::KillBackend(name.clone()));
                 let noticed = at + NOTICE;
                 if off.is_none_or(|off| off > noticed) {
                     push(noticed, word("Gone"));
                 }
                 if let Some(off) = off {
-                    push(off, Step::StartBackend { name: backend, moved: fault.moves });
+                    push(off, Step::StartBackend { name, moved: fault.moves });
                     push(off + Micros::from_millis(50), word("Ready"));
                 }
             }
@@ -422,12 +420,12 @@
                 push(at, word("Terminating"));
                 // Its own door shuts once the word and the grace are surely past.
                 let shut = at + t.lag + t.drain_grace + Micros::from_millis(100);
-                push(shut, Step::Tell(backend.clone(), Command::Backend(backend::Command::Drain)));
-                push(shut, Step::Tell(backend.clone(), Command::Backend(backend::Command::End)));
+                push(shut, Step::Tell(name.clone(), Command::Backend(backend::Command::Drain)));
+                push(shut, Step::Tell(name.clone(), Command::Backend(backend::Command::End)));
                 let back = off.map(|off| off.max(shut + Micros::from_millis(300)));
                 push(back.unwrap_or(shut + Micros::from_millis(300)), word("Gone"));
                 if let Some(back) = back {
-                    push(back, Step::StartBackend { name: backend, moved: fault.moves });
+                    push(back, Step::StartBackend { name, moved: fault.moves });
                     push(back + Micros::from_millis(50), word("Ready"));
                 }
             }
@@ -436,10 +434,10 @@
                     Mute => agent::Command::Mute { proxy: n, on },
                     _ => agent::Command::Stale { proxy: n, on },
                 };
-                let name = format!("{}/a", t.name);
-                push(at, Step::Tell(name.clone(), Command::Agent(command(true))));
+                let agent = format!("{}/a", t.name);
+                push(at, Step::Tell(agent.clone(), Command::Agent(command(true))));
                 if let Some(off) = off {
-                    push(off, Step::Tell(name, Command::Agent(command(false))));
+                    push(off, Step::Tell(agent, Command::Agent(command(false))));
                 }
             }
             JumpBack => {
@@ -451,30 +449,23 @@
             }
             Move => push(at, Step::MoveAgent { tier, n }),
             Reset | Close | HalfOpen | BlackHole | Delay => {
-                for letter in ['l', 'c'] {
-                    let name = self.name(tier, letter, n);
-                    if !fault.part.contains(&format!("/{letter}-")) {
-                        continue;
-                    }
-                    let (kind, amount, direction) = (fault.kind, fault.amount, fault.direction);
-                    let cut = relay::Command::Fault { kind, amount, direction };
-                    push(at, Step::Tell(name.clone(), Command::Relay(cut)));
-                    let over = off.unwrap_or(at + Micros::from_millis(1));
-                    push(over, Step::Tell(name, Command::Relay(relay::Command::Mend { kind })));
-                }
+                let (kind, amount, direction) = (fault.kind, fault.amount, fault.direction);
+                let cut = relay::Command::Fault { kind, amount, direction };
+                push(at, Step::Tell(name.clone(), Command::Relay(cut)));
+                let over = off.unwrap_or(at + Micros::from_millis(1));
+                push(over, Step::Tell(name, Command::Relay(relay::Command::Mend { kind })));
             }
-            Herd => push(at, Step::Tell("callers".to_string(), Command::Clients(clients::Command::Herd))),
+            Herd => push(at, Step::Tell(name, Command::Clients(clients::Command::Herd))),
             Kill | Term | Freeze => {
-                let name = self.name(tier, 'p', n);
                 push(at, Step::Proxy(name.clone(), fault.kind));
                 push(off.unwrap_or(at + BACK), Step::ProxyBack(name, fault.kind));
             }
             kind => {
                 let fault = Trouble { kind, amount: fault.amount, chance: fault.chance, nth: fault.nth };
                 let command = backend::Command::Fault { number, fault };
-                push(at, Step::Tell(backend.clone(), Command::Backend(command)));
+                push(at, Step::Tell(name.clone(), Command::Backend(command)));
                 if let Some(off) = off {
-                    push(off, Step::Tell(backend, Command::Backend(backend::Command::Mend { number })));
+                    push(off, Step::Tell(name, Command::Backend(backend::Command::Mend { number })));
                 }
             }
         }
@@ -621,7 +612,7 @@
             Balance::Direct => {
                 (0..front.backends).map(|n| (self.name(0, 's', n), self.entries[&(0, n)].dial)).collect()
             }
-            _ => (0..front.proxies).map(|n| (self.name(0, 'p', n), self.front(0, n))).collect(),
+            _ => (0..front.proxies).map(|n| (self.name(0, 'p', n), self.front(n))).collect(),
         };
         // Before the start is set: it may take a while.
         let intents = plan::intents(scenario, self.seed);
@@ -755,10 +746,9 @@
     injected: Option<&Receiver<Fault>>,
     progress: &mut dyn FnMut(f64),
 ) -> Result<Ran, Failure> {
-    let made =
-        fs::create_dir_all(&options.dir).and_then(|()| File::create(options.dir.join("records.jsonl")));
+    let made = fs::create_dir_all(&options.dir).and_then(|()| File::create(records_of(&options.dir)));
     made.map_err(|e| Failure::CouldNot(format!("cannot write to {}: {e}", options.dir.display())))?;
-    let recorder = Recorder::open(&options.dir.join("records.jsonl"), "lab");
+    let recorder = Recorder::open(&records_of(&options.dir), "lab");
     let recorder = recorder.map_err(|e| Failure::CouldNot(e.to_string()))?;
     let mut world = World {
         scenario,
@@ -792,6 +782,11 @@
     char::from(b'a' + n as u8).to_string()
 }
 
+/// Where a run's records, configurations and logs are, below the folder of all.
+pub fn dir_of(out: &Path, variant: &str, seed: u64) -> PathBuf {
+    out.join(format!("{}-{seed}", variant.replace(['/', ' '], "-")))
+}
+
 pub fn records_of(dir: &Path) -> PathBuf {
     dir.join("records.jsonl")
 }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -273,8 +273,6 @@
 
     /// Takes the next request out of what was read, if it is whole.
     fn read(&mut self, slot: ClientSlot, io: &mut Shared) {
-        self.settle(slot);
-        let unread = self.unread;
         let Some(client) = self.clients.get_mut(slot) else { return };
         if client.link.ended && client.link.input.is_empty() {
             return self.close(slot, io);
@@ -287,7 +285,10 @@
             // Guards against waiting for the rest of what a client that is gone will never send.
             Ok(None) if client.link.ended => self.close(slot, io),
             // Guards against large requests filling the memory before they are whole.
-            Ok(None) if client.link.input.len() > HEAD_MOST && unread > self.budgets.bytes => {
+            Ok(None)
+                if client.link.input.len() > HEAD_MOST
+                    && self.unread - client.counted + client.link.input.len() > self.budgets.bytes =>
+            {
                 self.reply(slot, 503, true, io);
             }
             Ok(None) => {
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -36,12 +36,12 @@
     File(PathBuf),
 }
 
-/// What of a configuration can't change while the program runs, as it is written.
+/// What of a configuration can't change while the program runs.
 #[derive(Debug, PartialEq)]
 pub struct Fixed {
     name: String,
     listen: SocketAddr,
-    settings: String,
+    setup: String,
 }
 
 #[derive(Deserialize)]
@@ -170,9 +170,7 @@
 
 impl Fixed {
     fn of(name: &str, listen: SocketAddr, setup: &Setup) -> Fixed {
-        let Setup { settings, tariff_names, zone_names, dial, idle, .. } = setup;
-        let settings = format!("{settings:?} {tariff_names:?} {zone_names:?} {dial:?} {idle:?}");
-        Fixed { name: name.to_string(), listen, settings }
+        Fixed { name: name.to_string(), listen, setup: format!("{setup:?}") }
     }
 }
 
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -10,13 +10,14 @@
 use sparlug::time::Span;
 
 /// Where in a load report the figures stand that the decisions read.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Columns {
     pub held: Option<usize>,
     pub waiting: Option<usize>,
 }
 
 /// An instance's settings: what the decisions read, and what only its adapter does.
+#[derive(Debug)]
 pub struct Setup {
     pub settings: Settings,
     pub columns: Columns,
