--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -14,6 +14,7 @@
 use crate::http::{self, AnswerHead, BODY_MOST, MESSAGE_MOST};
 use crate::link::Link;
 use crate::listing::Entry;
+use crate::patience::{Known, Patience};
 use crate::shared::{ConnSlot, Done, Due, Note, OfConn, Owner, Purpose, Shared};
 use crate::slots::Slots;
 
@@ -35,6 +36,7 @@
     condition: Condition,
     idle: Vec<ConnSlot>,
     conns: usize,
+    dialled: Known,
 }
 
 enum Stage {
@@ -77,7 +79,9 @@
     budgets: Budgets,
     /// How many kept connections in a row held when they were used again.
     held_up: u32,
+    /// How long a connection may take at the most, and what has been learnt of it.
     dial: Span,
+    patience: Patience,
     idle: Span,
 }
 
@@ -85,7 +89,8 @@
     pub fn new(budgets: Budgets, dial: Span, idle: Span) -> Pool {
         let (places, conns, standing) = Default::default();
         let idle = idle.scaled(IDLE_PART);
-        Pool { places, conns, standing, budgets, held_up: 0, dial, idle }
+        let patience = Patience::new(dial);
+        Pool { places, conns, standing, budgets, held_up: 0, dial, patience, idle }
     }
 
     pub fn set_budgets(&mut self, budgets: Budgets) {
@@ -102,7 +107,8 @@
             let life = Life { dial: *dial, started: listing.started };
             let place = self.places.entry(listing.backend).or_insert_with(|| {
                 tracing::info!(host, %dial, "listed");
-                Place { host: host.clone(), life, condition, idle: Vec::new(), conns: 0 }
+                let (idle, dialled) = Default::default();
+                Place { host: host.clone(), life, condition, idle, conns: 0, dialled }
             });
             (place.condition, place.life) = (condition, life);
         }
@@ -169,15 +175,16 @@
     }
 
     fn dial(&mut self, backend: BackendId, io: &mut Shared) -> Result<ConnSlot, Ending> {
-        let Some(life) = self.places.get(&backend).map(|place| place.life) else {
+        let Some(Place { life, dialled, .. }) = self.places.get(&backend) else {
             return Err(Ending::Withdrawn);
         };
+        let (life, patience) = (*life, self.patience.span(dialled));
         if self.conns.count() >= self.budgets.backends.max(self.budgets.both.saturating_sub(io.callers)) {
             // The connection that was idle for longest makes room.
             let oldest = self.standing.first().map(|(_, slot)| *slot);
             self.close(oldest.ok_or(Ending::NoRoom)?, Ending::Idle, io);
         }
-        let (mut failed, until) = (Ending::NoRoom, io.now + self.dial);
+        let (mut failed, until) = (Ending::NoRoom, io.now + patience);
         let slot = self.conns.insert_with(|slot| {
             let link = Link::dial(life.dial, &io.registry, Owner::Conn(slot).token());
             let link = link.map_err(|e| failed = refusal(&e)).ok()?;
@@ -188,6 +195,7 @@
         let slot = slot.ok_or(failed)?;
         self.places.entry(backend).and_modify(|place| place.conns += 1);
         io.counters.dialled += 1;
+        tracing::trace!(host = self.host(backend), "dialled");
         Ok(slot)
     }
 
@@ -201,6 +209,9 @@
                 Ok(true) => {
                     io.deadlines.call_off(conn.deadline.take());
                     conn.stage = Stage::Busy { written: false };
+                    if let Some(place) = self.places.get_mut(&conn.backend) {
+                        self.patience.came_up(&mut place.dialled, io.now.since(conn.used));
+                    }
                 }
             }
         }
@@ -280,6 +291,9 @@
         io.deadlines.call_off(conn.deadline.take());
         conn.finish(ending, Load::default(), None, io);
         if let Some(place) = self.places.get_mut(&conn.backend) {
+            if ending == Ending::NeverUp {
+                self.patience.missed(&mut place.dialled);
+            }
             place.conns -= 1;
             place.idle.retain(|idle| *idle != slot);
             if place.conns == 0 && place.condition == Condition::Gone {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -355,6 +355,7 @@
             return self.io.notes.push_back(Note::Done(done));
         };
         self.io.counters.forwards += 1;
+        tracing::trace!(exchange = exchange.0, host = self.pool.host(backend), "forward");
         let number = ForwardNo(held.forwards.len() as u16);
         held.forwards.push(None);
         let message = held.request.head.forwarded(&held.request.message, time_out);
@@ -379,6 +380,8 @@
         let Purpose::Forward(exchange, forward) = purpose else {
             // The answer to a check bears its report as its body.
             let load = answer.map_or(load, |(head, message)| http::load(&head.text(&message)));
+            let host = self.pool.host(backend);
+            tracing::trace!(host, ?ending, took = took.ms(), held = load.held, "check ended");
             return self.decide(Event::Checked { backend, outcome, took, load });
         };
         self.io.counters.ended(outcome);
@@ -387,6 +390,9 @@
             let held = self.held.get(HeldSlot::from_number(exchange.0));
             let id = held.and_then(|held| held.request.head.id.as_deref());
             tracing::debug!(id, exchange = exchange.0, host, ?ending, took = took.ms(), "forward ended");
+        } else {
+            let host = self.pool.host(backend);
+            tracing::trace!(exchange = exchange.0, host, took = took.ms(), "forward honoured");
         }
         let slot = HeldSlot::from_number(exchange.0);
         if let Some(held) = self.held.get_mut(slot) {
--- a/crates/proxy/tests/parts.rs
+++ b/crates/proxy/tests/parts.rs
@@ -12,6 +12,7 @@
 use sparlug_proxy::ending::Ending;
 use sparlug_proxy::link::Link;
 use sparlug_proxy::listing;
+use sparlug_proxy::patience::{Known, Patience};
 use sparlug_proxy::shared::{OfClient, Owner};
 use sparlug_proxy::slots::Slots;
 
@@ -49,6 +50,25 @@
     assert_eq!(deadlines.due(at(1), set + 1), None);
 }
 
+/// Guards against the whole time for a connection being spent at each of many backends that are lost together.
+#[test]
+fn a_connection_is_waited_for_as_long_as_others_took_to_come_up() {
+    let (ms, mut patience) = (|ms| Span::from_millis(ms), Patience::new(Span::from_millis(100)));
+    let (mut near, mut far) = (Known::default(), Known::default());
+    assert_eq!(patience.span(&near), ms(100), "nothing is known yet");
+    (0..50).for_each(|_| patience.came_up(&mut near, ms(1)));
+    assert_eq!(patience.span(&far), ms(10), "a tenth at the least");
+    // One that is forty times as far is reached all the same, and then has the time that it needs.
+    while patience.span(&far) < ms(40) {
+        patience.missed(&mut far);
+    }
+    patience.came_up(&mut far, ms(40));
+    (0..50).for_each(|_| patience.came_up(&mut near, ms(1)));
+    assert!(patience.span(&far) > ms(80) && patience.span(&near) < ms(20));
+    (0..99).for_each(|_| patience.missed(&mut far));
+    assert_eq!(patience.span(&far), ms(100), "never longer than the settings say");
+}
+
 #[test]
 fn only_endings_that_prove_it_say_that_a_forward_never_ran() {
     let answered = |status, not_started| Ending::Answered { status, not_started };
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use helper::{accept, answer, backend, message, new_path, request, run, settings, write, Proxy};
@@ -314,17 +314,37 @@
     assert_eq!(conn.read(&mut [0; 9]).unwrap(), 0, "what is given up is closed");
 }
 
-#[test]
-fn a_connection_that_never_comes_up_proves_that_nothing_ran() {
-    // A listener that accepts nothing, with its backlog filled, lets no further connection come up.
+/// A listener that accepts nothing, with its backlog filled, lets no further connection come up.
+fn unreachable() -> (TcpListener, Vec<TcpStream>) {
     let backend = backend();
-    let full: Vec<_> = (0..5000)
-        .map_while(|_| {
-            let to = backend.local_addr().unwrap();
-            std::net::TcpStream::connect_timeout(&to, Duration::from_millis(100)).ok()
-        })
-        .collect();
+    let to = backend.local_addr().unwrap();
+    let dial = |_| TcpStream::connect_timeout(&to, Duration::from_millis(100)).ok();
+    let full: Vec<_> = (0..5000).map_while(dial).collect();
     assert!(full.len() < 5000);
+    (backend, full)
+}
+
+/// Guards against a lost backend costing the exchanges that are sent there their whole time.
+#[test]
+fn what_goes_to_a_backend_that_is_lost_goes_on_to_another_in_time() {
+    let ((lost, _full), there) = (unreachable(), backend());
+    let long = settings(3000, "").replace("\"dialTimeoutMs\":1000", "\"dialTimeoutMs\":8000");
+    let proxy = Proxy::start_with(&[&lost, &there], 1024, &long);
+    std::thread::spawn(move || loop {
+        once(&there, Some(&answer("200 OK", "Connection: close\r\n", "fine")));
+    });
+    let honoured = || status(&proxy.ask(&request("POST", "/write", "6"))) == 200;
+    assert!((0..20).any(|_| honoured()), "one connection has come up");
+    // Until it goes out, every second exchange or so meets the lost one.
+    assert!((0..20).all(|_| honoured()));
+    proxy.signal("-USR1");
+    let counters = proxy.logged("counters=");
+    assert!(!counters.contains("ended_connect_failed=0"), "{counters}");
+}
+
+#[test]
+fn a_connection_that_never_comes_up_proves_that_nothing_ran() {
+    let (backend, _full) = unreachable();
     let short = settings(5000, "").replace("\"dialTimeoutMs\":1000", "\"dialTimeoutMs\":100");
     let proxy = Proxy::start_with(&[&backend], 1024, &short);
     let answer = proxy.ask(&request("POST", "/write", "4"));
