Weigh what fails more than its tier in the pick, and learn from checks that reach nobody

While a zone is lost, forwards meet its backends again and again although the checks there fail too.

Checked: logs of all proxies, summed. Meanwhile it answers at once and so looks idle. (b) 165 checks found nobody in the lost zone; Event::Checked passes its outcome over. (c) What five backends of one zone show is held against each alone. Ruled out: errors from the tier below (other backends give 2 to 8% of 500s).

At fault: Backend::ended (strikes), Balancer::act (Checked), Balancer::load_of, which knows no failures.

Change: what failed of late is tallied for each backend and zone, and fades (0.98 an update interval). In the pick a backend counts as many times as (1 - failing of the tier) / (1 - its own failing), squared; its own part is drawn towards its zone's, and that towards the tier's, by two forwards each. So one failure tips the pick between idle ones, what all share tips nothing, and a zone's first failures weigh on the rest of it. A check that can't connect counts as a failure and puts the backend out, so that no exchange is spent to learn it, and none waits for it.

--- a/src/event.rs
+++ b/src/event.rs
@@ -182,8 +182,8 @@
     Began(Span),
     /// An outcome, and the latency that counts for it, if any: how long, and whether it was in time.
     Ended(Ended, Option<(Span, bool)>),
-    /// The report that came with a check.
-    Checked(Load),
+    /// How a check ended, and the report that came with it.
+    Checked(Outcome, Load),
     Beat,
 }
 
@@ -191,8 +191,8 @@
 pub(crate) enum TierNote {
     /// A latency, whether it is that of an answer in time, and whether it was seen whole.
     Sample(Span, bool, bool),
-    /// 1 for a forward that failed, 0 for one that did not.
-    Verdict(f64),
+    /// 1 for what failed, 0 for what did not, and in which zone.
+    Verdict(f64, ZoneId),
     /// So much more is in flight at backends that are not out.
     Holds(f64),
     /// How many backends are listed as ready, how many of those are out, and the mean of their reports.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,6 +49,8 @@
 const PURSE_SHARE: f64 = 0.1; // repeats of what may have run, for each first forward
 const PURSE_MOST: f64 = 10.0; // and the most that are saved up
 const STRIKES_OUT: f64 = 2.0; // strikes in a row that put a backend out
+const PRIOR: f64 = 2.0; // own forwards that what is known of the zone, or the tier, counts as
+const FADE: f64 = 0.98; // what failed is forgotten by so much an update interval
 const OUT_MOST: f64 = 0.34; // part of the ready that may be out, so that the rest is not overrun
 const OUT_FIRST: Span = Span::from_millis(1000); // how long a backend is out at first
 const OUT_DOUBLINGS: u32 = 3; // and how often that doubles
@@ -104,7 +106,14 @@
             BackendNote::Began(took) => self.sample(took, true, true, around),
             BackendNote::Ended(e, _) if e.precedes(&self.listing, around.now) => self.in_flight -= 1.0,
             BackendNote::Ended(ended, sample) => self.ended(&ended, sample, around),
-            BackendNote::Checked(load) => self.report(load, around.now),
+            BackendNote::Checked(outcome, load) => {
+                self.report(load, around.now);
+                // Guards against an exchange being spent to learn of a backend that can't be reached.
+                if outcome == Outcome::ConnectFailed {
+                    self.judge(1.0, around);
+                    self.put_out("not reached", around);
+                }
+            }
             BackendNote::Beat => self.beat(around),
         }
         // Guards against a hung backend's forwards using up the limit: while it is out they do not count.
@@ -134,6 +143,7 @@
         let bears = cold.warmth(self.listing.started, around.now) * cold.multiple * 0.5 * around.tier.rate;
         self.credit = (self.credit + bears.max(floor) / BEATS_PER_S).min(1.5);
         self.ghosts.retain(|until| *until > around.now);
+        self.tally.fade(FADE);
         // What was slow is forgotten with time, so that it is tried again.
         self.took.add(around.tier.took.or(0.0), 0.01);
         if self.in_flight > 0.0 && around.now.since(self.heard).ms() > 3.0 * around.tier.latency.or(1000.0) {
@@ -160,7 +170,7 @@
             return;
         }
         self.heard = around.now;
-        around.tier_inbox.push(TierNote::Verdict(if honoured { 0.0 } else { 1.0 }));
+        self.judge(if honoured { 0.0 } else { 1.0 }, around);
         if honoured {
             self.strikes = 0.0;
             self.took.add(e.took.ms(), 0.2);
@@ -184,6 +194,19 @@
         }
     }
 
+    fn judge(&mut self, failed: f64, around: &mut Around) {
+        self.tally.add(failed);
+        around.tier_inbox.push(TierNote::Verdict(failed, self.listing.zone));
+    }
+
+    /// Guards against a backend that fails, or a zone, being learnt of anew by each of many instances that send
+    /// it little: what fails more than the tier weighs more in the pick from the first failure on.
+    fn burden(&self, tier: &Tier) -> f64 {
+        let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
+        let failing = self.tally.share(zone.share(tier.failing, PRIOR), PRIOR);
+        ((1.0 - tier.failing) / (1.0 - failing).max(0.1)).max(1.0).powi(2)
+    }
+
     fn put_out(&mut self, why: &str, around: &mut Around) {
         if self.out.is_none() {
             if around.tier.ready_and_out.1 + 1.0 > (OUT_MOST * around.tier.ready_and_out.0).round() {
@@ -202,7 +225,10 @@
     fn act(&mut self, note: TierNote, now: Time, instances: f64) {
         match note {
             TierNote::Holds(more) => self.in_flight += more,
-            TierNote::Verdict(failed) => self.failing += (failed - self.failing) * 0.05,
+            TierNote::Verdict(failed, zone) => {
+                self.failing += (failed - self.failing) * 0.05;
+                self.zones.entry(zone).or_default().add(failed);
+            }
             TierNote::Sample(took, in_time, seen) => {
                 self.samples.add(now, took.ms(), seen);
                 self.late += (f64::from(u8::from(!in_time)) - self.late) * 0.05;
@@ -213,6 +239,7 @@
             }
             TierNote::Beat { ready, out, others, size } => {
                 (self.ready_and_out, self.others, self.size) = ((ready, out), others, size);
+                self.zones.values_mut().for_each(|tally| tally.fade(FADE));
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
                 let of_ready = |calls: f64| (calls * ready / instances).max(LIMIT_FLOOR);
@@ -371,7 +398,9 @@
             Event::Left(id) => drop(self.release(id, out)),
             Event::Timer(MARK_BEAT) => self.beat(out),
             Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
-            Event::Checked { backend, load, .. } => self.tell(backend, BackendNote::Checked(load)),
+            Event::Checked { backend, outcome, load, .. } => {
+                self.tell(backend, BackendNote::Checked(outcome, load))
+            }
             Event::Timer(MARK_ASKED) | Event::PeerSaid { .. } => {}
             Event::Timer(mark) => {
                 let id = ExchangeId(mark.0);
@@ -513,10 +542,10 @@
         let (two, since, until) = self.desk.held[&id].asked?;
         let report = |id: &BackendId| self.backends.get(id).and_then(|backend| backend.others);
         let silent = |id: &BackendId| report(id).is_none_or(|(at, _)| at <= since);
-        if two.iter().any(silent) && self.now < until {
+        let ready = |id: &BackendId| self.backends.get(id).is_some_and(|b| b.ready(self.now, &self.settings));
+        if two.iter().any(|id| silent(id) && ready(id)) && self.now < until {
             return None;
         }
-        let ready = |id: &BackendId| self.backends.get(id).is_some_and(|b| b.ready(self.now, &self.settings));
         let loads = two.into_iter().filter(ready).map(|b| (silent(&b), self.load_of(b), b));
         let best = loads.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         best.map(|(_, _, backend)| backend).or_else(|| self.pick(id).map(|two| two[0]))
@@ -568,7 +597,7 @@
         // Guards against the seeming idleness of what other zones keep busy and what reports nothing.
         let unseen = if b.others.is_some() { 0.0 } else { UNSEEN * tier.in_flight };
         let crossing = CROSSING + unseen / self.roster.nearby().max(1) as f64;
-        (b.holds() + others + 1.0) * b.pace(tier) + if far { crossing } else { 0.0 }
+        (b.holds() + others + 1.0) * b.pace(tier) * b.burden(tier) + if far { crossing } else { 0.0 }
     }
 
     fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) -> bool {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -258,6 +258,54 @@
     assert_eq!(backend.out, None);
 }
 
+/// Guards against a backend that fails quickly, and so looks idle, drawing picks at each of many instances until
+/// each has learnt of it anew.
+#[test]
+fn a_backend_that_fails_more_than_its_tier_is_passed_over_from_the_first_failure_on() {
+    let mut b = balancer(Effect::Reissuable, 2);
+    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.tier.took.add(50.0, 1.0);
+    for n in [0, 1] {
+        b.tell(id(n), BackendNote::Sent);
+        let outcome = if n == 0 { Outcome::Error } else { Outcome::Honoured };
+        let end = Ended { backend: id(n), exchange: ExchangeId(2), ..ended(outcome) };
+        b.handle(START, Event::Ended(end), &mut Vec::new());
+    }
+    assert!(b.backends[&id(0)].out.is_none());
+    assert!((0..20).all(|_| first_pick(&mut b) == Some(id(1))));
+    // What it did is forgotten with time.
+    (0..400).for_each(|_| b.handle(START, Event::Timer(MARK_BEAT), &mut Vec::new()));
+    assert!((0..40).any(|_| first_pick(&mut b) == Some(id(0))));
+}
+
+/// Guards against each backend of a lost zone being met, and lost an exchange to, before it is known.
+#[test]
+fn backends_that_fail_tell_of_others_in_their_zone_and_shared_failures_of_none() {
+    let mut b = balancer(Effect::Reissuable, 4);
+    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    let zone = |n: u16| ZoneId(n / 2);
+    b.backends.values_mut().zip(0u16..).for_each(|(backend, n)| backend.listing.zone = zone(n));
+    let fail = |b: &mut Balancer, n| {
+        b.tell(id(n), BackendNote::Checked(Outcome::ConnectFailed, Load::default()));
+        b.handle(START, Event::Left(ExchangeId(9)), &mut Vec::new());
+    };
+    (0..3).for_each(|_| fail(&mut b, 0));
+    assert!(b.load_of(id(1)) > 1.2 * b.load_of(id(2)));
+    (0..60).for_each(|n| fail(&mut b, n % 4));
+    assert!(b.load_of(id(1)) < 1.2 * b.load_of(id(2)));
+}
+
+#[test]
+fn a_backend_that_a_check_does_not_reach_is_out_and_no_exchange_waits_for_it() {
+    let mut b = asking();
+    b.tier.ready_and_out = (9.0, 0.0);
+    b.backends.get_mut(&id(1)).unwrap().others = Some((START + ms(1), 3.0));
+    let (outcome, took, load) = (Outcome::ConnectFailed, ms(1), Load::default());
+    let mut out = Vec::new();
+    b.handle(START + ms(2), Event::Checked { backend: id(0), outcome, took, load }, &mut out);
+    assert!(out.iter().any(|action| matches!(action, Action::Forward { backend, .. } if *backend == id(1))));
+}
+
 #[test]
 fn no_more_than_a_part_of_the_ready_is_out() {
     let (mut b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
