--- a/src/event.rs
+++ b/src/event.rs
@@ -191,8 +191,8 @@
 pub(crate) enum TierNote {
     /// A latency, whether it is that of an answer in time, and whether it was seen whole.
     Sample(Span, bool, bool),
-    /// 1 for what failed, 0 for what did not, what that says of its backend, and in which zone that is.
-    Verdict(f64, f64, ZoneId),
+    /// 1 for what failed, 0 for what did not, and in which zone.
+    Verdict(f64, ZoneId),
     /// So much more is in flight at backends that are not out.
     Holds(f64),
     /// How many backends are listed as ready, how many of those are out, and the mean of their reports.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,14 +48,9 @@
 const NEED: f64 = 1.5; // time left for an answer, in p90, under which waiting ends
 const PURSE_SHARE: f64 = 0.1; // repeats of what may have run, for each first forward
 const PURSE_MOST: f64 = 10.0; // and the most that are saved up
-const BAD: f64 = 0.6; // part of its forwards that a bad backend fails
-const AGAINST: f64 = 2.6; // odds, as a logarithm, against any one backend being bad
-const AGAINST_ZONE: f64 = 4.0; // and against a whole zone
-const DOUBT_OUT: f64 = 5.0; // odds for it that put a backend out, when counted from nothing
-const DOUBT_MOST: f64 = 8.0; // the most that is remembered
-const DOUBT_BACK: f64 = 0.5; // what of it is left when a trial was honoured
-const DOUBT_FADE: f64 = 0.98; // what is left of it after an update interval
-const DOUBT_TRACE: f64 = 0.1; // what counts as none
+const STRIKES_OUT: f64 = 2.0; // strikes in a row that put a backend out
+const PRIOR: f64 = 2.0; // own forwards that what is known of the zone, or the tier, counts as
+const FADE: f64 = 0.98; // what failed is forgotten by so much an update interval
 const OUT_MOST: f64 = 0.34; // part of the ready that may be out, so that the rest is not overrun
 const OUT_FIRST: Span = Span::from_millis(1000); // how long a backend is out at first
 const OUT_DOUBLINGS: u32 = 3; // and how often that doubles
@@ -115,7 +110,7 @@
                 self.report(load, around.now);
                 // Guards against an exchange being spent to learn of a backend that can't be reached.
                 if outcome == Outcome::ConnectFailed {
-                    self.judge(true, 2.0, around);
+                    self.judge(1.0, around);
                     self.put_out("not reached", around);
                 }
             }
@@ -148,7 +143,7 @@
         let bears = cold.warmth(self.listing.started, around.now) * cold.multiple * 0.5 * around.tier.rate;
         self.credit = (self.credit + bears.max(floor) / BEATS_PER_S).min(1.5);
         self.ghosts.retain(|until| *until > around.now);
-        self.doubt = faded(self.doubt);
+        self.tally.fade(FADE);
         // What was slow is forgotten with time, so that it is tried again.
         self.took.add(around.tier.took.or(0.0), 0.01);
         if self.in_flight > 0.0 && around.now.since(self.heard).ms() > 3.0 * around.tier.latency.or(1000.0) {
@@ -175,46 +170,41 @@
             return;
         }
         self.heard = around.now;
-        let weight = match e.outcome {
-            Outcome::ConnectFailed => 2.0,
-            Outcome::TimedOut => 0.5,
-            _ => 1.0,
-        };
-        self.judge(!honoured, weight, around);
+        self.judge(if honoured { 0.0 } else { 1.0 }, around);
         if honoured {
+            self.strikes = 0.0;
             self.took.add(e.took.ms(), 0.2);
             self.cap = self.cap.map(|cap| cap + 1.0 / cap);
             self.credit = (self.credit + 1.0).min(1.5);
             if self.out.take().is_some() {
-                (self.cap, self.outs, self.doubt) = (Some(1.0), 0, DOUBT_OUT * DOUBT_BACK);
+                (self.cap, self.outs) = (Some(1.0), 0);
                 around.out.push(Action::Log(format!("{} back in, took {:.0}", e.backend, e.took.ms())));
             }
             return;
         }
-        if self.doubt >= DOUBT_OUT || self.out.is_some() {
+        // Guards against blaming one backend for what all suffer, such as errors from the tier below.
+        let blame = (1.0 - 3.0 * around.tier.failing).max(0.0);
+        self.strikes += match e.outcome {
+            Outcome::ConnectFailed => STRIKES_OUT,
+            Outcome::TimedOut => 0.5 * blame,
+            _ => blame,
+        };
+        if self.strikes >= STRIKES_OUT || self.out.is_some() {
             self.put_out("failing", around);
         }
     }
 
-    /// Weighs one outcome. Guards against blaming one backend for what all suffer, such as errors from the tier
-    /// below: a failure says the less, the more of the whole tier fails.
-    fn judge(&mut self, failed: bool, weight: f64, around: &mut Around) {
-        let says = weight * around.tier.says(failed);
-        self.doubt = (self.doubt + says).clamp(0.0, DOUBT_MOST);
-        around.tier_inbox.push(TierNote::Verdict(f64::from(u8::from(failed)), says, self.listing.zone));
+    fn judge(&mut self, failed: f64, around: &mut Around) {
+        self.tally.add(failed);
+        around.tier_inbox.push(TierNote::Verdict(failed, self.listing.zone));
     }
 
     /// Guards against a backend that fails, or a zone, being learnt of anew by each of many instances that send
-    /// it little: the more likely it is a bad one, the more it weighs in the pick, from the first failure on.
+    /// it little: what fails more than the tier weighs more in the pick from the first failure on.
     fn burden(&self, tier: &Tier) -> f64 {
         let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
-        let good = |doubt: f64, against: f64| 1.0 / (1.0 + (doubt - against).exp());
-        let usual = tier.usual();
-        let honours = |own, zone| {
-            let good = good(own, AGAINST) * good(zone, AGAINST_ZONE);
-            1.0 - usual - (1.0 - good) * (BAD - usual).max(0.0)
-        };
-        (honours(0.0, 0.0) / honours(self.doubt, zone)).powi(2)
+        let failing = self.tally.share(zone.share(tier.failing, PRIOR), PRIOR);
+        ((1.0 - tier.failing) / (1.0 - failing).max(0.1)).max(1.0).powi(2)
     }
 
     fn put_out(&mut self, why: &str, around: &mut Around) {
@@ -222,7 +212,7 @@
             if around.tier.ready_and_out.1 + 1.0 > (OUT_MOST * around.tier.ready_and_out.0).round() {
                 return;
             }
-            let said = format!("doubt {:.1}, tier failing {:.2}", self.doubt, around.tier.failing);
+            let said = format!("strikes {:.1}, tier failing {:.2}", self.strikes, around.tier.failing);
             around.out.push(Action::Log(format!("{} out, {why}: {said}", self.listing.backend)));
         }
         let times = f64::from(1 << self.outs.min(OUT_DOUBLINGS)) * (0.75 + 0.5 * around.chance);
@@ -231,38 +221,13 @@
     }
 }
 
-/// Doubt is forgotten with time, in the end wholly, so that no trace of it decides between equals.
-fn faded(doubt: f64) -> f64 {
-    if doubt < DOUBT_TRACE {
-        0.0
-    } else {
-        doubt * DOUBT_FADE
-    }
-}
-
 impl Tier {
-    /// Part of the forwards that fail at a backend of which nothing is known.
-    fn usual(&self) -> f64 {
-        self.failing.clamp(0.01, 0.9)
-    }
-
-    /// What an outcome says for its backend being a bad one, as the logarithm of the odds.
-    fn says(&self, failed: bool) -> f64 {
-        let usual = self.usual().min(BAD);
-        if failed {
-            (BAD / usual).ln()
-        } else {
-            ((1.0 - BAD) / (1.0 - usual)).ln()
-        }
-    }
-
     fn act(&mut self, note: TierNote, now: Time, instances: f64) {
         match note {
             TierNote::Holds(more) => self.in_flight += more,
-            TierNote::Verdict(failed, says, zone) => {
+            TierNote::Verdict(failed, zone) => {
                 self.failing += (failed - self.failing) * 0.05;
-                let doubt = self.zones.entry(zone).or_default();
-                *doubt = (*doubt + says).clamp(0.0, DOUBT_MOST);
+                self.zones.entry(zone).or_default().add(failed);
             }
             TierNote::Sample(took, in_time, seen) => {
                 self.samples.add(now, took.ms(), seen);
@@ -274,7 +239,7 @@
             }
             TierNote::Beat { ready, out, others, size } => {
                 (self.ready_and_out, self.others, self.size) = ((ready, out), others, size);
-                self.zones.values_mut().for_each(|doubt| *doubt = faded(*doubt));
+                self.zones.values_mut().for_each(|tally| tally.fade(FADE));
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
                 let of_ready = |calls: f64| (calls * ready / instances).max(LIMIT_FLOOR);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -410,10 +410,10 @@
     let b = balancer(Effect::Reissuable, 1);
     let restarted = Listing { started: Some(START + ms(10)), ..listing(0) };
     let mut backend = Backend { in_flight: 2.0, listing: restarted, ..Backend::default() };
-    for (now, counts) in [(START + ms(50), false), (START + ms(70), true)] {
+    for (now, strikes) in [(START + ms(50), 0.0), (START + ms(70), 1.0)] {
         let end = Ended { load: Load { held: Some(5.0), waiting: None }, ..ended(Outcome::Broken) };
         backend.act(BackendNote::Ended(end, None), &mut around(&b, &mut Vec::new(), &mut Vec::new(), now));
-        assert_eq!((backend.doubt > 0.0, backend.others.is_some()), (counts, counts));
+        assert_eq!((backend.strikes, backend.others.is_some()), (strikes, strikes > 0.0));
     }
     assert_eq!(backend.in_flight, 0.0);
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,7 +5,7 @@
 use crate::event::{BackendNote, Condition, Event, Listing, TierNote};
 use crate::id::{BackendId, ExchangeId, ZoneId};
 use crate::settings::Tariff;
-use crate::stats::{Mean, Trend, Window};
+use crate::stats::{Mean, Tally, Trend, Window};
 use crate::time::Time;
 
 /// The one record of a backend.
@@ -17,8 +17,9 @@
     pub out: Option<Time>,
     /// How often it was put out, or stayed out, in a row.
     pub outs: u32,
-    /// How much what it did of late speaks for its being a bad one: a logarithm of odds, never below 0.
-    pub doubt: f64,
+    pub strikes: f64,
+    /// Own forwards and checks that failed, of late.
+    pub tally: Tally,
     pub in_flight: f64,
     /// What of it the tier's sum holds.
     pub counted: f64,
@@ -86,8 +87,8 @@
     pub late: f64,
     /// Part of the forwards that fail.
     pub failing: f64,
-    /// The same doubt about whole zones.
-    pub zones: BTreeMap<ZoneId, f64>,
+    /// What failed of late in each zone.
+    pub zones: BTreeMap<ZoneId, Tally>,
 }
 
 impl Tier {
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -22,6 +22,34 @@
     }
 }
 
+/// Part of a failure under which it is forgotten.
+const TRACE: f64 = 0.05;
+
+/// How often something was judged of late, and how often it failed; both fade.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    judged: f64,
+    failed: f64,
+}
+
+impl Tally {
+    pub fn add(&mut self, failed: f64) {
+        self.judged += 1.0;
+        self.failed += failed;
+    }
+
+    /// What has faded to a trace is forgotten, so that it decides no pick between equals.
+    pub fn fade(&mut self, by: f64) {
+        let failed = if self.failed < TRACE { 0.0 } else { self.failed * by };
+        (self.judged, self.failed) = (self.judged * by, failed);
+    }
+
+    /// The part that failed, where `others`, the part of its like, counts as much as `weight` of its own.
+    pub fn share(&self, others: f64, weight: f64) -> f64 {
+        (self.failed + others * weight) / (self.judged + weight)
+    }
+}
+
 /// Samples of the latest while: at least `least` long and `full` many, where there are as many at all.
 #[derive(Debug, Default)]
 pub struct Window(VecDeque<(Time, f64, bool)>);
