Keep the last list where discovery tells an empty one, and log and count odd lists

Need: with many proxies one mistake of discovery takes all backends from all of them at once. A whole list with none was believed and every exchange turned back; a list that halves, repeats an id, names an unknown zone or comes back older left no trace. An agent that answers each call at once with the same whole list was asked without a pause.

At fault: Note::Listed in crates/proxy/src/proxy.rs took every list over unseen; discovery.rs paced only empty answers.

Change: List::oddities and List::empties (no I/O); a line and lists_odd for each; a whole list without any backend is not believed. What is left out beside others, or named as going, goes at once as before: drains are a rule. Calls that bring the version at hand again are paced like empty ones.

The test plays six odd lists, one of 3 MB, and an exchange is honoured after each; without the change the first fails.

--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -21,6 +21,8 @@
     pub reused: u64,
     pub lists: u64,
     pub lists_failed: u64,
+    /// Lists that were odd in some way, whether or not they were taken over.
+    pub lists_odd: u64,
     outcomes: [u64; 11],
 }
 
@@ -36,7 +38,8 @@
         write!(f, "honoured={} turned_back={} ", self.honoured, self.turned_back)?;
         write!(f, "forfeited={} overdue={} left={} ", self.forfeited, self.overdue, self.left)?;
         write!(f, "forwards={} dialled={} reused={} ", self.forwards, self.dialled, self.reused)?;
-        write!(f, "checks={} lists={} lists_failed={}", self.checks, self.lists, self.lists_failed)?;
+        write!(f, "checks={} lists={} lists_failed={} ", self.checks, self.lists, self.lists_failed)?;
+        write!(f, "lists_odd={}", self.lists_odd)?;
         let names = [
             "honoured",
             "error",
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -202,10 +202,11 @@
             Err(why) => return self.failed(&why, io),
         };
         io.counters.lists += 1;
-        self.version = Some(list.version);
-        // Guards against spinning on an agent that answers at once with nothing new.
-        let pace = list.entries.is_empty() && io.now < self.since + PACE;
-        io.notes.push_back(Note::Listed { whole: list.whole, entries: list.entries });
+        let before = self.version.replace(list.version);
+        // Guards against spinning on an agent that answers at once with nothing new, or with the same again.
+        let same = list.entries.is_empty() || before == Some(list.version);
+        let pace = same && io.now < self.since + PACE;
+        io.notes.push_back(Note::Listed(list, before));
         if head.close || self.link.as_ref().is_some_and(|link| link.ended) {
             self.stop(io);
         }
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -1,5 +1,6 @@
 //! The list of backends in discovery's form, decoded into the decisions' own.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -51,6 +52,29 @@
     Gone,
 }
 
+impl List {
+    /// What is odd about a list, for those who look after discovery. `ready` backends were known before, at
+    /// `version`.
+    pub fn oddities(&self, ready: usize, version: Option<u64>) -> Vec<&'static str> {
+        let names: BTreeSet<_> = self.entries.iter().map(|entry| &entry.host).collect();
+        let unknown = |entry: &Entry| entry.listing.zone == ZoneId(u16::MAX);
+        let found = [
+            (self.empties(ready), "no backend at all, the last list is kept"),
+            (self.whole && names.len() * 2 < ready && !names.is_empty(), "less than half of the backends"),
+            (names.len() < self.entries.len(), "a backend twice, the last one counts"),
+            (self.entries.iter().any(unknown), "a zone that the settings do not name"),
+            (version.is_some_and(|version| self.version < version), "an older version than the one at hand"),
+        ];
+        found.into_iter().filter(|(odd, _)| *odd).map(|(_, what)| what).collect()
+    }
+
+    /// Guards against a discovery that lost its memory taking every backend away at once: a whole list without any
+    /// is not believed. What is named as going, or left out beside others, goes at once.
+    pub fn empties(&self, ready: usize) -> bool {
+        self.whole && self.entries.is_empty() && ready > 0
+    }
+}
+
 /// The decisions' id of a backend. It comes from the host's name, which all proxies know alike, and not from
 /// the address, which may differ: the instances' parts of the list count on one order. (FNV-1a, 64 bits.)
 pub fn backend_id(host: &str) -> BackendId {
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -97,6 +97,11 @@
         self.budgets = budgets;
     }
 
+    /// How many backends are listed as ready.
+    pub fn ready(&self) -> usize {
+        self.places.values().filter(|place| place.condition == Condition::Ready).count()
+    }
+
     /// Takes in a change of the list.
     pub fn list(&mut self, whole: bool, entries: &[Entry], io: &mut Shared) {
         if whole {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -21,6 +21,7 @@
 use crate::discovery::Discovery;
 use crate::ending::Ending;
 use crate::http;
+use crate::listing::List;
 use crate::pool::Pool;
 use crate::shared::{
     ClientSlot, ConnSlot, Done, Due, HeldSlot, Note, OfHeld, Owner, Purpose, Request, Shared,
@@ -110,7 +111,7 @@
         let check_path =
             if setup.columns.held.or(setup.columns.waiting).is_some() { "/status/load" } else { "/health" };
         if let Some(known) = known {
-            io.notes.push_back(Note::Listed { whole: true, entries: known.entries });
+            io.notes.push_back(Note::Listed(known, None));
         }
         let follows = !setup.settings.list_on_request;
         let mut actions = Vec::new();
@@ -235,7 +236,7 @@
         self.pool.set_budgets(config.budgets);
         let moved = self.discovery.go_to(discovery, &mut self.io);
         if let (None, Some(list)) = (discovery, config.known) {
-            self.io.notes.push_back(Note::Listed { whole: true, entries: list.entries });
+            self.io.notes.push_back(Note::Listed(list, None));
         }
         let discovery = discovery.map_or("a list in the file".to_string(), |agent| agent.to_string());
         tracing::info!(discovery, moved, "configuration read anew");
@@ -267,17 +268,28 @@
                     self.decide(Event::Left(exchange));
                 }
                 Note::Done(done) => self.ended(done),
-                Note::Listed { whole, entries } => {
-                    let listings: Vec<Listing> = entries.iter().map(|entry| entry.listing).collect();
-                    self.clients.ready |= !entries.is_empty();
-                    self.pool.list(whole, &entries, &mut self.io);
-                    self.decide(Event::Listed { whole, listings });
-                }
+                Note::Listed(list, before) => self.listed(list, before),
                 Note::ListFailed => self.decide(Event::ListFailed),
             }
         }
     }
 
+    fn listed(&mut self, list: List, before: Option<u64>) {
+        let ready = self.pool.ready();
+        let odd = list.oddities(ready, before);
+        if !odd.is_empty() {
+            self.io.counters.lists_odd += 1;
+            tracing::warn!(version = list.version, ready, "odd list: {}", odd.join("; "));
+        }
+        if list.empties(ready) {
+            return;
+        }
+        let listings: Vec<Listing> = list.entries.iter().map(|entry| entry.listing).collect();
+        self.clients.ready |= !listings.is_empty();
+        self.pool.list(list.whole, &list.entries, &mut self.io);
+        self.decide(Event::Listed { whole: list.whole, listings });
+    }
+
     fn decide(&mut self, event: Event) {
         self.balancer.handle(self.io.now, event, &mut self.actions);
         self.carry_out();
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -12,7 +12,7 @@
 use crate::deadlines::Deadlines;
 use crate::ending::Ending;
 use crate::http::{AnswerHead, RequestHead};
-use crate::listing::Entry;
+use crate::listing::List;
 use crate::slots::Slot;
 
 /// Marks of the kinds of slots.
@@ -98,10 +98,8 @@
     /// The client is gone; what it waited for.
     Left(ExchangeId),
     Done(Done),
-    Listed {
-        whole: bool,
-        entries: Vec<Entry>,
-    },
+    /// A list, and the version that it follows.
+    Listed(List, Option<u64>),
     ListFailed,
 }
 
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use helper::{accept, answer, backend, message, new_path, request, run, settings, write, Proxy};
@@ -518,6 +519,49 @@
     accept(&proxy.discovery);
 }
 
+/// Guards against odd lists, whatever discovery makes of the fleet: each costs a line, and exchanges are honoured.
+#[test]
+fn odd_lists_cost_a_line_and_no_exchange() {
+    let there = backend();
+    let dial = there.local_addr().unwrap();
+    let proxy = Proxy::start(&[&there]);
+    std::thread::spawn(move || loop {
+        once(&there, Some(&answer("200 OK", "Connection: close\r\n", "fine")));
+    });
+    let host = |name: &str, site: &str| {
+        format!(r#"{{"host":"{name}","dial":"{dial}","site":"{site}","health":"Ready"}}"#)
+    };
+    let many = |count: usize| (0..count).map(|n| host(&format!("h{n}"), "a")).collect::<Vec<_>>().join(",");
+    let lists = [
+        (9, String::new(), "no backend at all"),
+        (10, format!("{},{}", host("h0", "a"), host("h0", "a")), "a backend twice"),
+        (11, host("h0", "elsewhere"), "a zone that the settings"),
+        (3, host("h0", "a"), "an older version"),
+        (12, many(30_000), "listed"),
+        (13, host("h0", "a"), "less than half"),
+    ];
+    // An agent that tells each proxy that asks what is newer than it has, however often it asks.
+    let current = Arc::new(Mutex::new((4, String::new())));
+    let (agents, told) = (proxy.discovery.try_clone().unwrap(), current.clone());
+    std::thread::spawn(move || loop {
+        let mut agent = accept(&agents);
+        let call = message(&mut agent);
+        let body = loop {
+            let (seq, body) = told.lock().unwrap().clone();
+            if !call.contains(&format!("index={seq}&")) {
+                break body;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        };
+        let _ = agent.write_all(answer("200 OK", "Connection: close\r\n", &body).as_bytes());
+    });
+    for (seq, hosts, line) in lists {
+        *current.lock().unwrap() = (seq, format!(r#"{{"seq":{seq},"whole":true,"hosts":[{hosts}]}}"#));
+        proxy.logged(line);
+        assert_eq!(status(&proxy.ask(&request("POST", "/write", "4"))), 200, "{line}");
+    }
+}
+
 /// Guards against a watch that falls silent with its connection open: changes are then seen by nobody.
 #[test]
 fn a_watch_that_falls_silent_is_soon_left_for_another() {
