--- a/crates/proxy/benches/parts.rs
+++ b/crates/proxy/benches/parts.rs
@@ -13,9 +13,11 @@
     b"HTTP/1.1 200 OK\r\nServer-Load: TEXT inflight=7, queue=2, util=0.61\r\nContent-Length: 2\r\n\r\nok";
 
 fn heads(c: &mut Criterion) {
-    c.bench_function("request head", |b| b.iter(|| http::request_head(black_box(REQUEST))));
+    c.bench_function("request head", |b| {
+        b.iter(|| http::request_head(black_box(REQUEST), http::CALLERS_METHODS))
+    });
     c.bench_function("answer head", |b| b.iter(|| http::answer_head(black_box(ANSWER))));
-    if let Ok(Some(head)) = http::request_head(REQUEST) {
+    if let Ok(Some(head)) = http::request_head(REQUEST, http::CALLERS_METHODS) {
         let left = Span::from_millis(333);
         c.bench_function("request written anew", |b| b.iter(|| head.forwarded(black_box(REQUEST), left)));
     }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -11,7 +11,7 @@
 
 use crate::config::Budgets;
 use crate::deadlines::DeadlineId;
-use crate::http::{self, Bad, RequestHead, BODY_MOST, HEAD_MOST, MESSAGE_MOST};
+use crate::http::{self, Bad, RequestHead, BODY_MOST, CALLERS_METHODS, HEAD_MOST, MESSAGE_MOST};
 use crate::link::Link;
 use crate::shared::{ClientSlot, Due, Note, OfClient, Owner, Request, Shared};
 use crate::slots::Slots;
@@ -24,6 +24,7 @@
 const ACCEPT_AGAIN: Span = Span::from_millis(20); // after running out of descriptors
 const FRESH: Span = Span::from_millis(2_000); // a connection used no longer ago is not closed to make room
 const LINGERING: usize = 0; // the first rank of those that may have to leave
+const GONE: u16 = 499; // how a request counts whose client left
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,6 +46,8 @@
     head: Option<Box<RequestHead>>,
     /// The id of the request that was taken and is not answered.
     id: Option<String>,
+    /// The class of the request that came and has not ended, for the figures.
+    open: Option<u16>,
     deadline: Option<DeadlineId>,
     used: Time,
     /// Of its unread bytes, what the sum over all holds.
@@ -111,6 +114,15 @@
         self.clients.count() - self.leavers[LINGERING].len()
     }
 
+    /// Requests that came and have not ended.
+    pub fn in_flight(&self) -> usize {
+        self.clients.iter().filter(|(_, client)| client.open.is_some()).count()
+    }
+
+    pub fn names(&self) -> &[String] {
+        &self.tariffs.names
+    }
+
     pub fn address(&self) -> Option<SocketAddr> {
         self.listener.as_ref()?.local_addr().ok()
     }
@@ -212,9 +224,9 @@
             let link = Link::new(stream.take()?, registry, Owner::Client(slot).token()).ok()?;
             link.set_nodelay();
             let deadline = Some(deadlines.set(now + FIRST_TIME, Due::Client(slot)));
-            let (state, head, id) = (State::Reading, None, None);
+            let (state, head, id, open) = (State::Reading, None, None, None);
             let (counted, standing) = (0, None);
-            Some(Client { link, state, head, id, deadline, used: now, counted, standing, begun: true })
+            Some(Client { link, state, head, id, open, deadline, used: now, counted, standing, begun: true })
         });
         if let Some(slot) = slot {
             io.counters.connections += 1;
@@ -233,6 +245,7 @@
         if let Some(id) = client.id {
             self.ids.remove(&id);
         }
+        io.counters.answered(client.open, GONE);
         io.deadlines.call_off(client.deadline);
         if let State::Waiting(Some(exchange)) = client.state {
             io.counters.left += 1;
@@ -323,7 +336,7 @@
             client.link.used(blank);
         }
         if client.head.is_none() {
-            client.head = http::request_head(&client.link.input)?.map(Box::new);
+            client.head = http::request_head(&client.link.input, CALLERS_METHODS)?.map(Box::new);
         }
         let Some(head) = &mut client.head else { return Ok(None) };
         let Some(length) = head.body.whole(&client.link.input[head.length..], false, BODY_MOST)? else {
@@ -347,6 +360,9 @@
             io.counters.bad_input += 1;
             return self.reply(slot, 404, true, io);
         };
+        if let Some(client) = self.clients.get_mut(slot) {
+            client.open = Some(tariff as u16);
+        }
         let longest = self.tariffs.cut_offs[tariff];
         let waits = head.time_out.as_deref().map_or(Some(longest), seconds);
         // Guards against one client's request passing for that of another, whose id it bears.
@@ -383,12 +399,13 @@
 
     pub fn reply(&mut self, slot: ClientSlot, status: u16, close: bool, io: &mut Shared) {
         let close = close || self.leaving;
-        self.answer(slot, &http::own_answer(status, None, close), close, io);
+        self.answer(slot, status, &http::own_answer(status, None, close), close, io);
     }
 
     /// Writes the answer to what the connection's client waits for.
-    pub fn answer(&mut self, slot: ClientSlot, bytes: &[u8], close: bool, io: &mut Shared) {
+    pub fn answer(&mut self, slot: ClientSlot, status: u16, bytes: &[u8], close: bool, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
+        io.counters.answered(client.open.take(), status);
         io.deadlines.call_off(client.deadline.take());
         if let Some(id) = client.id.take() {
             self.ids.remove(&id);
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -12,12 +12,15 @@
 
 use crate::http::MESSAGE_MOST;
 use crate::listing::{self, Entry, List};
+use crate::management::CALLS_MOST;
 
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
     /// The agent; without one the list in the file is all there is.
     pub discovery: Option<SocketAddr>,
+    /// Where operators call; without it they have nowhere to.
+    pub management: Option<SocketAddr>,
     pub seed: u64,
     pub budgets: Budgets,
     /// The list of backends as it was last had.
@@ -49,6 +52,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    management: Option<SocketAddr>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -72,6 +76,7 @@
 }
 
 const OWN_SOCKETS: usize = 16; // for the log, the loop, signals, the listener and discovery
+const OPERATORS_SOCKETS: usize = CALLS_MOST + 2; // where operators may call, for them besides
 const OWN_MB: usize = 6; // for the program itself
 const LEAST: usize = 6; // connections on either side, and messages, to serve at all
 
@@ -91,11 +96,12 @@
 }
 
 impl Limits {
-    fn budgets(&self) -> Result<Budgets, String> {
+    fn budgets(&self, management: bool) -> Result<Budgets, String> {
         let Limits { sockets, memory_mb } = *self;
+        let own = OWN_SOCKETS + if management { OPERATORS_SOCKETS } else { 0 };
         // Callers and their eighth have seven parts of eight: many of them say nothing, and a place is needed
         // for those that do. Connections hold next to no memory, messages do.
-        let both = sockets.saturating_sub(OWN_SOCKETS);
+        let both = sockets.saturating_sub(own);
         let (clients, backends) = (both * 7 / 9, both / 8);
         let bytes = (memory_mb.saturating_sub(OWN_MB) << 20) / 4;
         if clients < LEAST || backends < LEAST || bytes < LEAST * MESSAGE_MOST {
@@ -144,15 +150,29 @@
         let setup = sparlug_setup::decode(text.settings.get().as_bytes())?;
         let known = text.known.map(|known| listing::decode(known.get().as_bytes(), &setup.zone_names));
         let (name, listen, discovery) = (text.name, text.listen, Some(text.discovery));
-        let (known, budgets) = (known.transpose()?, text.limits.budgets()?);
+        let management = text.management.or_else(|| std::env::var("ROUTER_MANAGEMENT").ok()?.parse().ok());
+        let (known, budgets) = (known.transpose()?, text.limits.budgets(management.is_some())?);
         let fixed = Fixed::of(&name, listen, &setup);
         let (log, log_format) = (None, LogFormat::Text);
-        Ok(Config { name, listen, discovery, seed, budgets, known, setup, fixed, log, log_format })
+        Ok(Config {
+            name,
+            listen,
+            discovery,
+            management,
+            seed,
+            budgets,
+            known,
+            setup,
+            fixed,
+            log,
+            log_format,
+        })
     }
 
     fn of_native(found: Native) -> Result<Config, String> {
-        let Native { name, listen, seed, sockets, memory_mb, log, log_format, directory, setup } = found;
-        let budgets = Limits { sockets, memory_mb }.budgets()?;
+        let Native { name, listen, management, seed, sockets, memory_mb, log, log_format, directory, setup } =
+            found;
+        let budgets = Limits { sockets, memory_mb }.budgets(management.is_some())?;
         // Without a seed, each start has one of its own.
         let drawn = || std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
         let seed = seed.unwrap_or_else(|| drawn().as_nanos() as u64 ^ u64::from(std::process::id()) << 32);
@@ -164,7 +184,19 @@
             }
         };
         let fixed = Fixed::of(&name, listen, &setup);
-        Ok(Config { name, listen, discovery, seed, budgets, known, setup, fixed, log, log_format })
+        Ok(Config {
+            name,
+            listen,
+            discovery,
+            management,
+            seed,
+            budgets,
+            known,
+            setup,
+            fixed,
+            log,
+            log_format,
+        })
     }
 }
 
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -1,6 +1,6 @@
 //! What the proxy has taken in, sent and answered since its start, printed on request and at the end.
 
-use std::fmt;
+use std::fmt::{self, Write};
 
 use sparlug::event::Outcome;
 
@@ -23,10 +23,41 @@
     pub lists_failed: u64,
     /// Lists that were odd in some way, whether or not they were taken over.
     pub lists_odd: u64,
+    /// Forwards whose last byte was written.
+    pub attempts: u64,
     outcomes: [u64; 11],
+    /// How callers' requests ended, by class: served, refused, failed.
+    classes: Vec<[u64; 3]>,
 }
 
 impl Counters {
+    /// A request of a class has its answer, and with it its one end.
+    pub fn answered(&mut self, class: Option<u16>, status: u16) {
+        let Some(class) = class.map(usize::from) else { return };
+        if self.classes.len() <= class {
+            self.classes.resize(class + 1, [0; 3]);
+        }
+        let end = match status {
+            200 => 0,
+            429 | 503 => 1,
+            _ => 2,
+        };
+        self.classes[class][end] += 1;
+    }
+
+    /// The counts in the form that operators read, a figure a line.
+    pub fn report(&self, classes: &[String]) -> String {
+        let mut text = String::new();
+        for (place, class) in classes.iter().enumerate() {
+            let ends = self.classes.get(place).copied().unwrap_or_default();
+            for (name, count) in ["served", "refused", "failed"].iter().zip(ends) {
+                let _ = writeln!(text, "svc.requests.{class}.{name}:{count}|c");
+            }
+        }
+        let _ = writeln!(text, "svc.attempts:{}|c", self.attempts);
+        text
+    }
+
     pub fn ended(&mut self, outcome: Outcome) {
         self.outcomes[outcome as usize] += 1;
     }
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -200,8 +200,12 @@
     left_out: Vec<Range<usize>>,
 }
 
+/// What callers may ask with, and operators.
+pub const CALLERS_METHODS: [&str; 2] = ["GET", "POST"];
+pub const OPERATORS_METHODS: [&str; 2] = ["GET", "PUT"];
+
 /// Reads a request's head; `None` if it is not whole yet.
-pub fn request_head(bytes: &[u8]) -> Result<Option<RequestHead>, Bad> {
+pub fn request_head(bytes: &[u8], methods: [&'static str; 2]) -> Result<Option<RequestHead>, Bad> {
     let mut headers = [EMPTY_HEADER; HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     let length = match request.parse(bytes) {
@@ -213,7 +217,7 @@
     if request.version != Some(1) {
         return Err(Bad::Version);
     }
-    let method = ["GET", "POST"].into_iter().find(|method| request.method == Some(*method));
+    let method = methods.into_iter().find(|method| request.method == Some(*method));
     let method = method.ok_or(Bad::Method)?;
     // Guards against a head that a backend reads in another way: bare line feeds, or a field twice.
     let bare = bytes[..length].windows(2).any(|two| two[1] == b'\n' && two[0] != b'\r');
@@ -330,6 +334,14 @@
 
 /// An answer of the proxy's own.
 pub fn own_answer(status: u16, retry_after: Option<Span>, close: bool) -> Vec<u8> {
+    let retry =
+        retry_after.map(|span| format!("Retry-After: {:.3}\r\n", span.ms() / 1000.0)).unwrap_or_default();
+    let allow = if status == 405 { "Allow: GET, POST\r\n" } else { "" };
+    let close = if close { "Connection: close\r\n" } else { "" };
+    answer_with(status, &format!("{retry}{allow}{close}"), "")
+}
+
+pub fn answer_with(status: u16, lines: &str, body: &str) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
@@ -343,9 +355,6 @@
         504 => "Gateway Timeout",
         _ => "HTTP Version Not Supported",
     };
-    let retry =
-        retry_after.map(|span| format!("Retry-After: {:.3}\r\n", span.ms() / 1000.0)).unwrap_or_default();
-    let allow = if status == 405 { "Allow: GET, POST\r\n" } else { "" };
-    let close = if close { "Connection: close\r\n" } else { "" };
-    format!("HTTP/1.1 {status} {reason}\r\n{retry}{allow}{close}Content-Length: 0\r\n\r\n").into_bytes()
+    let length = body.len();
+    format!("HTTP/1.1 {status} {reason}\r\n{lines}Content-Length: {length}\r\n\r\n{body}").into_bytes()
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod link;
 pub mod listing;
+pub mod management;
 pub mod patience;
 pub mod pool;
 pub mod proxy;
--- /dev/null
+++ b/crates/proxy/src/management.rs
@@ -0,0 +1,167 @@
+//! The side of the operators: one more listener, one call to a connection. It frames the calls and their answers; the
+//! loop answers them.
+
+use std::net::SocketAddr;
+
+use mio::net::TcpListener;
+use mio::Interest;
+use percent_encoding::percent_decode_str;
+use sparlug::time::{Span, Time};
+
+use crate::deadlines::DeadlineId;
+use crate::http::{self, Bad, OPERATORS_METHODS};
+use crate::link::Link;
+use crate::shared::{CallSlot, Due, Note, OfCall, Owner, Shared};
+use crate::slots::Slots;
+
+/// Connections of operators at a time. Guards against those that say nothing using up the descriptors.
+pub const CALLS_MOST: usize = 8;
+const CALL_TIME: Span = Span::from_millis(6_000); // for a call to come, and its answer to be taken
+const CALL_BYTES: usize = http::HEAD_MOST;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    Ready,
+    Metrics,
+    /// Leave a backend out, or let it serve again.
+    Bar {
+        host: String,
+        barred: bool,
+    },
+}
+
+struct Caller {
+    link: Link,
+    since: Time,
+    deadline: DeadlineId,
+    /// Its call has come; what comes behind is thrown away until it closes.
+    called: bool,
+}
+
+pub struct Management {
+    listener: Option<TcpListener>,
+    callers: Slots<OfCall, Caller>,
+}
+
+/// A call with what it was answered, where no more is needed to answer it.
+type Refusal = (u16, &'static str, &'static str);
+
+impl Management {
+    /// Listens at an address, if there is one.
+    pub fn new(address: Option<SocketAddr>, io: &Shared) -> Result<Management, String> {
+        let listen = |address: SocketAddr| {
+            let mut listener = TcpListener::bind(address)?;
+            io.registry.register(&mut listener, Owner::Management.token(), Interest::READABLE)?;
+            Ok(listener)
+        };
+        let fault = |e: std::io::Error| format!("cannot listen for operators on {address:?}: {e}");
+        let listener = address.map(listen).transpose().map_err(fault)?;
+        Ok(Management { listener, callers: Slots::default() })
+    }
+
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.as_ref()?.local_addr().ok()
+    }
+
+    pub fn accept(&mut self, io: &mut Shared) {
+        loop {
+            let Some(Ok((stream, _))) = self.listener.as_ref().map(TcpListener::accept) else { return };
+            while self.callers.count() >= CALLS_MOST {
+                // Guards against callers that never come to their call keeping others from theirs.
+                let oldest = self.callers.iter().min_by_key(|(_, caller)| (!caller.called, caller.since));
+                let Some(slot) = oldest.map(|(slot, _)| slot) else { break };
+                self.close(slot, io);
+            }
+            let mut stream = Some(stream);
+            let (registry, deadlines, now) = (&io.registry, &mut io.deadlines, io.now);
+            let slot = self.callers.insert_with(|slot| {
+                let link = Link::new(stream.take()?, registry, Owner::Call(slot).token()).ok()?;
+                let deadline = deadlines.set(now + CALL_TIME, Due::Call(slot));
+                Some(Caller { link, since: now, deadline, called: false })
+            });
+            if let Some(slot) = slot {
+                self.event(slot, io);
+            }
+        }
+    }
+
+    pub fn event(&mut self, slot: CallSlot, io: &mut Shared) {
+        let Some(caller) = self.callers.get_mut(slot) else { return };
+        let read = caller.link.fill(CALL_BYTES);
+        if caller.called {
+            caller.link.input.clear();
+            let flushed = caller.link.flush();
+            if matches!(flushed, Ok(true)) {
+                caller.link.end_sending();
+            }
+            if read.is_err() || flushed.is_err() || caller.link.ended {
+                self.close(slot, io);
+            } else if caller.link.unread() {
+                io.deadlines.set(io.now, Due::CallRead(slot));
+            }
+            return;
+        }
+        match parse(&caller.link.input) {
+            Err((status, lines, body)) => self.answer(slot, status, lines, body, io),
+            Ok(Some(call)) => {
+                caller.called = true;
+                io.notes.push_back(Note::Called(slot, call));
+            }
+            Ok(None) if caller.link.ended || read.is_err() => self.close(slot, io),
+            Ok(None) if caller.link.input.len() >= CALL_BYTES => {
+                self.answer(slot, 413, "", "a call has no body\n", io)
+            }
+            Ok(None) => {}
+        }
+    }
+
+    /// Writes the answer to a call, and with it the end of the connection.
+    pub fn answer(&mut self, slot: CallSlot, status: u16, lines: &str, body: &str, io: &mut Shared) {
+        let Some(caller) = self.callers.get_mut(slot) else { return };
+        caller.called = true;
+        caller.link.queue(&http::answer_with(status, &format!("{lines}Connection: close\r\n"), body));
+        self.event(slot, io);
+    }
+
+    pub fn close(&mut self, slot: CallSlot, io: &mut Shared) {
+        let Some(caller) = self.callers.remove(slot) else { return };
+        io.deadlines.call_off(Some(caller.deadline));
+        caller.link.close(&io.registry);
+    }
+}
+
+/// What a call asks for, once it is whole; or the answer that it gets for being none.
+fn parse(bytes: &[u8]) -> Result<Option<Call>, Refusal> {
+    let refusal = |bad: Bad| match bad {
+        Bad::Method => {
+            (405, "Allow: GET, PUT\r\n", "GET /ready, GET /metrics, PUT /backends/disable/ID or enable\n")
+        }
+        bad => (bad.status(), "", "no HTTP/1.1 call that can be read\n"),
+    };
+    let Some(mut head) = http::request_head(bytes, OPERATORS_METHODS).map_err(refusal)? else {
+        return Ok(None);
+    };
+    let body = head.body.whole(&bytes[head.length..], false, CALL_BYTES).map_err(refusal)?;
+    if body.is_none() {
+        return Ok(None);
+    }
+    let bar = |id: &str, barred| {
+        let host = percent_decode_str(id).decode_utf8().map_err(|_| refusal(Bad::Malformed))?;
+        Ok(("PUT", Call::Bar { host: host.into_owned(), barred }))
+    };
+    let (method, call) = match head.path.as_str() {
+        "/ready" => ("GET", Call::Ready),
+        "/metrics" => ("GET", Call::Metrics),
+        path => match (path.strip_prefix("/backends/disable/"), path.strip_prefix("/backends/enable/")) {
+            (Some(id), _) => bar(id, true)?,
+            (_, Some(id)) => bar(id, false)?,
+            _ => return Err((404, "", "no such call\n")),
+        },
+    };
+    match (head.method == method, method) {
+        (true, _) => Ok(Some(call)),
+        (false, "GET") => Err((405, "Allow: GET\r\n", "to be asked with GET\n")),
+        (false, _) => Err((405, "Allow: PUT\r\n", "to be asked with PUT\n")),
+    }
+}
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -97,6 +97,24 @@
         self.budgets = budgets;
     }
 
+    /// Calls off what is on its way to a backend and of which nothing is written, and closes what stands idle.
+    pub fn withdraw(&mut self, backend: BackendId, io: &mut Shared) {
+        let unsent = |conn: &Conn| conn.backend == backend && !matches!(conn.stage, Stage::Busy { .. });
+        let unsent = self.conns.iter().filter(|(_, conn)| unsent(conn)).map(|(slot, _)| slot);
+        for slot in unsent.collect::<Vec<_>>() {
+            self.close(slot, Ending::Withdrawn, io);
+        }
+    }
+
+    /// How many backends the list has.
+    pub fn listed(&self) -> usize {
+        self.places.values().filter(|place| place.condition != Condition::Gone).count()
+    }
+
+    pub fn lists(&self, backend: BackendId) -> bool {
+        self.places.get(&backend).is_some_and(|place| place.condition != Condition::Gone)
+    }
+
     /// How many backends are listed as ready.
     pub fn ready(&self) -> usize {
         self.places.values().filter(|place| place.condition == Condition::Ready).count()
@@ -229,7 +247,10 @@
             return;
         };
         let sent = conn.link.flush();
-        *written |= matches!(sent, Ok(true));
+        if matches!(sent, Ok(true)) && !std::mem::replace(written, true) {
+            let forward = conn.job.as_ref().is_some_and(|job| job.purpose != Purpose::Check);
+            io.counters.attempts += u64::from(forward);
+        }
         let written = *written;
         let read = conn.link.fill(MESSAGE_MOST);
         // What was answered counts, also where the connection broke behind it.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -21,10 +21,11 @@
 use crate::discovery::Discovery;
 use crate::ending::Ending;
 use crate::http;
-use crate::listing::List;
+use crate::listing::{backend_id, List};
+use crate::management::{Call, Management};
 use crate::pool::Pool;
 use crate::shared::{
-    ClientSlot, ConnSlot, Done, Due, HeldSlot, Note, OfHeld, Owner, Purpose, Request, Shared,
+    CallSlot, ClientSlot, ConnSlot, Done, Due, HeldSlot, Note, OfHeld, Owner, Purpose, Request, Shared,
 };
 use crate::slots::Slots;
 
@@ -59,6 +60,7 @@
     held_bytes: usize,
     pool: Pool,
     discovery: Discovery,
+    management: Management,
     /// The path at which a backend is checked.
     check_path: &'static str,
     longest: Span,
@@ -96,6 +98,7 @@
         let (now, deadlines, counters) = (clock.now(), Deadlines::default(), Counters::default());
         let (callers, notes) = Default::default();
         let mut io = Shared { registry, now, since: now, deadlines, counters, callers, notes };
+        let management = Management::new(config.management, &io)?;
         let setup = config.setup;
         let cut_offs: Vec<_> = setup.settings.tariffs.iter().map(|tariff| tariff.cut_off).collect();
         let longest = cut_offs.iter().copied().max().unwrap_or_default();
@@ -130,6 +133,7 @@
             held_bytes,
             pool,
             discovery,
+            management,
             check_path,
             longest,
             fixed: config.fixed,
@@ -142,7 +146,10 @@
             proxy.discovery.watch(&mut proxy.io);
         }
         let listen = proxy.clients.address().unwrap_or(config.listen);
-        tracing::info!(name = config.name, %listen, "serving");
+        match proxy.management.address() {
+            Some(management) => tracing::info!(name = config.name, %management, %listen, "serving"),
+            None => tracing::info!(name = config.name, %listen, "serving"),
+        }
         Ok(proxy)
     }
 
@@ -168,8 +175,12 @@
                 false => self.polled,
             };
             self.polled = self.io.now;
-            for event in events.iter() {
-                self.event(Owner::of(event.token()));
+            // Operators first: guards against a call of theirs waiting behind a flood of callers.
+            let owners = || events.iter().map(|event| Owner::of(event.token()));
+            let (operators, others): (Vec<_>, Vec<_>) =
+                owners().partition(|owner| matches!(owner, Owner::Management | Owner::Call(_)));
+            for owner in operators.into_iter().chain(others) {
+                self.event(owner);
                 self.pump();
             }
             let set = self.io.deadlines.count();
@@ -190,6 +201,8 @@
             Owner::Discovery(turn) => self.discovery.event(turn, &mut self.io),
             Owner::Client(slot) => self.clients.event(slot, &mut self.io),
             Owner::Conn(slot) => self.pool.go_on(slot, &mut self.io),
+            Owner::Management => self.management.accept(&mut self.io),
+            Owner::Call(slot) => self.management.event(slot, &mut self.io),
         }
     }
 
@@ -206,6 +219,8 @@
             Due::List => self.discovery.due(&mut self.io),
             Due::Accept => self.clients.accept(&mut self.io),
             Due::Leave => self.leave(),
+            Due::Call(slot) => self.management.close(slot, &mut self.io),
+            Due::CallRead(slot) => self.management.event(slot, &mut self.io),
         }
     }
 
@@ -270,10 +285,42 @@
                 Note::Done(done) => self.ended(done),
                 Note::Listed(list, before) => self.listed(list, before),
                 Note::ListFailed => self.decide(Event::ListFailed),
+                Note::Called(slot, call) => self.called(slot, call),
             }
         }
     }
 
+    fn called(&mut self, slot: CallSlot, call: Call) {
+        let (status, text) = match call {
+            Call::Ready if self.clients.ready && self.leaving.is_none() => (200, String::new()),
+            Call::Ready => (503, String::new()),
+            Call::Metrics => (200, self.figures()),
+            Call::Bar { host, barred } => match self.bar(&host, barred) {
+                true => (200, String::new()),
+                false => (404, format!("the list has no backend {host:?}\n")),
+            },
+        };
+        self.management.answer(slot, status, "", &text, &mut self.io);
+    }
+
+    fn figures(&self) -> String {
+        let counts = self.io.counters.report(self.clients.names());
+        let (in_flight, known) = (self.clients.in_flight(), self.pool.listed());
+        let out = self.balancer.left_out();
+        format!("{counts}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{out}|g\n")
+    }
+
+    /// Leaves a backend out, or lets it serve again; whether there is one of this name.
+    fn bar(&mut self, host: &str, barred: bool) -> bool {
+        let backend = backend_id(host);
+        let known = self.pool.lists(backend) || self.balancer.barred().any(|out| out == backend);
+        if known {
+            tracing::info!(host, barred, "told by hand");
+            self.decide(Event::Barred { backend, barred });
+        }
+        known
+    }
+
     fn listed(&mut self, list: List, before: Option<u64>) {
         let ready = self.pool.ready();
         let odd = list.oddities(ready, before);
@@ -318,6 +365,7 @@
                     self.io.deadlines.set(self.io.now + after, Due::Timer(mark));
                 }
                 Action::Check { backend } => self.check(backend),
+                Action::Withdraw { backend } => self.pool.withdraw(backend, &mut self.io),
                 Action::CloseIdle { backend } => self.pool.close_idle(backend, &mut self.io),
                 Action::Watch { on: true } => self.discovery.watch(&mut self.io),
                 Action::Watch { on: false } => self.discovery.stop(&mut self.io),
@@ -416,7 +464,8 @@
                 let close = held.request.head.close || self.clients.leaving || self.clients.over_budget();
                 let close = close || outcome == Outcome::Faulted;
                 self.io.counters.honoured += u64::from(outcome == Outcome::Honoured);
-                self.clients.answer(client, &head.passed_on(&message, close), close, &mut self.io);
+                let bytes = head.passed_on(&message, close);
+                self.clients.answer(client, head.status, &bytes, close, &mut self.io);
                 self.finish(exchange);
             }
         }
@@ -433,7 +482,7 @@
         tracing::debug!(id, status, backoff = backoff.map(Span::ms), "answered without a backend's answer");
         let close = held.request.head.close || self.clients.leaving || self.clients.over_budget();
         let bytes = http::own_answer(status, backoff, close);
-        self.clients.answer(client, &bytes, close, &mut self.io);
+        self.clients.answer(client, status, &bytes, close, &mut self.io);
         self.finish(exchange);
     }
 
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -13,12 +13,14 @@
 use crate::ending::Ending;
 use crate::http::{AnswerHead, RequestHead};
 use crate::listing::List;
+use crate::management::Call;
 use crate::slots::Slot;
 
 /// Marks of the kinds of slots.
 pub enum OfClient {}
 pub enum OfConn {}
 pub enum OfHeld {}
+pub enum OfCall {}
 
 /// A connection that a caller opened.
 pub type ClientSlot = Slot<OfClient>;
@@ -26,6 +28,8 @@
 pub type ConnSlot = Slot<OfConn>;
 /// An exchange until it is answered and all its forwards have ended.
 pub type HeldSlot = Slot<OfHeld>;
+/// A connection that an operator opened.
+pub type CallSlot = Slot<OfCall>;
 
 pub struct Shared {
     pub registry: Registry,
@@ -62,6 +66,10 @@
     Accept,
     /// The next step of going down.
     Leave,
+    /// The end of the time for an operator's call.
+    Call(CallSlot),
+    /// More of an operator's bytes are there to be read.
+    CallRead(CallSlot),
 }
 
 /// A request as it came, with the few things that were taken out.
@@ -101,6 +109,8 @@
     /// A list, and the version that it follows.
     Listed(List, Option<u64>),
     ListFailed,
+    /// An operator asks for something.
+    Called(CallSlot, Call),
 }
 
 /// Whose event it is.
@@ -111,6 +121,8 @@
     Discovery(u32),
     Client(ClientSlot),
     Conn(ConnSlot),
+    Management,
+    Call(CallSlot),
 }
 
 impl Owner {
@@ -121,6 +133,8 @@
             Owner::Discovery(turn) => (2, u64::from(turn)),
             Owner::Client(slot) => (3, slot.number()),
             Owner::Conn(slot) => (4, slot.number()),
+            Owner::Management => (5, 0),
+            Owner::Call(slot) => (6, slot.number()),
         };
         Token((number as usize) << 3 | kind)
     }
@@ -132,7 +146,9 @@
             1 => Owner::Signals,
             2 => Owner::Discovery(number as u32),
             3 => Owner::Client(Slot::from_number(number)),
-            _ => Owner::Conn(Slot::from_number(number)),
+            4 => Owner::Conn(Slot::from_number(number)),
+            5 => Owner::Management,
+            _ => Owner::Call(Slot::from_number(number)),
         }
     }
 }
--- a/crates/proxy/tests/framing.rs
+++ b/crates/proxy/tests/framing.rs
@@ -1,7 +1,7 @@
 //! Heads and bodies, without a socket.
 
 use sparlug::time::Span;
-use sparlug_proxy::http::{answer_head, load, request_head, Bad, BODY_MOST, HEAD_MOST};
+use sparlug_proxy::http::{answer_head, load, request_head, Bad, BODY_MOST, CALLERS_METHODS, HEAD_MOST};
 
 const REQUEST: &str =
     "POST /write/7?x=1 HTTP/1.1\r\nHost: api.internal\r\nrequest-id: 9b1f\r\nX-Odd:  a\tb \r\n\
@@ -11,16 +11,19 @@
 fn a_head_in_pieces_is_read_once_it_is_whole() {
     let end = REQUEST.len() - 3;
     for length in 0..end {
-        assert!(request_head(&REQUEST.as_bytes()[..length]).unwrap().is_none(), "at {length}");
+        assert!(
+            request_head(&REQUEST.as_bytes()[..length], CALLERS_METHODS).unwrap().is_none(),
+            "at {length}"
+        );
     }
-    let head = request_head(REQUEST.as_bytes()).unwrap().unwrap();
+    let head = request_head(REQUEST.as_bytes(), CALLERS_METHODS).unwrap().unwrap();
     assert_eq!((head.length, head.path.as_str(), head.id.as_deref()), (end, "/write/7", Some("9b1f")));
     assert_eq!(head.time_out.as_deref(), Some("0.480"));
 }
 
 #[test]
 fn what_goes_on_keeps_its_bytes_and_carries_the_time_left() {
-    let head = request_head(REQUEST.as_bytes()).unwrap().unwrap();
+    let head = request_head(REQUEST.as_bytes(), CALLERS_METHODS).unwrap().unwrap();
     let forwarded = head.forwarded(REQUEST.as_bytes(), Span::from_ms(123.45));
     let expected =
         "POST /write/7?x=1 HTTP/1.1\r\nHost: api.internal\r\nrequest-id: 9b1f\r\nX-Odd:  a\tb \r\n\
@@ -35,7 +38,7 @@
 fn a_chunked_body_ends_where_its_trailer_does() {
     let text = "POST /write HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\
         3;ext=1\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\nGET";
-    let head = request_head(text.as_bytes()).unwrap().unwrap();
+    let head = request_head(text.as_bytes(), CALLERS_METHODS).unwrap().unwrap();
     let bytes = &text.as_bytes()[head.length..];
     let mut body = head.body;
     for length in 0..bytes.len() - 3 {
@@ -74,7 +77,7 @@
         (&many, Bad::HeadTooLarge),
     ];
     for (text, bad) in cases {
-        assert_eq!(request_head(text.as_bytes()).unwrap_err(), bad, "{text:.60}");
+        assert_eq!(request_head(text.as_bytes(), CALLERS_METHODS).unwrap_err(), bad, "{text:.60}");
     }
 }
 
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -15,6 +15,8 @@
 pub struct Proxy {
     child: Child,
     pub address: String,
+    /// Where operators call, if they may.
+    pub management: String,
     pub log: Receiver<String>,
     /// Kept open and silent, as an agent is while discovery is down.
     pub discovery: TcpListener,
@@ -40,6 +42,38 @@
     )
 }
 
+/// A configuration of these backends with these addresses, and the agent that it names.
+fn config(
+    backends: &[&TcpListener],
+    sockets: usize,
+    settings: &str,
+    addresses: &str,
+) -> (String, TcpListener) {
+    let discovery = backend();
+    let host = |(place, backend): (usize, &&TcpListener)| {
+        let dial = backend.local_addr().unwrap();
+        format!(r#"{{"host":"h{place}","dial":"{dial}","site":"a","health":"Ready","share":1.0}}"#)
+    };
+    let hosts: Vec<_> = backends.iter().enumerate().map(host).collect();
+    let text = format!(
+        r#"{{"name":"t",{addresses},"discovery":"{}","seed":"1f",
+        "limits":{{"sockets":{sockets}}},
+        "known":{{"seq":4,"whole":true,"hosts":[{}]}},"settings":{settings}}}"#,
+        discovery.local_addr().unwrap(),
+        hosts.join(",")
+    );
+    (text, discovery)
+}
+
+/// Sends a text on a connection of its own and reads all that comes until the connection ends.
+pub fn ask(address: &str, text: &str) -> String {
+    let mut stream = patient(TcpStream::connect(address).unwrap());
+    stream.write_all(text.as_bytes()).unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).unwrap();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 impl Proxy {
     pub fn start(backends: &[&TcpListener]) -> Proxy {
         Proxy::start_with(backends, 1024, &settings(5000, ""))
@@ -56,29 +90,43 @@
         descriptors: usize,
         settings: &str,
     ) -> Proxy {
-        let discovery = backend();
-        let host = |(place, backend): (usize, &&TcpListener)| {
-            let dial = backend.local_addr().unwrap();
-            format!(r#"{{"host":"h{place}","dial":"{dial}","site":"a","health":"Ready","share":1.0}}"#)
-        };
-        let hosts: Vec<_> = backends.iter().enumerate().map(host).collect();
-        let config = format!(
-            r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{}","seed":"1f",
-            "limits":{{"sockets":{sockets}}},
-            "known":{{"seq":4,"whole":true,"hosts":[{}]}},"settings":{settings}}}"#,
-            discovery.local_addr().unwrap(),
-            hosts.join(",")
-        );
+        let text = config(backends, sockets, settings, r#""listen":"127.0.0.1:0""#);
+        Proxy::run(text, descriptors, &[])
+    }
+
+    /// One that operators may call, at the addresses and with the environment that are given.
+    pub fn start_managed(backends: &[&TcpListener], listen: &str, environment: &[(&str, &str)]) -> Proxy {
+        let addresses = format!(r#""listen":"{listen}","management":"127.0.0.1:0""#);
+        Proxy::run(config(backends, 1024, &settings(5000, ""), &addresses), 1024, environment)
+    }
+
+    fn run((config, discovery): (String, TcpListener), descriptors: usize, more: &[(&str, &str)]) -> Proxy {
         let path = new_path();
-        let (mut child, log) = run(&config, descriptors, &path);
+        let (mut child, log) = run(&config, descriptors, &path, more);
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| log.0.send(line)));
-        let mut address = String::new();
+        let (mut address, mut management) = (String::new(), String::new());
         while address.is_empty() {
             let line = log.1.recv_timeout(PATIENCE).expect("the proxy says where it serves");
-            address = line.split_once("listen=").map(|(_, at)| at.to_string()).unwrap_or_default();
+            let named = |name| line.split_once(name).and_then(|(_, rest)| rest.split(' ').next());
+            address = named(" listen=").unwrap_or_default().to_string();
+            management = named("management=").unwrap_or_default().to_string();
         }
-        Proxy { child, address, log: log.1, discovery, config, path }
+        Proxy { child, address, management, log: log.1, discovery, config, path }
+    }
+
+    /// Makes an operator's call; the status and the text of its answer.
+    pub fn call(&self, method: &str, path: &str) -> (u16, String) {
+        let answer = ask(&self.management, &format!("{method} {path} HTTP/1.1\r\nHost: m\r\n\r\n"));
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap_or_default();
+        (head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0), body.to_string())
+    }
+
+    /// The figure of a name among those that operators read.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let (_, text) = self.call("GET", "/metrics");
+        let found = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':'));
+        found?.split('|').next()?.parse().ok()
     }
 
     pub fn connect(&self) -> TcpStream {
@@ -87,11 +135,7 @@
 
     /// Sends one request on a connection of its own and reads all that comes until the connection ends.
     pub fn ask(&self, request: &str) -> String {
-        let mut client = self.connect();
-        client.write_all(request.as_bytes()).unwrap();
-        let mut answer = Vec::new();
-        client.read_to_end(&mut answer).unwrap();
-        String::from_utf8_lossy(&answer).into_owned()
+        ask(&self.address, request)
     }
 
     /// Has it read its configuration anew, which names another agent.
@@ -143,10 +187,11 @@
 }
 
 /// Starts the program with a configuration at a path; its standard error is to be read.
-pub fn run(config: &str, descriptors: usize, path: &Path) -> (Child, Log) {
+pub fn run(config: &str, descriptors: usize, path: &Path, more: &[(&str, &str)]) -> (Child, Log) {
     std::fs::write(path, config).unwrap();
     let mut command = Command::new("sh");
     command.args(["-c", &format!("ulimit -n {descriptors}; exec $0"), env!("CARGO_BIN_EXE_sparlug-proxy")]);
+    command.envs(more.iter().copied());
     let child = command.env("ROUTER_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap();
     (child, channel())
 }
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -676,7 +676,7 @@
 
 #[test]
 fn an_unusable_configuration_ends_it_with_one_line() {
-    let (child, _) = run("{\"name\": 3}", 64, &new_path());
+    let (child, _) = run("{\"name\": 3}", 64, &new_path(), &[]);
     let output = child.wait_with_output().unwrap();
     let text = String::from_utf8(output.stderr).unwrap();
     assert_eq!((output.status.code(), text.lines().count()), (Some(1), 1), "{text}");
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -54,6 +54,8 @@
 pub struct Native {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call.
+    pub management: Option<SocketAddr>,
     pub seed: Option<u64>,
     pub sockets: usize,
     pub memory_mb: usize,
@@ -69,6 +71,7 @@
     name: Option<Spanned<String>>,
     seed: Option<Spanned<String>>,
     listener: Vec<Spanned<Listener>>,
+    management: Option<Spanned<Listener>>,
     limits: Limits,
     log: Log,
     discovery: Option<Spanned<Discovery>>,
@@ -464,6 +467,9 @@
     }
     let tariffs: Vec<Tariff> = read.tariff.iter().map(|(name, tariff)| c.tariff(name, tariff)).collect();
     let (reports, probes) = (b.reports.unwrap_or(true), b.probes.unwrap_or(true));
+    let management = read.management.as_ref();
+    let management =
+        management.and_then(|at| c.address("management.address", &at.get_ref().address, at.span().start));
     let (Some(listen), Some(directory), true) = (listen, directory, c.faults.is_empty()) else {
         c.faults.sort();
         c.faults.dedup();
@@ -497,5 +503,5 @@
     };
     let log = read.log.filter;
     let (name, log_format) = (name.unwrap_or_else(|| "sparlug".to_string()), log_format.unwrap_or_default());
-    Ok(Native { name, listen, seed, sockets, memory_mb, log, log_format, directory, setup })
+    Ok(Native { name, listen, management, seed, sockets, memory_mb, log, log_format, directory, setup })
 }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -265,6 +265,8 @@
             }
             Action::Check { backend } => put_backend(self.begin(80, instance), *backend),
             Action::CloseIdle { backend } => put_backend(self.begin(120, instance), *backend),
+            // Nobody bars a backend by hand there.
+            Action::Withdraw { .. } => {}
             Action::Tell { to, bytes } => {
                 let record = self.begin(110, instance);
                 record.extend(to.map_or(PEERS_ALL, |peer| peer.0).to_le_bytes());
--- a/src/event.rs
+++ b/src/event.rs
@@ -30,6 +30,11 @@
         took: Span,
         load: Load,
     },
+    /// Staff leave a backend out, or let it serve again, whatever the list says.
+    Barred {
+        backend: BackendId,
+        barred: bool,
+    },
     PeerSaid {
         from: PeerId,
         bytes: Vec<u8>,
@@ -163,6 +168,10 @@
     CloseIdle {
         backend: BackendId,
     },
+    /// Call off what is on its way to a backend and of which nothing is written, as never sent.
+    Withdraw {
+        backend: BackendId,
+    },
     /// Tell one peer, or all of them.
     Tell {
         to: Option<PeerId>,
@@ -184,6 +193,8 @@
     Ended(Ended, Option<(Span, bool)>),
     /// How a check ended, and the report that came with it.
     Checked(Outcome, Load),
+    /// It may serve again, after staff had left it out.
+    Back,
     Beat,
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -13,7 +13,7 @@
 //! each other only by notes put into inboxes, which one loop, in [`Balancer::handle`], empties. What each
 //! remembers is in `state.rs`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::mem::take;
 
 use oorandom::Rand32;
@@ -80,7 +80,7 @@
             None => self.cap.is_none_or(|cap| self.holds() < cap),
             Some(until) => now >= until && self.in_flight < 1.0,
         };
-        let bears = self.credit >= 1.0 || settings.cold.warmth(self.listing.started, now) >= 1.0;
+        let bears = self.credit >= 1.0 || settings.cold.warmth(self.started(), now) >= 1.0;
         self.listing.condition == Condition::Ready && free && bears && now >= self.full_until
     }
 
@@ -88,16 +88,12 @@
         match note {
             BackendNote::Listed(listing) => {
                 let fresh = listing.started != self.listing.started || self.heard == Time::default();
-                if fresh {
-                    let (in_flight, counted, heard) = (self.in_flight, self.counted, around.now);
-                    *self = Backend { in_flight, counted, heard, ..Backend::default() };
-                }
                 self.listing = listing;
-                if fresh && around.settings.cold.warmth(listing.started, around.now) < 1.0 {
-                    // Guards against a start that all instances hear of at once: each begins at its own time.
-                    (self.cap, self.credit) = (Some(1.0), around.chance);
+                if fresh {
+                    self.begin_anew(None, around);
                 }
             }
+            BackendNote::Back => self.begin_anew(Some(around.now), around),
             BackendNote::Sent => {
                 self.heard = if self.in_flight < 1.0 { around.now } else { self.heard };
                 self.in_flight += 1.0;
@@ -122,6 +118,16 @@
         self.counted = counts;
     }
 
+    /// Forgets what was learnt of it.
+    fn begin_anew(&mut self, back: Option<Time>, around: &Around) {
+        let (listing, in_flight, counted, heard) = (self.listing, self.in_flight, self.counted, around.now);
+        *self = Backend { listing, back, in_flight, counted, heard, ..Backend::default() };
+        if around.settings.cold.warmth(self.started(), around.now) < 1.0 {
+            // Guards against a start that all instances hear of at once: each begins at its own time.
+            (self.cap, self.credit) = (Some(1.0), around.chance);
+        }
+    }
+
     fn sample(&mut self, latency: Span, in_time: bool, seen: bool, around: &mut Around) {
         self.heard = around.now;
         // Guards against a hung backend moving the limit: once it is out, it says nothing about the others.
@@ -140,7 +146,7 @@
         // of what its warmth bears, measured by what its peers carry.
         let cold = &around.settings.cold;
         let floor = 2.0 / (around.settings.instances as f64 * (cold.window.ms() / 1000.0).max(0.1));
-        let bears = cold.warmth(self.listing.started, around.now) * cold.multiple * 0.5 * around.tier.rate;
+        let bears = cold.warmth(self.started(), around.now) * cold.multiple * 0.5 * around.tier.rate;
         self.credit = (self.credit + bears.max(floor) / BEATS_PER_S).min(1.5);
         self.ghosts.retain(|until| *until > around.now);
         self.tally.fade(FADE);
@@ -282,8 +288,9 @@
     rng: Rand32,
     now: Time,
     backends: BTreeMap<BackendId, Backend>,
-    mail: Vec<BackendId>, // whose inboxes are not empty
-    roster: Roster,       // all of them; empty when it is to be made anew
+    barred: BTreeSet<BackendId>, // by hand, whatever the list says
+    mail: Vec<BackendId>,        // whose inboxes are not empty
+    roster: Roster,              // all of them; empty when it is to be made anew
     tier: Tier,
     tier_inbox: Vec<TierNote>,
     desk: Desk,
@@ -302,8 +309,20 @@
         let own = settings.allowances.iter().filter(|_| settings.tier == 0);
         let shares = own.map(|allowance| allowance / settings.instances as f64).collect();
         let desk = Desk { purse: PURSE_MOST / 2.0, shares, mode: "ordinary", ..Desk::default() };
-        let (backends, mail, roster, tier, tier_inbox) = Default::default();
-        Balancer { settings, rng, now, backends, mail, roster, tier, tier_inbox, desk, list_failures: 0 }
+        let (backends, barred, mail, roster, tier, tier_inbox) = Default::default();
+        Balancer {
+            settings,
+            rng,
+            now,
+            backends,
+            barred,
+            mail,
+            roster,
+            tier,
+            tier_inbox,
+            desk,
+            list_failures: 0,
+        }
     }
 
     /// Takes one event and appends what is to be done about it now.
@@ -348,13 +367,44 @@
         }
     }
 
+    fn bar(&mut self, backend: BackendId, barred: bool, out: &mut Vec<Action>) {
+        self.roster = Roster::default();
+        if barred && self.barred.insert(backend) {
+            out.push(Action::Withdraw { backend });
+        } else if !barred && self.barred.remove(&backend) {
+            // It may have restarted meanwhile: guards against pushing it over, and old judgement.
+            self.tell(backend, BackendNote::Back);
+            out.push(Action::CloseIdle { backend });
+        }
+    }
+
+    /// What staff have left out.
+    pub fn barred(&self) -> impl Iterator<Item = BackendId> + '_ {
+        self.barred.iter().copied()
+    }
+
+    /// How many backends of the list get nothing now, by hand or because they fail.
+    pub fn left_out(&self) -> usize {
+        let listed = self.backends.iter().filter(|(_, b)| b.listing.condition != Condition::Gone);
+        listed.filter(|(id, b)| b.out.is_some() || self.barred.contains(id)).count()
+    }
+
+    /// Whether staff have left out all that the list has.
+    fn all_barred(&self) -> bool {
+        let listed = |id| self.backends.get(id).is_some_and(|b| b.listing.condition == Condition::Ready);
+        let barred = self.barred.iter().filter(|id| listed(*id)).count();
+        barred > 0
+            && barred == self.backends.values().filter(|b| b.listing.condition == Condition::Ready).count()
+    }
+
     fn beat(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { after: BEAT, mark: MARK_BEAT });
         self.roster = Roster::default();
         self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.holds() > 0.0);
         self.mail = self.backends.keys().copied().collect();
         self.backends.values_mut().for_each(|backend| backend.inbox.push(BackendNote::Beat));
-        self.tier_inbox.push(census(self.backends.values()));
+        let open = self.backends.iter().filter(|(id, _)| !self.barred.contains(id));
+        self.tier_inbox.push(census(open.map(|(_, backend)| backend)));
         let instances = self.settings.instances as f64;
         for (share, allowance) in self.desk.shares.iter_mut().zip(&self.settings.allowances) {
             *share = (share.max(0.0) + allowance / instances / BEATS_PER_S).min(allowance / instances);
@@ -394,6 +444,7 @@
                 self.desk.held.remove(&exchange);
                 self.tell(backend, BackendNote::Began(took));
             }
+            Event::Barred { backend, barred } => self.bar(backend, barred, out),
             Event::Ended(ended) => self.ended(ended, out),
             Event::Left(id) => drop(self.release(id, out)),
             Event::Timer(MARK_BEAT) => self.beat(out),
@@ -496,10 +547,11 @@
     fn serve(&mut self, out: &mut Vec<Action>) -> bool {
         // What would be late gives up its place; what nobody may repeat tries while a usual answer may do.
         let needs = [self.tier.latency, self.tier.took].map(|mean| Span::from_ms(NEED * mean.or(0.0)));
+        let none = self.all_barred();
         let late = |id: &&ExchangeId| {
             let held = &self.desk.held[id];
             let need = needs[usize::from(held.sent > 0 && held.tariff.effect == Effect::AtMostOnce)];
-            self.now + need.min(held.goal.since(held.arrived).scaled(0.9)) >= held.goal
+            none || self.now + need.min(held.goal.since(held.arrived).scaled(0.9)) >= held.goal
         };
         for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
@@ -542,7 +594,8 @@
         let (two, since, until) = self.desk.held[&id].asked?;
         let report = |id: &BackendId| self.backends.get(id).and_then(|backend| backend.others);
         let silent = |id: &BackendId| report(id).is_none_or(|(at, _)| at <= since);
-        let ready = |id: &BackendId| self.backends.get(id).is_some_and(|b| b.ready(self.now, &self.settings));
+        let open = |b: &Backend| b.ready(self.now, &self.settings);
+        let ready = |id: &BackendId| self.backends.get(id).is_some_and(open) && !self.barred.contains(id);
         if two.iter().any(|id| silent(id) && ready(id)) && self.now < until {
             return None;
         }
@@ -576,7 +629,8 @@
         if self.roster.is_empty() {
             let s = &self.settings;
             let width = (SHARED * self.backends.len() as f64 / s.instances as f64).max(PART_LEAST);
-            self.roster = Roster::new(self.backends.values().map(|b| b.listing), s.zone, width, s.ordinal);
+            let open = self.backends.iter().filter(|(id, _)| !self.barred.contains(id));
+            self.roster = Roster::new(open.map(|(_, b)| b.listing), s.zone, width, s.ordinal);
         }
         let best = self.two(id, false)?;
         // Where crossing has a price, two of the own zone are drawn as well.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -605,3 +605,54 @@
     let large = (0..400).filter(|_| roster.draw(&mut rng, false, false, |_| true) == Some(id(1))).count();
     assert!((260..340).contains(&large));
 }
+
+#[test]
+fn what_staff_bar_gets_nothing_until_it_is_called_back_and_then_starts_cold() {
+    let mut balancer = balancer(Effect::Reissuable, 2);
+    let (mut out, mut now) = (Vec::new(), START);
+    let bar = |barred| Event::Barred { backend: id(0), barred };
+    balancer.handle(now, bar(true), &mut out);
+    assert_eq!(out, [Action::Withdraw { backend: id(0) }]);
+    // Nothing but the call back lifts it: not a list, and not one that told of a restart.
+    let restarted = Listing { started: Some(START), ..listing(0) };
+    balancer.handle(now, Event::Listed { whole: true, listings: vec![restarted, listing(1)] }, &mut out);
+    // How many of these are sent to it; each is honoured at once.
+    let sent = |balancer: &mut Balancer, now, numbers: std::ops::Range<u32>| {
+        let to = numbers.map(|n| {
+            let mut out = Vec::new();
+            let taken = Exchange { cut_off: now + ms(500), ..exchange(n) };
+            balancer.handle(now, Event::Taken(taken), &mut out);
+            let forward = out.iter().find_map(|action| match action {
+                Action::Forward { backend, .. } => Some(*backend),
+                _ => None,
+            });
+            let backend = forward.expect("one of the two is open");
+            let done =
+                Ended { exchange: ExchangeId(n.into()), backend, answered: true, ..ended(Outcome::Honoured) };
+            balancer.handle(now, Event::Ended(done), &mut out);
+            backend
+        });
+        to.filter(|backend| *backend == id(0)).count()
+    };
+    assert_eq!(sent(&mut balancer, now, 0..50), 0);
+    assert_eq!(balancer.left_out(), 1);
+    balancer.handle(now, bar(true), &mut out);
+    balancer.handle(now, bar(false), &mut out);
+    assert_eq!((balancer.left_out(), out.last()), (0, Some(&Action::CloseIdle { backend: id(0) })));
+    let back = &balancer.backends[&id(0)];
+    assert_eq!((back.started(), back.cap), (Some(now), Some(1.0)));
+    for _ in 0..20 {
+        now = now + BEAT;
+        balancer.handle(now, Event::Timer(MARK_BEAT), &mut out);
+    }
+    assert!(sent(&mut balancer, now, 50..100) > 0);
+}
+
+#[test]
+fn with_all_backends_barred_what_waits_is_turned_back_at_once() {
+    let mut balancer = balancer(Effect::Reissuable, 1);
+    let mut out = Vec::new();
+    balancer.handle(START, Event::Barred { backend: id(0), barred: true }, &mut out);
+    balancer.handle(START, Event::Taken(exchange(1)), &mut out);
+    assert!(matches!(out.last(), Some(Action::TurnBack { .. })), "{out:?}");
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,6 +13,8 @@
 pub struct Backend {
     pub inbox: Vec<BackendNote>,
     pub listing: Listing,
+    /// When staff let it serve again; it may have restarted meanwhile.
+    pub back: Option<Time>,
     /// While out it gets nothing until then, and after that one trial forward at a time.
     pub out: Option<Time>,
     /// How often it was put out, or stayed out, in a row.
@@ -39,6 +41,11 @@
 }
 
 impl Backend {
+    /// The latest that its process may have started.
+    pub fn started(&self) -> Option<Time> {
+        self.listing.started.max(self.back)
+    }
+
     pub fn holds(&self) -> f64 {
         self.in_flight + self.ghosts.len() as f64
     }
