Hand the listening socket, bans and list over to the next process at an upgrade

Change: handover.rs. The second process takes the first one's listening socket over (SCM_RIGHTS), its bans and its list; a ban told to one binds both while both live; each keeps to half of the limits meanwhile.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -67,6 +67,8 @@
 
 pub struct Clients {
     listener: Option<TcpListener>,
+    /// Another process accepts there too.
+    joined: bool,
     clients: Slots<OfClient, Client>,
     /// Who may have to leave for a new one, by rank and then by when it was last used: those that only linger,
     /// idle ones, those whose request does not come to its end.
@@ -87,10 +89,12 @@
 }
 
 impl Clients {
-    pub fn new(listener: Option<TcpListener>, tariffs: Tariffs, budgets: Budgets) -> Clients {
+    /// `joined` tells that another process accepts at the same listener.
+    pub fn new(listener: Option<TcpListener>, joined: bool, tariffs: Tariffs, budgets: Budgets) -> Clients {
         let (clients, leavers, unread, ids, waiting, again, full, ready, leaving) = Default::default();
         Clients {
             listener,
+            joined,
             clients,
             leavers,
             unread,
@@ -127,7 +131,22 @@
         self.listener.as_ref()?.local_addr().ok()
     }
 
+    /// It can serve from here on.
+    pub fn set_ready(&mut self, io: &mut Shared) {
+        if !std::mem::replace(&mut self.ready, true) {
+            io.deadlines.set(io.now, Due::Accept);
+        }
+    }
+
+    pub fn listener(&self) -> Option<&TcpListener> {
+        self.listener.as_ref()
+    }
+
     pub fn accept(&mut self, io: &mut Shared) {
+        // Guards against taking what the process before would serve at once.
+        if self.joined && !self.ready {
+            return;
+        }
         self.waiting = true;
         while self.waiting {
             if !self.make_room(io) {
@@ -461,9 +480,11 @@
         }
     }
 
-    /// Accepts what the kernel has accepted, and no more after that.
-    pub fn stop_listening(&mut self, io: &mut Shared) {
-        self.accept(io);
+    /// Accepts what the kernel has accepted, and no more after that; not even that where the next process does.
+    pub fn stop_listening(&mut self, succeeded: bool, io: &mut Shared) {
+        if !succeeded {
+            self.accept(io);
+        }
         if let Some(mut listener) = self.listener.take() {
             let _ = io.registry.deregister(&mut listener);
         }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -23,6 +23,8 @@
     pub management: Option<SocketAddr>,
     pub seed: u64,
     pub budgets: Budgets,
+    /// While another process lives beside it as the same proxy.
+    pub halved: Budgets,
     /// The list of backends as it was last had.
     pub known: Option<List>,
     pub setup: Setup,
@@ -62,7 +64,7 @@
     settings: &'a RawValue,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Copy, Deserialize)]
 #[serde(default)]
 struct Limits {
     sockets: usize,
@@ -76,7 +78,7 @@
 }
 
 const OWN_SOCKETS: usize = 16; // for the log, the loop, signals, the listener and discovery
-const OPERATORS_SOCKETS: usize = CALLS_MOST + 2; // where operators may call, for them besides
+const OPERATORS_SOCKETS: usize = CALLS_MOST + 4; // where operators may call, for them and a handover besides
 const OWN_MB: usize = 6; // for the program itself
 const LEAST: usize = 6; // connections on either side, and messages, to serve at all
 
@@ -96,6 +98,13 @@
 }
 
 impl Limits {
+    /// The budgets, and half of them; all of them twice where a half is too little to serve.
+    fn both(self, management: bool) -> Result<(Budgets, Budgets), String> {
+        let half = Limits { sockets: self.sockets / 2, memory_mb: self.memory_mb / 2 };
+        let all = self.budgets(management)?;
+        Ok((all, half.budgets(management).unwrap_or(all)))
+    }
+
     fn budgets(&self, management: bool) -> Result<Budgets, String> {
         let Limits { sockets, memory_mb } = *self;
         let own = OWN_SOCKETS + if management { OPERATORS_SOCKETS } else { 0 };
@@ -151,7 +160,7 @@
         let known = text.known.map(|known| listing::decode(known.get().as_bytes(), &setup.zone_names));
         let (name, listen, discovery) = (text.name, text.listen, Some(text.discovery));
         let management = text.management.or_else(|| std::env::var("ROUTER_MANAGEMENT").ok()?.parse().ok());
-        let (known, budgets) = (known.transpose()?, text.limits.budgets(management.is_some())?);
+        let (known, (budgets, halved)) = (known.transpose()?, text.limits.both(management.is_some())?);
         let fixed = Fixed::of(&name, listen, &setup);
         let (log, log_format) = (None, LogFormat::Text);
         Ok(Config {
@@ -161,6 +170,7 @@
             management,
             seed,
             budgets,
+            halved,
             known,
             setup,
             fixed,
@@ -172,7 +182,7 @@
     fn of_native(found: Native) -> Result<Config, String> {
         let Native { name, listen, management, seed, sockets, memory_mb, log, log_format, directory, setup } =
             found;
-        let budgets = Limits { sockets, memory_mb }.budgets(management.is_some())?;
+        let (budgets, halved) = Limits { sockets, memory_mb }.both(management.is_some())?;
         // Without a seed, each start has one of its own.
         let drawn = || std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
         let seed = seed.unwrap_or_else(|| drawn().as_nanos() as u64 ^ u64::from(std::process::id()) << 32);
@@ -191,6 +201,7 @@
             management,
             seed,
             budgets,
+            halved,
             known,
             setup,
             fixed,
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// The agent, and the version of the list at hand.
+    pub fn at_hand(&self) -> (Option<SocketAddr>, Option<u64>) {
+        (self.address, self.version)
+    }
+
     /// Asks for what is newer than the list at hand, unless such a call is under way.
     pub fn watch(&mut self, io: &mut Shared) {
         if !self.asked {
--- /dev/null
+++ b/crates/proxy/src/handover.rs
@@ -0,0 +1,315 @@
+//! The way from one process to the one that takes its place: the listening socket, the bans by hand and the last list
+//! go over a Unix socket, and while both live, a ban told to one binds the other. What is said are lines of JSON.
+
+use std::fs;
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut, Read};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::fs::FileTypeExt;
+use std::os::unix::net::UnixStream as StdUnixStream;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use mio::net::{UnixListener, UnixStream};
+use mio::Interest;
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use serde::{Deserialize, Serialize};
+use sparlug::id::BackendId;
+
+use crate::link::Link;
+use crate::listing::Handed;
+use crate::shared::{Note, OfPeer, Owner, PeerSlot, Shared};
+use crate::slots::Slots;
+
+const GREETING: &[u8] = b"sparlug-handover 1\n"; // the socket that is handed over comes with its first byte
+const PATIENCE: Duration = Duration::from_millis(1_000); // for all that is handed over
+const LINE_MOST: usize = 4 * 1024 * 1024;
+const PEERS_MOST: usize = 4;
+
+/// The name of a backend in what is said.
+pub type Named = ([u8; 4], u16);
+
+pub fn named(backend: BackendId) -> Named {
+    (backend.address, backend.port)
+}
+
+pub fn backend(named: Named) -> BackendId {
+    BackendId { address: named.0, port: named.1 }
+}
+
+/// What one process says to the other.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// The first of all, from the one that was there before.
+    State(State),
+    Bar {
+        backend: Named,
+        barred: bool,
+    },
+}
+
+/// What the next process needs to go on as this one does.
+#[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// Whose versions the list's are.
+    pub agent: Option<SocketAddr>,
+    pub barred: Vec<Named>,
+    pub list: Option<Handed>,
+}
+
+/// The next word in what was read, taken out of it once its line is whole.
+pub fn next(input: &mut Vec<u8>) -> Result<Option<Word>, String> {
+    let Some(end) = input.iter().position(|byte| *byte == b'\n') else {
+        return if input.len() > LINE_MOST { Err("a line without an end".to_string()) } else { Ok(None) };
+    };
+    let line: Vec<u8> = input.drain(..=end).collect();
+    serde_json::from_slice(&line).map(Some).map_err(|e| e.to_string())
+}
+
+fn line(word: &Word) -> Vec<u8> {
+    let mut line = serde_json::to_vec(word).unwrap_or_default();
+    line.push(b'\n');
+    line
+}
+
+/// What was taken over from the process that was there before.
+pub struct Taken {
+    /// Its listening socket, unless it had none any more.
+    pub listener: Option<TcpListener>,
+    pub state: State,
+    stream: StdUnixStream,
+    rest: Vec<u8>,
+}
+
+/// Where the process that serves at an address waits for the next one.
+pub fn path(listen: SocketAddr) -> PathBuf {
+    std::env::temp_dir().join(format!("sparlug-{listen}.sock"))
+}
+
+/// Takes over from the process that is there, if there is one. It waits for a second at the most, and an error
+/// costs the start nothing.
+pub fn take_over(path: &Path, listen: SocketAddr) -> Result<Option<Taken>, String> {
+    let stream = match StdUnixStream::connect(path) {
+        Err(e) if matches!(e.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => return Ok(None),
+        found => found.map_err(|e| format!("no way to the process before: {e}"))?,
+    };
+    own(&stream).then_some(()).ok_or("another user's process waits there")?;
+    let start = Instant::now();
+    let left = || Some(PATIENCE.checked_sub(start.elapsed()).unwrap_or(Duration::from_millis(1)));
+    let fault = |e: io::Error| format!("the process before handed nothing over: {e}");
+    stream.set_read_timeout(left()).map_err(fault)?;
+    let listener = greeted(&stream).map_err(fault)?.map(TcpListener::from);
+    let fits = |listener: &TcpListener| {
+        let listens = rustix::net::sockopt::socket_acceptconn(listener).unwrap_or(false);
+        listens && listener.local_addr().is_ok_and(|address| address == listen)
+    };
+    if listener.as_ref().is_some_and(|listener| !fits(listener)) {
+        return Err("the process before handed over a socket that is not the listener's".to_string());
+    }
+    let (mut rest, mut piece) = (Vec::new(), [0; 16 * 1024]);
+    let state = loop {
+        match next(&mut rest)? {
+            Some(Word::State(state)) => break state,
+            Some(_) => return Err("the process before did not begin with its state".to_string()),
+            None => {}
+        }
+        stream.set_read_timeout(left()).map_err(fault)?;
+        match (&stream).read(&mut piece).map_err(fault)? {
+            0 => return Err("the process before ended in the handover".to_string()),
+            read => rest.extend_from_slice(&piece[..read]),
+        }
+    };
+    Ok(Some(Taken { listener, state, stream, rest }))
+}
+
+/// Whether the process at the other end is of the same user.
+fn own(stream: &impl AsFd) -> bool {
+    let peer = rustix::net::sockopt::socket_peercred(stream);
+    peer.is_ok_and(|peer| peer.uid == rustix::process::geteuid())
+}
+
+/// Reads the greeting and the socket that comes with it.
+fn greeted(stream: &StdUnixStream) -> io::Result<Option<OwnedFd>> {
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut beside = RecvAncillaryBuffer::new(&mut space);
+    let (mut bytes, mut read, mut found) = ([0; GREETING.len()], 0, None);
+    while read < bytes.len() {
+        let piece = &mut [IoSliceMut::new(&mut bytes[read..])];
+        let got = recvmsg(stream, piece, &mut beside, RecvFlags::CMSG_CLOEXEC)?.bytes;
+        for message in beside.drain() {
+            if let RecvAncillaryMessage::ScmRights(sockets) = message {
+                found = sockets.into_iter().next().or(found);
+            }
+        }
+        if got == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        read += got;
+    }
+    if bytes != *GREETING {
+        return Err(io::Error::new(ErrorKind::InvalidData, "it speaks in another way"));
+    }
+    Ok(found)
+}
+
+struct Peer {
+    link: Link<UnixStream>,
+    /// It came after this process, to take its place.
+    successor: bool,
+}
+
+/// The way to the processes that live beside this one, as the proxy before or after it.
+pub struct Handover {
+    path: PathBuf,
+    /// Waits for the next process; `None` where that is not wanted, or not to be had.
+    listener: Option<UnixListener>,
+    peers: Slots<OfPeer, Peer>,
+}
+
+impl Handover {
+    /// `before` is the process that was there; it is followed where no newer one can be waited for.
+    pub fn new(
+        path: PathBuf,
+        wanted: bool,
+        before: Option<(StdUnixStream, Vec<u8>)>,
+        io: &mut Shared,
+    ) -> Handover {
+        let mut handover = Handover { path, listener: None, peers: Slots::default() };
+        if wanted {
+            handover.wait(io);
+        }
+        if let Some((stream, rest)) = before {
+            let _ = stream.set_nonblocking(true);
+            let slot = handover.add(UnixStream::from_std(stream), false, io);
+            if let Some(peer) = slot.and_then(|slot| handover.peers.get_mut(slot)) {
+                peer.link.input = rest;
+            }
+        }
+        handover
+    }
+
+    /// Waits for the next process, in the place of whoever waited there before.
+    fn wait(&mut self, io: &Shared) {
+        let socket = fs::symlink_metadata(&self.path).is_ok_and(|found| found.file_type().is_socket());
+        if socket {
+            let _ = fs::remove_file(&self.path);
+        }
+        let listen = || {
+            let mut listener = UnixListener::bind(&self.path)?;
+            io.registry.register(&mut listener, Owner::Handover.token(), Interest::READABLE)?;
+            Ok(listener)
+        };
+        match listen() {
+            Ok(listener) => self.listener = Some(listener),
+            Err(e) => {
+                let e: io::Error = e;
+                tracing::warn!(path = %self.path.display(), error = %e, "upgrades will hand nothing over");
+            }
+        }
+    }
+
+    /// Whether another process serves in this one's place, or in whose place this one does.
+    pub fn beside(&self) -> bool {
+        self.peers.count() > 0
+    }
+
+    /// Whether a process came to take this one's place.
+    pub fn succeeded(&self) -> bool {
+        self.peers.iter().any(|(_, peer)| peer.successor)
+    }
+
+    fn add(&mut self, stream: UnixStream, successor: bool, io: &mut Shared) -> Option<PeerSlot> {
+        let mut stream = Some(stream);
+        let registry = &io.registry;
+        self.peers.insert_with(|slot| {
+            let link = Link::new(stream.take()?, registry, Owner::Peer(slot).token()).ok()?;
+            Some(Peer { link, successor })
+        })
+    }
+
+    /// Hands the state and the listening socket to those that have come.
+    pub fn accept(&mut self, listener: Option<impl AsFd>, state: impl Fn() -> State, io: &mut Shared) {
+        while let Some(Ok((stream, _))) = self.listener.as_ref().map(UnixListener::accept) {
+            if !own(&stream) || self.peers.count() >= PEERS_MOST {
+                tracing::warn!("another user's process, or one too many, came for the handover");
+                continue;
+            }
+            let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+            let mut beside = SendAncillaryBuffer::new(&mut space);
+            let sockets = listener.as_ref().map(|listener| [listener.as_fd()]);
+            if let Some(sockets) = &sockets {
+                beside.push(SendAncillaryMessage::ScmRights(sockets));
+            }
+            // A new socket has room for the greeting, which so goes out whole.
+            match sendmsg(&stream, &[IoSlice::new(GREETING)], &mut beside, SendFlags::empty()) {
+                Ok(sent) if sent == GREETING.len() => {}
+                failed => {
+                    tracing::warn!(?failed, "nothing handed over");
+                    continue;
+                }
+            }
+            if let Some(slot) = self.add(stream, true, io) {
+                self.say(slot, &Word::State(state()), io);
+                tracing::info!(listener = sockets.is_some(), "handed over to the next process");
+                io.notes.push_back(Note::Beside);
+            }
+        }
+    }
+
+    fn say(&mut self, slot: PeerSlot, word: &Word, io: &mut Shared) {
+        if let Some(peer) = self.peers.get_mut(slot) {
+            peer.link.queue(&line(word));
+        }
+        self.event(slot, io);
+    }
+
+    /// Tells all others.
+    pub fn tell(&mut self, word: &Word, io: &mut Shared) {
+        let all: Vec<_> = self.peers.iter().map(|(slot, _)| slot).collect();
+        all.into_iter().for_each(|slot| self.say(slot, word, io));
+    }
+
+    pub fn event(&mut self, slot: PeerSlot, io: &mut Shared) {
+        let Some(peer) = self.peers.get_mut(slot) else { return };
+        let sent = peer.link.flush();
+        let read = peer.link.fill(LINE_MOST + 1);
+        let why = loop {
+            match next(&mut peer.link.input) {
+                Ok(Some(word)) => io.notes.push_back(Note::Said(word)),
+                Ok(None) => break sent.err().or(read.err()).map(|e| e.to_string()),
+                Err(why) => break Some(why),
+            }
+        };
+        if why.is_none() && !peer.link.ended {
+            return;
+        }
+        let (successor, why) = (peer.successor, why.unwrap_or_else(|| "it ended".to_string()));
+        if let Some(peer) = self.peers.remove(slot) {
+            peer.link.close(&io.registry);
+        }
+        tracing::info!(successor, why, "the process beside this one is gone");
+        io.notes.push_back(Note::Beside);
+        // The one that was to come waited in this one's place: guards against the next one finding nobody.
+        if successor && !self.succeeded() && self.listener.is_some() {
+            self.wait(io);
+        }
+    }
+
+    /// Leaves no file behind, unless it is the next process's.
+    pub fn end(&self) {
+        if self.listener.is_some() && !self.succeeded() {
+            let _ = fs::remove_file(&self.path);
+        }
+    }
+}
+
+impl Taken {
+    /// The way to the process before, and what it has said already.
+    pub fn into_parts(self) -> (Option<TcpListener>, State, (StdUnixStream, Vec<u8>)) {
+        (self.listener, self.state, (self.stream, self.rest))
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod deadlines;
 pub mod discovery;
 pub mod ending;
+pub mod handover;
 pub mod http;
 pub mod link;
 pub mod listing;
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -4,13 +4,14 @@
 use std::io::{ErrorKind, Read, Result, Write};
 use std::net::{Shutdown, SocketAddr};
 
+use mio::event::Source;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 
 const PIECE: usize = 16 * 1024; // read at once
 
-pub struct Link {
-    stream: TcpStream,
+pub struct Link<S = TcpStream> {
+    stream: S,
     pub input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
@@ -19,36 +20,13 @@
     pub ended: bool,
 }
 
-impl Link {
-    pub fn new(mut stream: TcpStream, registry: &Registry, token: Token) -> Result<Link> {
+impl<S: Read + Write + Source> Link<S> {
+    pub fn new(mut stream: S, registry: &Registry, token: Token) -> Result<Link<S>> {
         registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
         let (input, output) = (Vec::new(), Vec::new());
         Ok(Link { stream, input, output, written: 0, unread: true, ended: false })
     }
 
-    pub fn dial(to: SocketAddr, registry: &Registry, token: Token) -> Result<Link> {
-        Link::new(TcpStream::connect(to)?, registry, token)
-    }
-
-    /// Whether a dialled connection is up; an error if it failed.
-    pub fn up(&self) -> Result<bool> {
-        if let Some(e) = self.stream.take_error()? {
-            return Err(e);
-        }
-        match self.stream.peer_addr() {
-            Ok(_) => {
-                let _ = self.stream.set_nodelay(true);
-                Ok(true)
-            }
-            Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
-            Err(e) => Err(e),
-        }
-    }
-
-    pub fn set_nodelay(&self) {
-        let _ = self.stream.set_nodelay(true);
-    }
-
     /// Reads what there is, until `most` bytes are waiting to be used.
     pub fn fill(&mut self, most: usize) -> Result<()> {
         self.unread = true;
@@ -107,12 +85,37 @@
         Ok(true)
     }
 
+    pub fn close(mut self, registry: &Registry) {
+        let _ = registry.deregister(&mut self.stream);
+    }
+}
+
+impl Link {
+    pub fn dial(to: SocketAddr, registry: &Registry, token: Token) -> Result<Link> {
+        Link::new(TcpStream::connect(to)?, registry, token)
+    }
+
+    /// Whether a dialled connection is up; an error if it failed.
+    pub fn up(&self) -> Result<bool> {
+        if let Some(e) = self.stream.take_error()? {
+            return Err(e);
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => {
+                let _ = self.stream.set_nodelay(true);
+                Ok(true)
+            }
+            Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(e) => Err(e),
+        }
+    }
+
+    pub fn set_nodelay(&self) {
+        let _ = self.stream.set_nodelay(true);
+    }
+
     /// Ends the sending, so that the other side sees the end of what was written.
     pub fn end_sending(&mut self) {
         let _ = self.stream.shutdown(Shutdown::Write);
     }
-
-    pub fn close(mut self, registry: &Registry) {
-        let _ = registry.deregister(&mut self.stream);
-    }
 }
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use sparlug::event::{Condition, Listing};
 use sparlug::id::{BackendId, PodId, ZoneId};
 use sparlug::time::Time;
@@ -104,3 +104,45 @@
     };
     Ok(List { version: text.seq, whole: text.whole, entries: text.hosts.into_iter().map(entry).collect() })
 }
+
+/// A list as one process hands it to the next: what is left of all that it was told.
+#[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Handed {
+    pub version: u64,
+    pub hosts: Vec<HandedHost>,
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+pub struct HandedHost {
+    host: String,
+    dial: SocketAddr,
+    zone: u16,
+    pod: u16,
+    drains: bool,
+    size: f64,
+    started_ms: Option<f64>,
+}
+
+impl HandedHost {
+    pub fn of(entry: &Entry) -> HandedHost {
+        let Listing { zone, pod, condition, started, size, .. } = entry.listing;
+        let (host, drains) = (entry.host.clone(), condition == Condition::Draining);
+        let started_ms = started.map(|started| started.since(Time::ORIGIN).ms());
+        HandedHost { host, dial: entry.dial, zone: zone.0, pod: pod.0, drains, size, started_ms }
+    }
+
+    fn entry(self) -> Entry {
+        let HandedHost { host, dial, zone, pod, drains, size, started_ms } = self;
+        let condition = if drains { Condition::Draining } else { Condition::Ready };
+        let (backend, started) = (backend_id(&host), started_ms.map(Time::from_ms));
+        let listing = Listing { backend, zone: ZoneId(zone), pod: PodId(pod), condition, started, size };
+        Entry { host, dial, listing }
+    }
+}
+
+impl Handed {
+    pub fn list(self) -> List {
+        let entries = self.hosts.into_iter().map(HandedHost::entry).collect();
+        List { version: self.version, whole: true, entries }
+    }
+}
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use sparlug::event::{Condition, Load};
+use sparlug::event::{Condition, Listing, Load};
 use sparlug::id::BackendId;
 use sparlug::time::{Span, Time};
 
@@ -13,7 +13,7 @@
 use crate::ending::Ending;
 use crate::http::{self, AnswerHead, BODY_MOST, MESSAGE_MOST};
 use crate::link::Link;
-use crate::listing::Entry;
+use crate::listing::{Entry, HandedHost};
 use crate::patience::{Known, Patience};
 use crate::shared::{ConnSlot, Done, Due, Note, OfConn, Owner, Purpose, Shared};
 use crate::slots::Slots;
@@ -33,7 +33,7 @@
 struct Place {
     host: String,
     life: Life,
-    condition: Condition,
+    listing: Listing,
     idle: Vec<ConnSlot>,
     conns: usize,
     dialled: Known,
@@ -108,43 +108,52 @@
 
     /// How many backends the list has.
     pub fn listed(&self) -> usize {
-        self.places.values().filter(|place| place.condition != Condition::Gone).count()
+        self.places.values().filter(|place| place.listing.condition != Condition::Gone).count()
+    }
+
+    /// The list as it is at hand, for the process that takes this one's place.
+    pub fn list_at_hand(&self) -> Vec<HandedHost> {
+        let listed = self.places.values().filter(|place| place.listing.condition != Condition::Gone);
+        let entry = |place: &Place| {
+            let (host, dial, listing) = (place.host.clone(), place.life.dial, place.listing);
+            HandedHost::of(&Entry { host, dial, listing })
+        };
+        listed.map(entry).collect()
     }
 
     pub fn lists(&self, backend: BackendId) -> bool {
-        self.places.get(&backend).is_some_and(|place| place.condition != Condition::Gone)
+        self.places.get(&backend).is_some_and(|place| place.listing.condition != Condition::Gone)
     }
 
     /// How many backends are listed as ready.
     pub fn ready(&self) -> usize {
-        self.places.values().filter(|place| place.condition == Condition::Ready).count()
+        self.places.values().filter(|place| place.listing.condition == Condition::Ready).count()
     }
 
     /// Takes in a change of the list.
     pub fn list(&mut self, whole: bool, entries: &[Entry], io: &mut Shared) {
         if whole {
-            self.places.values_mut().for_each(|place| place.condition = Condition::Gone);
+            self.places.values_mut().for_each(|place| place.listing.condition = Condition::Gone);
         }
         for Entry { host, dial, listing } in entries {
-            let condition = listing.condition;
             let life = Life { dial: *dial, started: listing.started };
             let place = self.places.entry(listing.backend).or_insert_with(|| {
                 tracing::info!(host, %dial, "listed");
                 let (idle, dialled) = Default::default();
-                Place { host: host.clone(), life, condition, idle, conns: 0, dialled }
+                Place { host: host.clone(), life, listing: *listing, idle, conns: 0, dialled }
             });
-            (place.condition, place.life) = (condition, life);
+            (place.listing, place.life) = (*listing, life);
         }
         let unfit = |conn: &Conn| match (&conn.stage, self.places.get(&conn.backend)) {
             (_, None) => true,
             (Stage::Busy { .. }, _) => false,
-            (_, Some(place)) => place.condition != Condition::Ready || place.life != conn.life,
+            (_, Some(place)) => place.listing.condition != Condition::Ready || place.life != conn.life,
         };
         let unfit = self.conns.iter().filter(|(_, conn)| unfit(conn)).map(|(slot, _)| slot);
         for slot in unfit.collect::<Vec<_>>() {
             self.close(slot, Ending::Withdrawn, io);
         }
-        self.places.retain(|_, place| place.condition != Condition::Gone || place.conns > 0);
+        self.places.retain(|_, place| place.listing.condition != Condition::Gone || place.conns > 0);
     }
 
     /// Sends a message to a backend, on an idle connection or a new one. Whatever happens is told in a note. What
@@ -292,7 +301,9 @@
             && conn.link.input.is_empty();
         conn.finish(ending, head.load, Some((head, message)), io);
         let place = self.places.get_mut(&conn.backend);
-        match place.filter(|place| keep && place.condition == Condition::Ready && place.life == conn.life) {
+        match place
+            .filter(|place| keep && place.listing.condition == Condition::Ready && place.life == conn.life)
+        {
             None => self.close(slot, ending, io),
             Some(place) => {
                 conn.stage = Stage::Idle;
@@ -322,7 +333,7 @@
             }
             place.conns -= 1;
             place.idle.retain(|idle| *idle != slot);
-            if place.conns == 0 && place.condition == Condition::Gone {
+            if place.conns == 0 && place.listing.condition == Condition::Gone {
                 self.places.remove(&conn.backend);
             }
         }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -8,6 +8,7 @@
 use oorandom::Rand32;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
+use socket2::{Domain, Socket, Type};
 use sparlug::event::{Action, Ended, Event, Exchange, Listing, Outcome};
 use sparlug::id::{BackendId, ExchangeId, ForwardNo, TariffId, TenantId};
 use sparlug::policy::Balancer;
@@ -15,13 +16,14 @@
 use sparlug::time::{Span, Time};
 
 use crate::clients::{Clients, Tariffs};
-use crate::config::{Config, Fixed, Source};
+use crate::config::{Budgets, Config, Fixed, Source};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, DeadlineId, Deadlines};
 use crate::discovery::Discovery;
 use crate::ending::Ending;
+use crate::handover::{self, Handover, State, Word};
 use crate::http;
-use crate::listing::{backend_id, List};
+use crate::listing::{backend_id, Handed, List};
 use crate::management::{Call, Management};
 use crate::pool::Pool;
 use crate::shared::{
@@ -61,6 +63,9 @@
     pool: Pool,
     discovery: Discovery,
     management: Management,
+    handover: Handover,
+    /// Alone, and while another process lives beside it.
+    budgets: [Budgets; 2],
     /// The path at which a backend is checked.
     check_path: &'static str,
     longest: Span,
@@ -71,10 +76,25 @@
     leaving: Option<Time>,
 }
 
-fn listen(config: &Config, registry: &Registry) -> io::Result<TcpListener> {
-    let mut listener = TcpListener::bind(config.listen)?;
-    // Guards against connections dropped unseen while the loop is busy: the usual 128 are soon waiting.
-    socket2::SockRef::from(&listener).listen(BACKLOG)?;
+/// Listens, at the socket that was handed over if there is one. `shared` lets another process do so too.
+fn listen(
+    config: &Config,
+    handed: Option<std::net::TcpListener>,
+    shared: bool,
+    registry: &Registry,
+) -> io::Result<TcpListener> {
+    let bind = || {
+        let socket = Socket::new(Domain::for_address(config.listen), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.set_reuse_port(shared)?;
+        socket.bind(&config.listen.into())?;
+        // Guards against connections dropped unseen while the loop is busy: the usual 128 are soon waiting.
+        socket.listen(BACKLOG)?;
+        Ok(socket.into())
+    };
+    let listener: std::net::TcpListener = handed.map_or_else(bind, io::Result::Ok)?;
+    listener.set_nonblocking(true)?;
+    let mut listener = TcpListener::from_std(listener);
     registry.register(&mut listener, Owner::Listener.token(), Interest::READABLE)?;
     Ok(listener)
 }
@@ -91,7 +111,20 @@
         let registry = poll.registry().try_clone().map_err(|e| format!("cannot poll: {e}"))?;
         let heard = registry.register(&mut signals, Owner::Signals.token(), Interest::READABLE);
         heard.map_err(|e| format!("cannot hear signals: {e}"))?;
-        let listener = listen(&config, &registry);
+        // An address that is only found at the start is no name to be found by.
+        let managed = config.management.is_some();
+        let (path, wanted) = (handover::path(config.listen), managed && config.listen.port() != 0);
+        let taken = if wanted { handover::take_over(&path, config.listen) } else { Ok(None) };
+        let taken = taken.unwrap_or_else(|why| {
+            tracing::warn!(why, "starting without what the process before had");
+            None
+        });
+        let (handed, state, before) = taken.map(handover::Taken::into_parts).map_or_else(
+            || (None, State::default(), None),
+            |(listener, state, before)| (listener, state, Some(before)),
+        );
+        let joined = handed.is_some();
+        let listener = listen(&config, handed, managed, &registry);
         let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
 
         let clock = Clock::start();
@@ -99,15 +132,21 @@
         let (callers, notes) = Default::default();
         let mut io = Shared { registry, now, since: now, deadlines, counters, callers, notes };
         let management = Management::new(config.management, &io)?;
+        let handover = Handover::new(path, wanted, before, &mut io);
+        let budgets = [config.budgets, config.halved];
+        let now_budgets = budgets[usize::from(handover.beside())];
         let setup = config.setup;
         let cut_offs: Vec<_> = setup.settings.tariffs.iter().map(|tariff| tariff.cut_off).collect();
         let longest = cut_offs.iter().copied().max().unwrap_or_default();
         let method = |effect| if effect == Effect::Reissuable { "GET" } else { "POST" };
         let methods = setup.settings.tariffs.iter().map(|tariff| method(tariff.effect)).collect();
         let tariffs = Tariffs { names: setup.tariff_names, cut_offs, methods };
-        let clients = Clients::new(Some(listener), tariffs, config.budgets);
-        let pool = Pool::new(config.budgets, setup.dial, setup.idle);
-        let known = config.known;
+        let clients = Clients::new(Some(listener), joined, tariffs, now_budgets);
+        let pool = Pool::new(now_budgets, setup.dial, setup.idle);
+        // Versions are an agent's own; of two lists of one agent the newer one counts.
+        let handed = state.list.filter(|_| state.agent == config.discovery).map(Handed::list);
+        let newer = |list: &List| config.known.as_ref().is_none_or(|known| known.version <= list.version);
+        let known = handed.filter(newer).or(config.known);
         let version = known.as_ref().map(|known| known.version);
         let chance = f64::from(Rand32::new(config.seed).rand_float());
         let discovery = Discovery::new(config.discovery, setup.zone_names, version, chance);
@@ -134,6 +173,8 @@
             pool,
             discovery,
             management,
+            handover,
+            budgets,
             check_path,
             longest,
             fixed: config.fixed,
@@ -142,6 +183,9 @@
         };
         proxy.carry_out();
         proxy.pump();
+        for barred in state.barred {
+            proxy.bar(handover::backend(barred), true);
+        }
         if follows {
             proxy.discovery.watch(&mut proxy.io);
         }
@@ -189,6 +233,7 @@
                 self.pump();
             }
         }
+        self.handover.end();
         tracing::info!(counters = %self.io.counters, "gone");
         Ok(())
     }
@@ -203,6 +248,8 @@
             Owner::Conn(slot) => self.pool.go_on(slot, &mut self.io),
             Owner::Management => self.management.accept(&mut self.io),
             Owner::Call(slot) => self.management.event(slot, &mut self.io),
+            Owner::Handover => self.hand_over(),
+            Owner::Peer(slot) => self.handover.event(slot, &mut self.io),
         }
     }
 
@@ -234,6 +281,9 @@
             if matches!(signal, SIGTERM | SIGINT) && self.leaving.is_none() {
                 self.leaving = Some(self.io.now);
                 self.clients.leaving = true;
+                if self.handover.succeeded() {
+                    self.clients.stop_listening(true, &mut self.io);
+                }
                 self.io.deadlines.set(self.io.now + ACCEPT_ON, Due::Leave);
                 self.io.deadlines.set(self.io.now + ACCEPT_ON + self.longest + GONE_BY, Due::Leave);
             }
@@ -247,8 +297,8 @@
             Err(why) => return tracing::warn!(why, "configuration kept as it was"),
         };
         let (discovery, restart) = (config.discovery, config.fixed != self.fixed);
-        self.clients.set_budgets(config.budgets);
-        self.pool.set_budgets(config.budgets);
+        self.budgets = [config.budgets, config.halved];
+        self.share();
         let moved = self.discovery.go_to(discovery, &mut self.io);
         if let (None, Some(list)) = (discovery, config.known) {
             self.io.notes.push_back(Note::Listed(list, None));
@@ -260,8 +310,25 @@
         }
     }
 
+    /// Takes the budgets of a proxy that is one process, or one of two.
+    fn share(&mut self) {
+        let budgets = self.budgets[usize::from(self.handover.beside())];
+        self.clients.set_budgets(budgets);
+        self.pool.set_budgets(budgets);
+    }
+
+    /// Hands over to a process that has come to take this one's place.
+    fn hand_over(&mut self) {
+        let state = || {
+            let (agent, version) = self.discovery.at_hand();
+            let list = version.map(|version| Handed { version, hosts: self.pool.list_at_hand() });
+            State { agent, barred: self.balancer.barred().map(handover::named).collect(), list }
+        };
+        self.handover.accept(self.clients.listener(), state, &mut self.io);
+    }
+
     fn leave(&mut self) {
-        self.clients.stop_listening(&mut self.io);
+        self.clients.stop_listening(self.handover.succeeded(), &mut self.io);
         self.clients.let_go(&mut self.io);
     }
 
@@ -286,6 +353,9 @@
                 Note::Listed(list, before) => self.listed(list, before),
                 Note::ListFailed => self.decide(Event::ListFailed),
                 Note::Called(slot, call) => self.called(slot, call),
+                Note::Beside => self.share(),
+                Note::Said(Word::Bar { backend, barred }) => self.bar(handover::backend(backend), barred),
+                Note::Said(Word::State(_)) => {}
             }
         }
     }
@@ -295,10 +365,16 @@
             Call::Ready if self.clients.ready && self.leaving.is_none() => (200, String::new()),
             Call::Ready => (503, String::new()),
             Call::Metrics => (200, self.figures()),
-            Call::Bar { host, barred } => match self.bar(&host, barred) {
-                true => (200, String::new()),
-                false => (404, format!("the list has no backend {host:?}\n")),
-            },
+            Call::Bar { host, barred } => {
+                let backend = backend_id(&host);
+                let out = self.balancer.barred().any(|out| out == backend);
+                if out || self.pool.lists(backend) {
+                    self.bar(backend, barred);
+                    (200, String::new())
+                } else {
+                    (404, format!("the list has no backend {host:?}\n"))
+                }
+            }
         };
         self.management.answer(slot, status, "", &text, &mut self.io);
     }
@@ -310,15 +386,15 @@
         format!("{counts}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{out}|g\n")
     }
 
-    /// Leaves a backend out, or lets it serve again; whether there is one of this name.
-    fn bar(&mut self, host: &str, barred: bool) -> bool {
-        let backend = backend_id(host);
-        let known = self.pool.lists(backend) || self.balancer.barred().any(|out| out == backend);
-        if known {
-            tracing::info!(host, barred, "told by hand");
-            self.decide(Event::Barred { backend, barred });
+    /// Leaves a backend out, or lets it serve again, in the process beside this one too.
+    fn bar(&mut self, backend: BackendId, barred: bool) {
+        if self.balancer.barred().any(|out| out == backend) == barred {
+            return;
         }
-        known
+        tracing::info!(host = self.pool.host(backend), barred, "told by hand");
+        self.decide(Event::Barred { backend, barred });
+        let word = Word::Bar { backend: handover::named(backend), barred };
+        self.handover.tell(&word, &mut self.io);
     }
 
     fn listed(&mut self, list: List, before: Option<u64>) {
@@ -332,7 +408,9 @@
             return;
         }
         let listings: Vec<Listing> = list.entries.iter().map(|entry| entry.listing).collect();
-        self.clients.ready |= !listings.is_empty();
+        if !listings.is_empty() {
+            self.clients.set_ready(&mut self.io);
+        }
         self.pool.list(list.whole, &list.entries, &mut self.io);
         self.decide(Event::Listed { whole: list.whole, listings });
     }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -11,6 +11,7 @@
 use crate::counters::Counters;
 use crate::deadlines::Deadlines;
 use crate::ending::Ending;
+use crate::handover::Word;
 use crate::http::{AnswerHead, RequestHead};
 use crate::listing::List;
 use crate::management::Call;
@@ -21,6 +22,7 @@
 pub enum OfConn {}
 pub enum OfHeld {}
 pub enum OfCall {}
+pub enum OfPeer {}
 
 /// A connection that a caller opened.
 pub type ClientSlot = Slot<OfClient>;
@@ -30,6 +32,8 @@
 pub type HeldSlot = Slot<OfHeld>;
 /// A connection that an operator opened.
 pub type CallSlot = Slot<OfCall>;
+/// A process beside this one.
+pub type PeerSlot = Slot<OfPeer>;
 
 pub struct Shared {
     pub registry: Registry,
@@ -111,6 +115,10 @@
     ListFailed,
     /// An operator asks for something.
     Called(CallSlot, Call),
+    /// A process that takes this one's place, or whose place this one takes, has come or gone.
+    Beside,
+    /// And what it says.
+    Said(Word),
 }
 
 /// Whose event it is.
@@ -123,32 +131,38 @@
     Conn(ConnSlot),
     Management,
     Call(CallSlot),
+    Handover,
+    Peer(PeerSlot),
 }
 
 impl Owner {
     pub fn token(self) -> Token {
         let (kind, number) = match self {
             Owner::Listener => (0, 0),
-            Owner::Signals => (1, 0),
-            Owner::Discovery(turn) => (2, u64::from(turn)),
-            Owner::Client(slot) => (3, slot.number()),
-            Owner::Conn(slot) => (4, slot.number()),
-            Owner::Management => (5, 0),
-            Owner::Call(slot) => (6, slot.number()),
+            Owner::Signals => (0, 1),
+            Owner::Management => (0, 2),
+            Owner::Handover => (0, 3),
+            Owner::Discovery(turn) => (1, u64::from(turn)),
+            Owner::Client(slot) => (2, slot.number()),
+            Owner::Conn(slot) => (3, slot.number()),
+            Owner::Call(slot) => (4, slot.number()),
+            Owner::Peer(slot) => (5, slot.number()),
         };
         Token((number as usize) << 3 | kind)
     }
 
     pub fn of(token: Token) -> Owner {
         let number = token.0 as u64 >> 3;
-        match token.0 & 7 {
-            0 => Owner::Listener,
-            1 => Owner::Signals,
-            2 => Owner::Discovery(number as u32),
-            3 => Owner::Client(Slot::from_number(number)),
-            4 => Owner::Conn(Slot::from_number(number)),
-            5 => Owner::Management,
-            _ => Owner::Call(Slot::from_number(number)),
+        match (token.0 & 7, number) {
+            (0, 0) => Owner::Listener,
+            (0, 1) => Owner::Signals,
+            (0, 2) => Owner::Management,
+            (0, _) => Owner::Handover,
+            (1, _) => Owner::Discovery(number as u32),
+            (2, _) => Owner::Client(Slot::from_number(number)),
+            (3, _) => Owner::Conn(Slot::from_number(number)),
+            (4, _) => Owner::Call(Slot::from_number(number)),
+            _ => Owner::Peer(Slot::from_number(number)),
         }
     }
 }
--- a/crates/proxy/tests/operating.rs
+++ b/crates/proxy/tests/operating.rs
@@ -1,12 +1,17 @@
-//! What operators do with a running proxy: calls, figures, bans by hand.
+//! What operators do with a running proxy: calls, figures, bans by hand, upgrades.
 
 mod helper;
 
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
+use std::os::unix::net::UnixListener;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread;
 
-use helper::{accept, answer, ask, backend, message, request, Proxy};
+use helper::{accept, answer, ask, backend, message, request, write, Proxy};
+use sparlug_proxy::handover::{next, Word};
 
 /// A backend that answers all it is asked with its name, until the test ends.
 fn serving(name: &'static str) -> TcpListener {
@@ -103,3 +108,104 @@
     assert!(seen.ends_with("\r\n\r\na"), "{seen}");
     assert_eq!(proxy.figure("svc.backends_excluded"), Some(1));
 }
+
+/// A place for what processes of one proxy hand over, and an address that is free.
+fn place(name: &str) -> (PathBuf, String) {
+    let folder = std::env::temp_dir().join(format!("sparlug-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    (folder, backend().local_addr().unwrap().to_string())
+}
+
+#[test]
+fn an_upgrade_loses_no_request_and_no_ban() {
+    let ((folder, listen), backends) = (place("upgrade"), [serving("a"), serving("b")]);
+    let backends = backends.each_ref();
+    let environment = [("TMPDIR", folder.to_str().unwrap())];
+    let old = Proxy::start_managed(&backends, &listen, &environment);
+    assert_eq!(old.call("PUT", "/backends/disable/h0").0, 200);
+    let (done, address) = (Arc::new(AtomicBool::new(false)), listen.clone());
+    let stop = done.clone();
+    // New connections, and one that is kept until its answer says that it ends.
+    let asking = thread::spawn(move || {
+        let mut answers = Vec::new();
+        while !stop.load(Ordering::Relaxed) {
+            answers.push(ask(&address, &request("GET", "/read", "5")));
+        }
+        answers
+    });
+    let mut kept = old.connect();
+    let open = request("GET", "/read", "5").replace("Connection: close\r\n", "");
+    write(&mut kept, &open);
+    assert!(message(&mut kept).ends_with("\r\n\r\nb"));
+
+    let new = Proxy::start_managed(&backends, &listen, &environment);
+    assert_eq!(new.call("GET", "/ready").0, 200);
+    // What was barred before stays so, and what one of the two is told binds the other.
+    assert_eq!(new.figure("svc.backends_excluded"), Some(1));
+    assert_eq!(new.call("PUT", "/backends/enable/h0").0, 200);
+    assert_eq!(new.call("PUT", "/backends/disable/h1").0, 200);
+    old.logged("barred=true");
+    old.logged("barred=false");
+    old.logged("barred=true");
+    assert_eq!(old.figure("svc.backends_excluded"), Some(1));
+    old.signal("-TERM");
+    old.logged("signal");
+    write(&mut kept, &open.replace("9b1f", "77"));
+    let last = message(&mut kept);
+    assert!(last.starts_with("HTTP/1.1 200 ") && last.ends_with("\r\n\r\na"), "{last}");
+    assert_eq!(old.end(), Some(0));
+    assert!(new.ask(&request("GET", "/read", "5")).ends_with("\r\n\r\na"));
+    done.store(true, Ordering::Relaxed);
+    for answer in asking.join().unwrap() {
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+    }
+    // The third finds the second.
+    let third = Proxy::start_managed(&backends, &listen, &environment);
+    assert_eq!(third.figure("svc.backends_excluded"), Some(1));
+}
+
+#[test]
+fn whatever_waits_in_the_old_ones_place_costs_the_start_nothing() {
+    let backends = [serving("a")];
+    let backends = backends.each_ref();
+    let serves = |what: &dyn Fn(&Path) -> Option<UnixListener>| {
+        let (folder, listen) = place("fallback");
+        let path = folder.join(format!("sparlug-{listen}.sock"));
+        let _ = std::fs::remove_file(&path);
+        let _kept = what(&path);
+        let proxy = Proxy::start_managed(&backends, &listen, &[("TMPDIR", folder.to_str().unwrap())]);
+        assert!(proxy.ask(&request("GET", "/read", "5")).starts_with("HTTP/1.1 200 "));
+    };
+    let says = |path: &Path, text: &'static [u8]| {
+        let listener = UnixListener::bind(path).unwrap();
+        let waiting = listener.try_clone().unwrap();
+        thread::spawn(move || waiting.accept().unwrap().0.write_all(text).unwrap());
+        Some(listener)
+    };
+    // A stale socket, a file, one that never answers, one that ends, nonsense, and another version.
+    serves(&|path| UnixListener::bind(path).map(drop).map(|()| None).unwrap());
+    serves(&|path| std::fs::write(path, "no socket").map(|()| None).unwrap());
+    serves(&|path| Some(UnixListener::bind(path).unwrap()));
+    serves(&|path| says(path, b""));
+    serves(&|path| says(path, &[0x7f; 4000]));
+    serves(&|path| says(path, b"sparlug-handover 1\n{\"State\":{\"agent\":7}}\n"));
+    serves(&|path| {
+        says(path, b"sparlug-handover 2\n{\"State\":{\"agent\":null,\"barred\":[],\"list\":null}}\n")
+    });
+}
+
+#[test]
+fn what_processes_say_is_read_line_by_line_or_not_at_all() {
+    let word = Word::Bar { backend: ([10, 0, 0, 1], 80), barred: true };
+    let text = [serde_json::to_string(&word).unwrap(), "\n".to_string()].concat();
+    let mut input = Vec::new();
+    for byte in text.bytes() {
+        assert_eq!(next(&mut input), Ok(None));
+        input.push(byte);
+    }
+    assert_eq!((next(&mut input), input.len()), (Ok(Some(word)), 0));
+    for bad in ["{}\n", "nonsense\n", "\n", "{\"Bar\":{\"backend\":[[1,2,3],4],\"barred\":true}}\n"] {
+        assert!(next(&mut bad.as_bytes().to_vec()).is_err(), "{bad}");
+    }
+    assert!(next(&mut vec![b' '; 5 << 20]).is_err());
+}
