--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -9,6 +9,7 @@
 use sparlug::id::ExchangeId;
 use sparlug::time::{Span, Time};
 
+use crate::body::{Body, LONGEST};
 use crate::config::Budgets;
 use crate::deadlines::DeadlineId;
 use crate::http::{self, Bad, RequestHead, BODY_MOST, CALLERS_METHODS, HEAD_MOST, MESSAGE_MOST};
@@ -18,6 +19,10 @@
 
 const FIRST_TIME: Span = Span::from_millis(2_300); // for the first request to come whole, from the connecting
 const MESSAGE_TIME: Span = Span::from_millis(2_300); // for a later one, once it has begun
+const BODY_CHECK: Span = Span::from_millis(1_050); // between looks at how a body comes in
+const BODY_TIME: Span = Span::from_millis(2_000); // for a body to show that it does
+const BODY_STILL: Span = Span::from_millis(1_000); // after which nothing more is expected of it
+const BODY_RATE: f64 = 20.0; // bytes in a ms, under which it is too slow
 const IDLE_TIME: Span = Span::from_millis(15_000); // between requests
 const ANSWER_TIME: Span = Span::from_millis(10_000); // for the client to take an answer
 const LINGER: Span = Span::from_millis(1_000); // for the client to read a last answer
@@ -35,15 +40,36 @@
     Waiting(Option<ExchangeId>),
     /// An answer is being written.
     Answering { close: bool },
+    /// One that is passed on as it comes; `done` once its last byte is here.
+    Streaming { exchange: ExchangeId, close: bool, done: bool },
     /// The last answer is written; what still comes is thrown away until the client closes.
     Lingering,
 }
 
+/// A body that is not whole yet, and how it comes.
+struct Upload {
+    /// Where it ends, if it is passed on as it comes.
+    body: Option<Body>,
+    since: Time,
+    heard: Time,
+    bytes: usize,
+}
+
+impl Upload {
+    /// Whether its client has stopped, or is too slow to wait for.
+    fn stalled(&self, now: Time) -> bool {
+        let since = now.since(self.since);
+        let slow = (self.bytes as f64) < BODY_RATE * since.ms();
+        since >= BODY_TIME && (slow || now.since(self.heard) >= BODY_STILL)
+    }
+}
+
 struct Client {
     link: Link,
     state: State,
     /// Behind a box: an idle connection has none, and it is larger than all the rest.
     head: Option<Box<RequestHead>>,
+    upload: Option<Box<Upload>>,
     /// The id of the request that was taken and is not answered.
     id: Option<String>,
     /// The class of the request that came and has not ended, for the figures.
@@ -120,7 +146,7 @@
 
     /// Requests that came and have not ended.
     pub fn in_flight(&self) -> usize {
-        self.clients.iter().filter(|(_, client)| client.open.is_some()).count()
+        self.clients.iter().filter(|(_, client)| client.open.is_some() && client.upload.is_none()).count()
     }
 
     pub fn names(&self) -> &[String] {
@@ -206,7 +232,7 @@
         let rank = match client.state {
             State::Lingering => Some(LINGERING),
             State::Reading => Some(if length == 0 { 1 } else { 2 }),
-            State::Waiting(_) | State::Answering { .. } => None,
+            State::Waiting(_) | State::Answering { .. } | State::Streaming { .. } => None,
         };
         let standing = rank.map(|rank| (rank, client.used));
         let before = std::mem::replace(&mut client.standing, standing);
@@ -243,9 +269,21 @@
             let link = Link::new(stream.take()?, registry, Owner::Client(slot).token()).ok()?;
             link.set_nodelay();
             let deadline = Some(deadlines.set(now + FIRST_TIME, Due::Client(slot)));
-            let (state, head, id, open) = (State::Reading, None, None, None);
+            let (state, head, upload, id, open) = (State::Reading, None, None, None, None);
             let (counted, standing) = (0, None);
-            Some(Client { link, state, head, id, open, deadline, used: now, counted, standing, begun: true })
+            Some(Client {
+                link,
+                state,
+                head,
+                upload,
+                id,
+                open,
+                deadline,
+                used: now,
+                counted,
+                standing,
+                begun: true,
+            })
         });
         if let Some(slot) = slot {
             io.counters.connections += 1;
@@ -266,7 +304,8 @@
         }
         io.counters.answered(client.open, GONE);
         io.deadlines.call_off(client.deadline);
-        if let State::Waiting(Some(exchange)) = client.state {
+        if let State::Waiting(Some(exchange)) | State::Streaming { exchange, done: false, .. } = client.state
+        {
             io.counters.left += 1;
             io.notes.push_back(Note::Left(exchange));
         }
@@ -285,8 +324,12 @@
     fn go_on(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         // Guards against one client's row of requests filling the memory while the first is being answered.
-        let most = if client.state == State::Reading { MESSAGE_MOST } else { HEAD_MOST };
-        let broken = client.link.fill(most).is_err();
+        let most = match (client.state, &client.upload) {
+            (State::Reading, _) => MESSAGE_MOST,
+            (State::Waiting(_), Some(_)) => io.window(),
+            _ => HEAD_MOST,
+        };
+        let broken = client.fill(most, io.now);
         if client.state == State::Lingering {
             client.link.input.clear();
             if client.link.unread() {
@@ -296,10 +339,13 @@
         if broken || client.link.ended && client.state != State::Reading {
             return self.close(slot, io);
         }
-        if let State::Answering { .. } = client.state {
-            self.write(slot, io);
-        } else if client.state == State::Reading {
-            self.read(slot, io);
+        match client.state {
+            State::Answering { .. } | State::Streaming { .. } => self.write(slot, io),
+            State::Reading => self.read(slot, io),
+            State::Waiting(Some(exchange)) if client.upload.is_some() => {
+                io.notes.push_back(Note::Up(exchange));
+            }
+            State::Waiting(_) | State::Lingering => {}
         }
     }
 
@@ -329,6 +375,9 @@
                     io.deadlines.call_off(client.deadline.take());
                     client.deadline = Some(io.deadlines.set(io.now + MESSAGE_TIME, Due::Client(slot)));
                 }
+                if client.head.is_some() && client.upload.is_none() {
+                    client.await_body(slot, None, io);
+                }
                 let go_on = client.head.as_mut().is_some_and(|head| std::mem::take(&mut head.expects));
                 if go_on {
                     client.link.queue(CONTINUE);
@@ -337,18 +386,27 @@
                     self.close(slot, io);
                 }
             }
-            Ok(Some((head, message))) => {
+            Ok(Some((head, message, whole))) => {
                 io.deadlines.call_off(client.deadline.take());
-                (client.used, client.begun) = (io.now, false);
+                (client.used, client.begun, client.upload) = (io.now, false, None);
                 if client.link.ended {
                     return self.close(slot, io);
                 }
-                self.request(slot, head, message, io);
+                if !whole {
+                    client.await_body(slot, Some(head.body), io);
+                    if head.expects {
+                        client.link.queue(CONTINUE);
+                        // What can't be written now goes out with the answer, or the connection ends.
+                        let _ = client.link.flush();
+                    }
+                }
+                self.request(slot, head, message, whole, io);
             }
         }
     }
 
-    fn next(client: &mut Client) -> Result<Option<(RequestHead, Vec<u8>)>, Bad> {
+    /// The next request, and whether it is whole: a long one is not.
+    fn next(client: &mut Client) -> Result<Option<(RequestHead, Vec<u8>, bool)>, Bad> {
         // Blank lines before a request are let pass.
         let blank = client.link.input.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
         if client.head.is_none() && blank > 0 {
@@ -358,14 +416,24 @@
             client.head = http::request_head(&client.link.input, CALLERS_METHODS)?.map(Box::new);
         }
         let Some(head) = &mut client.head else { return Ok(None) };
-        let Some(length) = head.body.whole(&client.link.input[head.length..], false, BODY_MOST)? else {
-            return if client.link.input.len() >= MESSAGE_MOST { Err(Bad::BodyTooLarge) } else { Ok(None) };
+        let whole = match head.body.whole(&client.link.input[head.length..], false, BODY_MOST) {
+            Ok(Some(_)) => true,
+            Ok(None) if client.link.input.len() < MESSAGE_MOST => return Ok(None),
+            Err(bad) if bad != Bad::BodyTooLarge || head.body.size() > LONGEST => return Err(bad),
+            Ok(None) | Err(_) => false,
         };
-        let message = client.link.used(head.length + length);
-        Ok(client.head.take().map(|head| (*head, message)))
+        let message = client.link.used(head.length + head.body.seen());
+        Ok(client.head.take().map(|head| (*head, message, whole)))
     }
 
-    fn request(&mut self, slot: ClientSlot, head: RequestHead, message: Vec<u8>, io: &mut Shared) {
+    fn request(
+        &mut self,
+        slot: ClientSlot,
+        head: RequestHead,
+        message: Vec<u8>,
+        whole: bool,
+        io: &mut Shared,
+    ) {
         if head.path == "/ready" {
             let ready = self.ready && !self.leaving;
             // Guards against a crowd that asks once and stays in the place of callers that bring requests.
@@ -400,7 +468,8 @@
             client.id = Some(id);
         }
         // The client counts from when it sent, which may have been while the loop was busy.
-        let request = Request { head, message, tariff: tariff as u16, cut_off: io.since + waits };
+        let (tariff, cut_off) = (tariff as u16, io.since + waits);
+        let request = Request { head, message, tariff, waits, cut_off, whole };
         io.notes.push_back(Note::Taken(slot, request));
     }
 
@@ -411,9 +480,74 @@
         }
     }
 
-    /// Whether there are so many connections that this one must go after its answer.
-    pub fn over_budget(&self) -> bool {
-        self.clients.count() > self.budgets.clients
+    /// Whether a connection ends with its answer: the proxy goes, there are too many, or a body is left unread.
+    pub fn ends(&self, slot: ClientSlot) -> bool {
+        let unread = self.clients.get(slot).is_some_and(|client| client.upload.is_some());
+        self.leaving || unread || self.clients.count() > self.budgets.clients
+    }
+
+    /// The next bytes of a body that is passed on as it comes, `room` at the most, and whether it ends with them.
+    pub fn pull(&mut self, slot: ClientSlot, room: usize, io: &mut Shared) -> Result<(Vec<u8>, bool), Bad> {
+        let Some(client) = self.clients.get_mut(slot) else { return Ok((Vec::new(), false)) };
+        if client.link.input.is_empty() && client.link.unread() {
+            client.fill(io.window(), io.now);
+            if client.link.ended {
+                io.deadlines.set(io.now, Due::Read(slot));
+            }
+        }
+        let Some(body) = client.upload.as_mut().and_then(|upload| upload.body.as_mut()) else {
+            return Ok((Vec::new(), false));
+        };
+        let most = client.link.input.len().min(room);
+        let length = body.take(&client.link.input[..most])?;
+        let over = body.is_over();
+        let bytes = client.link.used(length);
+        if over {
+            client.upload = None;
+            io.deadlines.call_off(client.deadline.take());
+        }
+        self.settle(slot);
+        Ok((bytes, over))
+    }
+
+    /// Begins an answer that is passed on as it comes.
+    pub fn begin(
+        &mut self,
+        slot: ClientSlot,
+        exchange: ExchangeId,
+        bytes: &[u8],
+        close: bool,
+        io: &mut Shared,
+    ) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        io.deadlines.call_off(client.deadline.take());
+        client.state = State::Streaming { exchange, close, done: false };
+        client.deadline = Some(io.deadlines.set(io.now + ANSWER_TIME, Due::Client(slot)));
+        self.go_on_with(slot, bytes, false, io);
+    }
+
+    /// How much more of an answer it may be given now.
+    pub fn room(&self, slot: ClientSlot, io: &Shared) -> usize {
+        let pending = self.clients.get(slot).map_or(usize::MAX, |client| client.link.pending());
+        io.window().saturating_sub(pending)
+    }
+
+    /// Goes on with an answer that has begun, up to its end if it is over.
+    pub fn go_on_with(&mut self, slot: ClientSlot, bytes: &[u8], over: bool, io: &mut Shared) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        if let State::Streaming { done, .. } = &mut client.state {
+            *done = over;
+            client.link.queue(bytes);
+            self.write(slot, io);
+        }
+    }
+
+    /// Ends a connection whose answer has begun and can't be finished, so that the client sees it is not whole.
+    pub fn cut(&mut self, slot: ClientSlot, io: &mut Shared) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        io.counters.answered(client.open.take(), 502);
+        client.state = State::Lingering;
+        self.close(slot, io);
     }
 
     pub fn reply(&mut self, slot: ClientSlot, status: u16, close: bool, io: &mut Shared) {
@@ -438,14 +572,31 @@
 
     fn write(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
-        match client.link.flush() {
-            Ok(false) => return,
-            Ok(true) => {}
-            Err(_) => return self.close(slot, io),
-        }
+        let before = client.link.pending();
+        let Ok(all) = client.link.flush() else { return self.close(slot, io) };
+        let pending = client.link.pending();
+        if pending < before {
+            client.used = io.now;
+        }
+        let close = match client.state {
+            State::Streaming { exchange, done: false, .. } => {
+                if pending <= io.window() / 2 {
+                    io.notes.push_back(Note::Down(exchange));
+                }
+                return;
+            }
+            _ if !all => return,
+            State::Streaming { close, .. } | State::Answering { close } => close,
+            _ => return,
+        };
         io.deadlines.call_off(client.deadline.take());
         client.used = io.now;
-        if client.state == (State::Answering { close: true }) {
+        if let Some(id) = client.id.take() {
+            self.ids.remove(&id);
+        }
+        // What was answered at once has been counted.
+        io.counters.answered(client.open.take(), 200);
+        if close {
             // Guards against a reset that overtakes the answer while something unread is in the way.
             client.link.end_sending();
             client.state = State::Lingering;
@@ -469,9 +620,35 @@
             // Guards against closing on a request that has come and was not read.
             self.event(slot, io);
         }
-        let Some(client) = self.clients.get(slot).filter(|client| client.deadline.is_none()) else { return };
+        let Some(client) = self.clients.get_mut(slot).filter(|client| client.deadline.is_none()) else {
+            return;
+        };
+        let window = io.window();
+        if let (State::Reading | State::Waiting(_), Some(upload)) = (client.state, &mut client.upload) {
+            // What waits for the proxy, or for a backend, is not the client's delay.
+            if upload.body.is_some() && client.link.input.len() >= window {
+                (upload.since, upload.heard, upload.bytes) = (io.now, io.now, 0);
+            }
+            if !upload.stalled(io.now) {
+                client.deadline = Some(io.deadlines.set(io.now + BODY_CHECK, Due::Client(slot)));
+                return;
+            }
+        }
         match client.state {
-            State::Waiting(_) => {}
+            State::Waiting(exchange) => {
+                if let (Some(exchange), true) = (exchange, client.upload.is_some()) {
+                    io.counters.bad_input += 1;
+                    io.notes.push_back(Note::Left(exchange));
+                    self.reply(slot, 408, true, io);
+                }
+            }
+            State::Streaming { .. } if io.now < client.used + ANSWER_TIME => {
+                client.deadline = Some(io.deadlines.set(client.used + ANSWER_TIME, Due::Client(slot)));
+            }
+            // The rest of a body that nobody wants is on its way: guards against a reset that overtakes the answer.
+            State::Lingering if client.upload.as_ref().is_some_and(|upload| !upload.stalled(io.now)) => {
+                client.deadline = Some(io.deadlines.set(io.now + LINGER, Due::Client(slot)));
+            }
             State::Reading if !client.link.input.is_empty() => {
                 io.counters.bad_input += 1;
                 self.reply(slot, 408, true, io);
@@ -506,6 +683,26 @@
     }
 }
 
+impl Client {
+    /// Reads, and notes how a body that is not whole comes; whether the connection broke.
+    fn fill(&mut self, most: usize, now: Time) -> bool {
+        let before = self.link.input.len();
+        let broken = self.link.fill(most).is_err();
+        let came = self.link.input.len() - before;
+        if let (Some(upload), true) = (&mut self.upload, came > 0) {
+            (upload.heard, upload.bytes) = (now, upload.bytes + came);
+        }
+        broken
+    }
+
+    /// A body begins to come, which is passed on as it does if it is known where it ends.
+    fn await_body(&mut self, slot: ClientSlot, body: Option<Body>, io: &mut Shared) {
+        self.upload = Some(Box::new(Upload { body, since: io.now, heard: io.now, bytes: 0 }));
+        io.deadlines.call_off(self.deadline.take());
+        self.deadline = Some(io.deadlines.set(io.now + BODY_CHECK, Due::Client(slot)));
+    }
+}
+
 /// A time in seconds that someone may wait for: a number above 0 and below a day.
 fn seconds(text: &str) -> Option<Span> {
     let plain = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -189,12 +189,12 @@
         let Some(head) = &mut self.head else { return Ok(None) };
         let body = head.body.whole(&link.input[head.length..], link.ended, LIST_MOST);
         let whole = body.map_err(|bad| format!("{bad:?}"))?;
-        Ok(whole.map(|length| head.body_length = length))
+        Ok(whole.map(|_| ()))
     }
 
     fn listed(&mut self, io: &mut Shared) {
         let (Some(head), Some(link)) = (self.head.take(), &mut self.link) else { return };
-        let message = link.used(head.length + head.body_length);
+        let message = link.used(head.length + head.body.seen());
         // Guards against an agent that talks without being asked, answer upon answer.
         if !link.input.is_empty() {
             return self.failed("more than was asked for", io);
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -1,132 +1,23 @@
 //! HTTP/1.1 framing. Heads and bodies are kept as the bytes that came; only what the decisions and the
 //! framing need is taken out, and of the rest only the lines that concern one connection are left out.
 
+use std::borrow::Cow;
 use std::ops::Range;
 
 use httparse::{Header, Status, EMPTY_HEADER};
 use sparlug::event::Load;
 use sparlug::time::Span;
 
+pub use crate::body::Bad;
+use crate::body::{Body, Framing, LONGEST};
+
 pub const HEAD_MOST: usize = 16 * 1024;
+/// A longer body is passed on as it comes.
 pub const BODY_MOST: usize = 64 * 1024;
 /// A head, a body, and what the framing of the body may take besides.
 pub const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + HEAD_MOST;
 const HEADERS: usize = 100;
 
-/// Why a message can't be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Bad {
-    Malformed,
-    HeadTooLarge,
-    BodyTooLarge,
-    Version,
-    Method,
-}
-
-impl Bad {
-    pub fn status(self) -> u16 {
-        match self {
-            Bad::Malformed => 400,
-            Bad::HeadTooLarge => 431,
-            Bad::BodyTooLarge => 413,
-            Bad::Version => 505,
-            Bad::Method => 405,
-        }
-    }
-}
-
-/// How far a body reaches.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Framing {
-    Length(usize),
-    Chunked,
-    ToEnd,
-}
-
-/// A body that is coming in: its framing, and how much of it was looked at.
-#[derive(Clone, Copy, Debug)]
-pub struct Body {
-    framing: Framing,
-    at: usize,
-    size: usize,
-}
-
-impl Body {
-    fn new(framing: Framing) -> Body {
-        Body { framing, at: 0, size: 0 }
-    }
-
-    pub fn lasts_to_end(&self) -> bool {
-        self.framing == Framing::ToEnd
-    }
-
-    /// Looks at the body's bytes so far; how many belong to it once it is whole. `most` bounds its size.
-    pub fn whole(&mut self, bytes: &[u8], ended: bool, most: usize) -> Result<Option<usize>, Bad> {
-        match self.framing {
-            Framing::Length(length) if length > most => Err(Bad::BodyTooLarge),
-            Framing::Length(length) => Ok((bytes.len() >= length).then_some(length)),
-            Framing::ToEnd if bytes.len() > most => Err(Bad::BodyTooLarge),
-            Framing::ToEnd => Ok(ended.then_some(bytes.len())),
-            Framing::Chunked => self.chunks(bytes, most),
-        }
-    }
-
-    /// The body without its framing.
-    pub fn plain(&self, bytes: &[u8]) -> Vec<u8> {
-        if self.framing != Framing::Chunked {
-            return bytes.to_vec();
-        }
-        let (mut plain, mut at) = (Vec::new(), 0);
-        while let Ok(Status::Complete((line, size))) = httparse::parse_chunk_size(&bytes[at..]) {
-            let (start, size) = (at + line, size as usize);
-            match bytes.get(start..start + size) {
-                Some(chunk) if size > 0 => plain.extend_from_slice(chunk),
-                _ => break,
-            }
-            at = start + size + 2;
-        }
-        plain
-    }
-
-    fn chunks(&mut self, bytes: &[u8], most: usize) -> Result<Option<usize>, Bad> {
-        loop {
-            let rest = bytes.get(self.at..).unwrap_or_default();
-            let (line, size) = match httparse::parse_chunk_size(rest) {
-                Ok(Status::Complete(found)) => found,
-                Ok(Status::Partial) if rest.len() > 256 => return Err(Bad::Malformed),
-                Ok(Status::Partial) => return Ok(None),
-                Err(_) => return Err(Bad::Malformed),
-            };
-            let size = usize::try_from(size).map_err(|_| Bad::BodyTooLarge)?;
-            if self.size.saturating_add(size) > most {
-                return Err(Bad::BodyTooLarge);
-            }
-            if size == 0 {
-                return self.trailer(bytes, self.at + line);
-            }
-            match rest.get(line + size..line + size + 2) {
-                None => return Ok(None),
-                Some(b"\r\n") => (self.at, self.size) = (self.at + line + size + 2, self.size + size),
-                Some(_) => return Err(Bad::Malformed),
-            }
-        }
-    }
-
-    fn trailer(&self, bytes: &[u8], mut at: usize) -> Result<Option<usize>, Bad> {
-        let start = at;
-        loop {
-            let rest = &bytes[at..];
-            let Some(line) = rest.iter().position(|byte| *byte == b'\n') else {
-                return if at + rest.len() - start > HEAD_MOST { Err(Bad::HeadTooLarge) } else { Ok(None) };
-            };
-            at += line + 1;
-            if rest[..line].is_empty() || rest[..line] == *b"\r" {
-                return Ok(Some(at));
-            }
-        }
-    }
-}
-
 /// What the headers of either kind of message tell of its framing.
 struct Fields {
     framing: Option<Framing>,
@@ -229,7 +120,7 @@
     let found = fields(bytes, request.headers, &["Request-Timeout"])?;
     let value = |name| request.headers.iter().find(|header| is(header, name)).map(text);
     let framing = found.framing.unwrap_or(Framing::Length(0));
-    if matches!(framing, Framing::Length(length) if length > BODY_MOST) {
+    if matches!(framing, Framing::Length(length) if length > LONGEST) {
         return Err(Bad::BodyTooLarge);
     }
     Ok(Some(RequestHead {
@@ -265,8 +156,6 @@
     pub length: usize,
     pub status: u16,
     pub body: Body,
-    /// How many bytes the body takes, once it is whole.
-    pub body_length: usize,
     pub close: bool,
     /// The backend says that it never began the request.
     pub not_started: bool,
@@ -293,7 +182,6 @@
         length,
         status,
         body: Body::new(framing),
-        body_length: 0,
         close: found.close || answer.version != Some(1) || framing == Framing::ToEnd,
         not_started: value("Not-Started") == Some("1"),
         load: value("Server-Load").map(load).unwrap_or_default(),
@@ -307,19 +195,48 @@
         String::from_utf8_lossy(&self.body.plain(&message[self.length..])).into_owned()
     }
 
-    /// The answer as it goes on to the client.
+    /// The answer as it goes on to the client, whole.
     pub fn passed_on(&self, message: &[u8], close: bool) -> Vec<u8> {
-        let mut out = Vec::with_capacity(message.len() + 32);
+        let size = format!("Content-Length: {}\r\n", message.len() - self.length);
+        let mut out = self.head_on(message, &size, close);
+        out.extend_from_slice(&message[self.length..]);
+        out
+    }
+
+    /// The head of an answer whose body follows as it comes, and what has come of it.
+    pub fn begun(&self, message: &[u8], close: bool) -> Vec<u8> {
+        let mut out = self.head_on(message, "Transfer-Encoding: chunked\r\n", close);
+        out.extend_from_slice(&self.piece(&message[self.length..], false));
+        out
+    }
+
+    /// A piece of the body as it goes on. What lasts to the connection's end goes on in chunks: guards against a
+    /// caller that takes an answer which broke off for a whole one.
+    pub fn piece<'a>(&self, bytes: &'a [u8], over: bool) -> Cow<'a, [u8]> {
+        if !self.body.lasts_to_end() {
+            return Cow::Borrowed(bytes);
+        }
+        let mut out = Vec::with_capacity(bytes.len() + 32);
+        if !bytes.is_empty() {
+            out.extend_from_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
+            out.extend_from_slice(bytes);
+            out.extend_from_slice(b"\r\n");
+        }
+        out.extend_from_slice(if over { b"0\r\n\r\n" } else { b"" });
+        Cow::Owned(out)
+    }
+
+    /// The head as it goes on; `framing` stands for the end of the connection, where that was the body's.
+    fn head_on(&self, message: &[u8], framing: &str, close: bool) -> Vec<u8> {
+        let mut out = Vec::with_capacity(message.len() + 64);
         kept(&message[..self.length], &self.left_out, &mut out);
         if message.starts_with(b"HTTP/1.0") {
             out[..8].copy_from_slice(b"HTTP/1.1");
         }
         if self.body.lasts_to_end() {
-            let size = message.len() - self.length;
-            out.extend_from_slice(format!("Content-Length: {size}\r\n").as_bytes());
+            out.extend_from_slice(framing.as_bytes());
         }
         out.extend_from_slice(if close { b"Connection: close\r\n\r\n" } else { b"\r\n" });
-        out.extend_from_slice(&message[self.length..]);
         out
     }
 }
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -18,13 +18,15 @@
     /// Reading stopped at its bound, not because there was nothing more.
     unread: bool,
     pub ended: bool,
+    /// It ended with an error.
+    pub broken: bool,
 }
 
 impl<S: Read + Write + Source> Link<S> {
     pub fn new(mut stream: S, registry: &Registry, token: Token) -> Result<Link<S>> {
         registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
         let (input, output) = (Vec::new(), Vec::new());
-        Ok(Link { stream, input, output, written: 0, unread: true, ended: false })
+        Ok(Link { stream, input, output, written: 0, unread: true, ended: false, broken: false })
     }
 
     /// Reads what there is, until `most` bytes are waiting to be used.
@@ -46,7 +48,7 @@
                     return Ok(());
                 }
                 Err(e) => {
-                    self.ended = true;
+                    (self.ended, self.broken) = (true, true);
                     return Err(e);
                 }
             }
@@ -54,6 +56,11 @@
         Ok(())
     }
 
+    /// How much is still to be written.
+    pub fn pending(&self) -> usize {
+        self.output.len() - self.written
+    }
+
     /// Whether reading should go on without a new event.
     pub fn unread(&self) -> bool {
         self.unread && !self.ended
@@ -76,7 +83,14 @@
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => self.written += n,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    // Guards against a stream whose other side is never quite done with keeping all it wrote.
+                    if self.written >= PIECE {
+                        self.output.drain(..self.written);
+                        self.written = 0;
+                    }
+                    return Ok(false);
+                }
                 Err(e) => return Err(e),
             }
         }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -8,18 +8,21 @@
 use sparlug::id::BackendId;
 use sparlug::time::{Span, Time};
 
+use crate::body::LONGEST;
 use crate::config::Budgets;
 use crate::deadlines::DeadlineId;
 use crate::ending::Ending;
-use crate::http::{self, AnswerHead, BODY_MOST, MESSAGE_MOST};
+use crate::http::{self, AnswerHead, Bad, BODY_MOST, MESSAGE_MOST};
 use crate::link::Link;
 use crate::listing::{Entry, HandedHost};
 use crate::patience::{Known, Patience};
-use crate::shared::{ConnSlot, Done, Due, Note, OfConn, Owner, Purpose, Shared};
+use crate::shared::{Begun, ConnSlot, Done, Due, Note, OfConn, Owner, Purpose, Shared};
 use crate::slots::Slots;
 
 const WORDS_MOST: u8 = 8; // answers of the kind 1xx ahead of the one that counts
 const TRUSTED: u32 = 100; // kept connections in a row that held, until such may carry what may run only once
+const BEGIN_AFTER: Span = Span::from_millis(25); // an answer of unknown length goes on as it comes
+const SILENCE: Span = Span::from_millis(10_000); // for a body to go on, in either direction
 const IDLE_PART: f64 = 0.5; // of the backend's idle time, for which an idle connection is kept
 
 /// One run of a backend's process: where it listens, and when it started. Another one shares no connection.
@@ -59,7 +62,9 @@
     words: u8,
     /// It has carried something before.
     kept: bool,
-    /// For the stage: when it must be up, or how long it may stand idle.
+    /// Its answer is passed on as it comes.
+    streams: bool,
+    /// For the stage: when it must be up, when its answer goes on, or how long it may stand idle.
     deadline: Option<DeadlineId>,
     used: Time,
 }
@@ -69,6 +74,17 @@
     purpose: Purpose,
     sent: Time,
     deadline: DeadlineId,
+    /// All of its message is here; if not, more is pushed.
+    whole: bool,
+}
+
+/// What is sent, and how.
+pub struct Message<'a> {
+    pub bytes: &'a [u8],
+    /// Nothing follows.
+    pub whole: bool,
+    /// It may run again, should it get lost.
+    pub again: bool,
 }
 
 pub struct Pool {
@@ -163,11 +179,11 @@
         &mut self,
         backend: BackendId,
         purpose: Purpose,
-        (message, again): (&[u8], bool),
+        message: Message,
         until: Time,
         io: &mut Shared,
     ) -> Option<ConnSlot> {
-        let found = if again || self.held_up >= TRUSTED { self.take_idle(backend, io) } else { None };
+        let found = if message.again || self.held_up >= TRUSTED { self.take_idle(backend, io) } else { None };
         if found.is_some() {
             io.counters.reused += 1;
         }
@@ -182,8 +198,9 @@
         };
         let conn = self.conns.get_mut(slot)?;
         let deadline = io.deadlines.set(until, Due::Forward(slot));
-        conn.job = Some(Job { purpose, sent: io.now, deadline });
-        conn.link.queue(message);
+        conn.job = Some(Job { purpose, sent: io.now, deadline, whole: message.whole });
+        conn.used = io.now;
+        conn.link.queue(message.bytes);
         self.go_on(slot, io);
         Some(slot)
     }
@@ -198,7 +215,7 @@
             let fresh = io.now < conn.used + self.idle;
             if fresh && conn.quiet() {
                 io.deadlines.call_off(conn.deadline.take());
-                (conn.stage, conn.kept) = (Stage::Busy { written: false }, true);
+                (conn.stage, conn.kept, conn.streams) = (Stage::Busy { written: false }, true, false);
                 self.standing.remove(&(conn.used, slot));
                 return Some(slot);
             }
@@ -222,7 +239,8 @@
             let link = link.map_err(|e| failed = refusal(&e)).ok()?;
             let deadline = Some(io.deadlines.set(until, Due::Dial(slot)));
             let (stage, job, head, words, used) = (Stage::Dialling, None, None, 0, io.now);
-            Some(Conn { link, backend, life, stage, job, head, words, kept: false, deadline, used })
+            let (kept, streams) = (false, false);
+            Some(Conn { link, backend, life, stage, job, head, words, kept, streams, deadline, used })
         });
         let slot = slot.ok_or(failed)?;
         self.places.entry(backend).and_modify(|place| place.conns += 1);
@@ -256,25 +274,43 @@
             return;
         };
         let sent = conn.link.flush();
-        if matches!(sent, Ok(true)) && !std::mem::replace(written, true) {
-            let forward = conn.job.as_ref().is_some_and(|job| job.purpose != Purpose::Check);
-            io.counters.attempts += u64::from(forward);
+        let whole = conn.job.as_ref().is_none_or(|job| job.whole);
+        if let (Ok(all), Some(job)) = (&sent, &mut conn.job) {
+            if *all && whole && !std::mem::replace(written, true) {
+                io.counters.attempts += u64::from(job.purpose != Purpose::Check);
+                // Guards against a slow client's time counting as the backend's.
+                job.sent = if conn.used > job.sent { io.now } else { job.sent };
+            }
+            match job.purpose {
+                Purpose::Forward(exchange, _) if !whole && conn.link.pending() <= io.window() / 2 => {
+                    io.notes.push_back(Note::Up(exchange));
+                }
+                _ => {}
+            }
         }
         let written = *written;
-        let read = conn.link.fill(MESSAGE_MOST);
+        let read = conn.link.fill(if conn.streams { io.window() } else { MESSAGE_MOST });
+        if let (true, Some(Job { purpose: Purpose::Forward(exchange, _), .. })) = (conn.streams, &conn.job) {
+            return io.notes.push_back(Note::Down(*exchange));
+        }
         // What was answered counts, also where the connection broke behind it.
         match Conn::answer(conn) {
             Err(ending) => self.close(slot, ending, io),
-            Ok(true) => self.answered(slot, written, io),
-            Ok(false) if sent.is_ok() && read.is_ok() && !conn.link.ended => {
-                if conn.link.input.len() >= MESSAGE_MOST {
+            Ok(Came::Whole) => self.answered(slot, written, io),
+            Ok(Came::Long) => self.begin(slot, io),
+            Ok(Came::Part { unknown }) if sent.is_ok() && read.is_ok() && !conn.link.ended => {
+                if conn.link.input.len() >= MESSAGE_MOST && unknown {
+                    self.begin(slot, io);
+                } else if conn.link.input.len() >= MESSAGE_MOST {
                     self.close(slot, Ending::Garbled, io);
                 } else if conn.link.unread() {
                     // Room was made by words on the way. They are bounded, and so is this.
                     self.go_on(slot, io);
+                } else if unknown && conn.deadline.is_none() {
+                    conn.deadline = Some(io.deadlines.set(io.now + BEGIN_AFTER, Due::Begin(slot)));
                 }
             }
-            Ok(false) => {
+            Ok(Came::Part { .. }) => {
                 let ending = match (written, conn.link.input.is_empty()) {
                     (_, true) if conn.kept && conn.words == 0 => Ending::KeptBroke { written },
                     (false, _) => Ending::BrokeBefore,
@@ -292,14 +328,19 @@
         let Some(head) = conn.head.take() else { return };
         conn.words = 0;
         self.held_up = self.held_up.saturating_add(u32::from(conn.kept));
-        let message = conn.link.used(head.length + head.body_length);
+        let message = conn.link.used(head.length + head.body.seen());
+        io.deadlines.call_off(conn.deadline.take());
         let ending = Ending::Answered { status: head.status, not_started: head.not_started };
-        let keep = self.standing.len() < self.budgets.idle
-            && written
-            && !head.close
-            && !conn.link.ended
-            && conn.link.input.is_empty();
+        let keep = written && !head.close;
         conn.finish(ending, head.load, Some((head, message)), io);
+        self.rest(slot, ending, keep, io);
+    }
+
+    /// After an answer a connection stands idle, or ends.
+    fn rest(&mut self, slot: ConnSlot, ending: Ending, keep: bool, io: &mut Shared) {
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        let room = self.standing.len() < self.budgets.idle;
+        let keep = keep && room && !conn.link.ended && conn.link.input.is_empty();
         let place = self.places.get_mut(&conn.backend);
         match place
             .filter(|place| keep && place.listing.condition == Condition::Ready && place.life == conn.life)
@@ -315,6 +356,93 @@
         }
     }
 
+    /// The answer is passed on as it comes from here on; its time is up to here.
+    fn begin(&mut self, slot: ConnSlot, io: &mut Shared) {
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        let (Some(Job { purpose: Purpose::Forward(exchange, forward), sent, deadline, .. }), Some(head)) =
+            (&mut conn.job, &conn.head)
+        else {
+            return self.close(slot, Ending::Garbled, io);
+        };
+        io.deadlines.call_off(conn.deadline.take());
+        io.deadlines.call_off(Some(*deadline));
+        *deadline = io.deadlines.set(io.now + SILENCE, Due::Forward(slot));
+        (conn.streams, conn.used) = (true, io.now);
+        let message = conn.link.used(head.length + head.body.seen());
+        let (backend, head, took) = (conn.backend, head.clone(), io.now.since(*sent));
+        let (exchange, forward) = (*exchange, *forward);
+        io.notes.push_back(Note::Began(Begun { backend, exchange, forward, head, message, took }));
+        io.notes.push_back(Note::Down(exchange));
+    }
+
+    /// The answer has not come to its end, and its length is unknown: it goes on as it comes.
+    pub fn begin_due(&mut self, slot: ConnSlot, io: &mut Shared) {
+        self.go_on(slot, io);
+        if self.conns.get_mut(slot).is_some_and(|conn| conn.awaits_end()) {
+            self.begin(slot, io);
+        }
+    }
+
+    /// The next bytes of an answer that is passed on as it comes, `room` at the most, and whether it ends with them.
+    /// If it breaks off, that is told in a note.
+    pub fn pull(&mut self, slot: ConnSlot, room: usize, io: &mut Shared) -> (Vec<u8>, bool) {
+        let nothing = (Vec::new(), false);
+        let window = io.window();
+        let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.streams) else { return nothing };
+        let Some(head) = &mut conn.head else { return nothing };
+        if conn.link.input.is_empty() && conn.link.unread() {
+            let _ = conn.link.fill(window);
+        }
+        let most = conn.link.input.len().min(room);
+        let Ok(length) = head.body.take(&conn.link.input[..most]) else {
+            self.close(slot, Ending::CutShort, io);
+            return nothing;
+        };
+        let bytes = conn.link.used(length);
+        if !bytes.is_empty() {
+            conn.used = io.now;
+        }
+        let ended = conn.link.ended && conn.link.input.is_empty();
+        let over = head.body.is_over() || head.body.lasts_to_end() && ended && !conn.link.broken;
+        if over {
+            let ending = Ending::Answered { status: head.status, not_started: false };
+            let keep = !head.close && matches!(conn.stage, Stage::Busy { written: true });
+            (conn.head, conn.words) = (None, 0);
+            conn.finish(ending, Load::default(), None, io);
+            self.rest(slot, ending, keep, io);
+        } else if ended {
+            self.close(slot, Ending::CutShort, io);
+        }
+        (bytes, over)
+    }
+
+    /// How much more of a message can be pushed now.
+    pub fn room(&self, slot: ConnSlot, io: &Shared) -> usize {
+        let pending = self.conns.get(slot).map_or(usize::MAX, |conn| conn.link.pending());
+        io.window().saturating_sub(pending)
+    }
+
+    /// Goes on with a message that is not whole, up to its end if it is over.
+    pub fn push(&mut self, slot: ConnSlot, bytes: &[u8], over: bool, io: &mut Shared) {
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        conn.link.queue(bytes);
+        if !matches!(conn.stage, Stage::Dialling) {
+            conn.used = io.now;
+        }
+        if let Some(job) = &mut conn.job {
+            job.whole = over;
+        }
+        self.go_on(slot, io);
+    }
+
+    /// What a connection carries has time until then.
+    pub fn set_time(&mut self, slot: ConnSlot, until: Time, io: &mut Shared) {
+        if let Some(job) = self.conns.get_mut(slot).and_then(|conn| conn.job.as_mut()) {
+            io.deadlines.call_off(Some(job.deadline));
+            job.deadline = io.deadlines.set(until, Due::Forward(slot));
+        }
+    }
+
     /// Every end of a connection, and of what it carried, comes through here.
     fn close(&mut self, slot: ConnSlot, ending: Ending, io: &mut Shared) {
         let Some(mut conn) = self.conns.remove(slot) else { return };
@@ -360,7 +488,23 @@
     /// The time for what the connection carries is over. What has come by now still counts.
     pub fn late(&mut self, slot: ConnSlot, io: &mut Shared) {
         self.go_on(slot, io);
-        let Some(conn) = self.conns.get(slot) else { return };
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        // While a body is on its way only silence counts, and not where the other side is waited for.
+        let waits = match &conn.job {
+            Some(_) if conn.streams => Some(!conn.link.input.is_empty()),
+            Some(job) if !job.whole => Some(conn.link.pending() == 0),
+            _ => None,
+        };
+        if let (Some(waits), Some(job)) = (waits, &mut conn.job) {
+            let since = if waits { io.now } else { conn.used };
+            if io.now < since + SILENCE {
+                job.deadline = io.deadlines.set(since + SILENCE, Due::Forward(slot));
+                return;
+            }
+            if conn.streams {
+                return self.close(slot, Ending::CutShort, io);
+            }
+        }
         let written = matches!(conn.stage, Stage::Busy { written: true });
         if conn.job.is_some() {
             self.close(slot, Ending::OutOfTime { written }, io);
@@ -388,19 +532,35 @@
     }
 }
 
+/// How much of an answer has come.
+enum Came {
+    /// Not all, and how long it is may be unknown.
+    Part {
+        unknown: bool,
+    },
+    Whole,
+    /// It is too long to be taken in whole.
+    Long,
+}
+
 impl Conn {
     /// Whether nothing has come, not even the end.
     fn quiet(&mut self) -> bool {
         self.link.fill(1).is_ok() && !self.link.ended && self.link.input.is_empty()
     }
 
-    /// Whether a whole answer has come.
-    fn answer(&mut self) -> Result<bool, Ending> {
+    /// Whether an answer whose length is unknown has begun to come.
+    fn awaits_end(&mut self) -> bool {
+        !self.streams && matches!(self.answer(), Ok(Came::Part { unknown: true }))
+    }
+
+    /// How much of an answer has come.
+    fn answer(&mut self) -> Result<Came, Ending> {
         loop {
             if self.head.is_none() {
                 self.head = http::answer_head(&self.link.input).map_err(|_| Ending::Garbled)?;
             }
-            let Some(head) = &mut self.head else { return Ok(false) };
+            let Some(head) = &mut self.head else { return Ok(Came::Part { unknown: false }) };
             if head.status >= 200 {
                 break;
             }
@@ -413,16 +573,24 @@
             self.head = None;
             self.link.used(length);
         }
-        let Some(head) = &mut self.head else { return Ok(false) };
-        let body = head.body.whole(&self.link.input[head.length..], self.link.ended, BODY_MOST);
-        let length = body.map_err(|_| Ending::Garbled)?;
-        head.body_length = length.unwrap_or_default();
-        Ok(length.is_some())
+        let forward = matches!(self.job, Some(Job { purpose: Purpose::Forward(..), .. }));
+        let Some(head) = &mut self.head else { return Ok(Came::Part { unknown: false }) };
+        let passes = forward && head.status == 200;
+        match head.body.whole(
+            &self.link.input[head.length..],
+            self.link.ended && !self.link.broken,
+            BODY_MOST,
+        ) {
+            Ok(Some(_)) => Ok(Came::Whole),
+            Ok(None) => Ok(Came::Part { unknown: passes && !head.body.has_length() }),
+            Err(Bad::BodyTooLarge) if passes && head.body.size() <= LONGEST => Ok(Came::Long),
+            Err(_) => Err(Ending::Garbled),
+        }
     }
 
     /// Tells how what the connection carried has ended.
     fn finish(&mut self, ending: Ending, load: Load, answer: Option<(AnswerHead, Vec<u8>)>, io: &mut Shared) {
-        let Some(Job { purpose, sent, deadline }) = self.job.take() else { return };
+        let Some(Job { purpose, sent, deadline, .. }) = self.job.take() else { return };
         io.deadlines.call_off(Some(deadline));
         let done = Done { backend: self.backend, purpose, ending, took: io.now.since(sent), load, answer };
         io.notes.push_back(Note::Done(done));
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -22,12 +22,12 @@
 use crate::discovery::Discovery;
 use crate::ending::Ending;
 use crate::handover::{self, Handover, State, Word};
-use crate::http;
+use crate::http::{self, AnswerHead, Bad};
 use crate::listing::{backend_id, Handed, List};
 use crate::management::{Call, Management};
-use crate::pool::Pool;
+use crate::pool::{Message, Pool};
 use crate::shared::{
-    CallSlot, ClientSlot, ConnSlot, Done, Due, HeldSlot, Note, OfHeld, Owner, Purpose, Request, Shared,
+    Begun, CallSlot, ClientSlot, ConnSlot, Done, Due, HeldSlot, Note, OfHeld, Owner, Purpose, Request, Shared,
 };
 use crate::slots::Slots;
 
@@ -35,6 +35,7 @@
 const OVERSLEPT: Span = Span::from_millis(3); // more than the timer's own coarseness
 const BACKLOG: i32 = 1024; // connections that may wait to be accepted
 const ACCEPT_ON: Span = Span::from_millis(600); // how long new connections are taken after the word to go
+const COPY_MOST: usize = 512 * 1024; // of a long request, that is held so that it can go again
 const GONE_BY: Span = Span::from_millis(50); // after the longest cut-off from then, nothing is owed any more
 
 /// An exchange until its answer is given and all its forwards have ended.
@@ -44,7 +45,28 @@
     request: Request,
     /// By number, the connections that carry forwards; `None` for one that has ended.
     forwards: Vec<Option<ConnSlot>>,
-    cut_off: DeadlineId,
+    /// `None` while its time has not begun.
+    cut_off: Option<DeadlineId>,
+    /// For a request that is sent on as it comes.
+    upload: Option<Upload>,
+    /// For an answer that is passed on as it comes, once it has begun.
+    began: Option<Box<AnswerHead>>,
+}
+
+/// A request that is sent on as it comes.
+struct Upload {
+    /// How much of what is held the forward that is out has got.
+    fed: usize,
+    /// Not all that came is held any more.
+    spent: bool,
+    /// Its last byte has come.
+    over: bool,
+}
+
+impl Held {
+    fn streams(&self) -> bool {
+        self.upload.is_some() || self.began.is_some()
+    }
 }
 
 pub struct Proxy {
@@ -130,7 +152,9 @@
         let clock = Clock::start();
         let (now, deadlines, counters) = (clock.now(), Deadlines::default(), Counters::default());
         let (callers, notes) = Default::default();
-        let mut io = Shared { registry, now, since: now, deadlines, counters, callers, notes };
+        let (streams, stream_bytes) = (0, config.budgets.bytes / 2);
+        let mut io =
+            Shared { registry, now, since: now, deadlines, counters, callers, notes, streams, stream_bytes };
         let management = Management::new(config.management, &io)?;
         let handover = Handover::new(path, wanted, before, &mut io);
         let budgets = [config.budgets, config.halved];
@@ -261,6 +285,7 @@
             Due::Client(slot) => self.clients.due(slot, &mut self.io),
             Due::Read(slot) => self.clients.event(slot, &mut self.io),
             Due::Dial(slot) => self.pool.dial_late(slot, &mut self.io),
+            Due::Begin(slot) => self.pool.begin_due(slot, &mut self.io),
             Due::Forward(slot) => self.pool.late(slot, &mut self.io),
             Due::Idle(slot) => self.pool.idle_over(slot, &mut self.io),
             Due::List => self.discovery.due(&mut self.io),
@@ -315,6 +340,7 @@
         let budgets = self.budgets[usize::from(self.handover.beside())];
         self.clients.set_budgets(budgets);
         self.pool.set_budgets(budgets);
+        self.io.stream_bytes = budgets.bytes / 2;
     }
 
     /// Hands over to a process that has come to take this one's place.
@@ -345,10 +371,10 @@
         while let Some(note) = self.io.notes.pop_front() {
             match note {
                 Note::Taken(client, request) => self.taken(client, request),
-                Note::Left(exchange) => {
-                    self.finish(exchange);
-                    self.decide(Event::Left(exchange));
-                }
+                Note::Left(exchange) => self.left(exchange),
+                Note::Began(begun) => self.began(begun),
+                Note::Up(exchange) => self.up(exchange),
+                Note::Down(exchange) => self.down(exchange),
                 Note::Done(done) => self.ended(done),
                 Note::Listed(list, before) => self.listed(list, before),
                 Note::ListFailed => self.decide(Event::ListFailed),
@@ -439,6 +465,12 @@
                         self.pool.cancel(slot, &mut self.io);
                     }
                 }
+                Action::TimeOut { exchange, time_out, .. } => {
+                    let until = self.io.now + time_out;
+                    if let Some((_, slot)) = self.out(exchange) {
+                        self.pool.set_time(slot, until, &mut self.io);
+                    }
+                }
                 Action::Timer { after, mark } => {
                     self.io.deadlines.set(self.io.now + after, Due::Timer(mark));
                 }
@@ -460,7 +492,7 @@
 
     fn taken(&mut self, client: ClientSlot, request: Request) {
         self.io.counters.taken += 1;
-        let (tariff, cut_off) = (TariffId(request.tariff), request.cut_off);
+        let (tariff, cut_off, whole) = (TariffId(request.tariff), request.cut_off, request.whole);
         // Guards against large requests filling the memory while they wait.
         let bytes = request.message.len();
         let room = bytes + self.held_bytes <= self.clients.budgets.bytes;
@@ -470,22 +502,25 @@
                 return None;
             }
             let due = Due::CutOff(ExchangeId(slot.number()));
-            let cut_off = deadlines.set(cut_off, due);
-            Some(Held { client: Some(client), request, forwards: Vec::new(), cut_off })
+            let cut_off = whole.then(|| deadlines.set(cut_off, due));
+            let upload = (!whole).then_some(Upload { fed: 0, spent: false, over: false });
+            Some(Held { client: Some(client), request, forwards: Vec::new(), cut_off, upload, began: None })
         });
         let Some(slot) = slot else {
             self.io.counters.turned_back += 1;
             return self.clients.reply(client, 503, true, &mut self.io);
         };
         self.held_bytes += bytes;
+        self.io.streams += usize::from(!whole);
         let id = ExchangeId(slot.number());
         self.clients.holds(client, id);
-        self.decide(Event::Taken(Exchange { id, tariff, tenant: TenantId(0), cut_off, cost: None }));
+        self.decide(Event::Taken(Exchange { id, tariff, tenant: TenantId(0), cut_off, cost: None, whole }));
     }
 
     fn forward(&mut self, exchange: ExchangeId, backend: BackendId, time_out: Span) {
-        let open = self.held.get_mut(HeldSlot::from_number(exchange.0)).filter(|held| held.client.is_some());
-        let Some(held) = open else {
+        let spent = |held: &Held| held.upload.as_ref().is_some_and(|upload| upload.spent);
+        let open = |held: &&mut Held| held.client.is_some() && !spent(held);
+        let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)).filter(open) else {
             // Every forward has an end, also one for an exchange that is over.
             let (purpose, ending) = (Purpose::Forward(exchange, ForwardNo(u16::MAX)), Ending::NoRoom);
             let (took, load, answer) = Default::default();
@@ -496,12 +531,156 @@
         tracing::trace!(exchange = exchange.0, host = self.pool.host(backend), "forward");
         let number = ForwardNo(held.forwards.len() as u16);
         held.forwards.push(None);
-        let message = held.request.head.forwarded(&held.request.message, time_out);
+        let (request, window) = (&held.request, self.io.window());
+        let (mut end, mut left, mut whole) = (request.message.len(), time_out, true);
+        if let Some(upload) = &mut held.upload {
+            end = end.min(request.head.length + window);
+            upload.fed = end;
+            whole = upload.over && end == request.message.len();
+            left = if upload.over { time_out } else { request.waits };
+        }
+        let bytes = request.head.forwarded(&request.message[..end], left);
         let (purpose, until) = (Purpose::Forward(exchange, number), self.io.now + time_out);
         // A further forward goes on a new connection too: it may be an idle one that cost it the last.
         let again = held.request.head.method == "GET" && number.0 == 0;
-        let slot = self.pool.send(backend, purpose, (&message, again), until, &mut self.io);
+        let message = Message { bytes: &bytes, whole, again };
+        let slot = self.pool.send(backend, purpose, message, until, &mut self.io);
         held.forwards[usize::from(number.0)] = slot;
+        if !whole {
+            self.up(exchange);
+        }
+    }
+
+    /// The last forward of an exchange, if it is out.
+    fn out(&self, exchange: ExchangeId) -> Option<(ForwardNo, ConnSlot)> {
+        let forwards = &self.held.get(HeldSlot::from_number(exchange.0))?.forwards;
+        let slot = (*forwards.last()?)?;
+        Some((ForwardNo(forwards.len() as u16 - 1), slot))
+    }
+
+    fn left(&mut self, exchange: ExchangeId) {
+        // The decisions know no more of what has begun to be answered.
+        let began = self.held.get(HeldSlot::from_number(exchange.0)).is_some_and(|held| held.began.is_some());
+        let out = self.out(exchange).filter(|_| began);
+        self.finish(exchange);
+        if let Some((_, slot)) = out {
+            self.pool.cancel(slot, &mut self.io);
+        }
+        self.decide(Event::Left(exchange));
+    }
+
+    /// Sends on what has come of a request and has room.
+    fn up(&mut self, exchange: ExchangeId) {
+        loop {
+            let Some((_, conn)) = self.out(exchange) else { return };
+            let room = self.pool.room(conn, &self.io);
+            let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
+            let (Some(client), Some(upload)) = (held.client, &mut held.upload) else { return };
+            let message = &mut held.request.message;
+            if room == 0 {
+                return;
+            }
+            if !upload.spent && upload.fed < message.len() {
+                let from = upload.fed;
+                upload.fed = message.len().min(from + room);
+                let over = upload.over && upload.fed == message.len();
+                self.pool.push(conn, &message[from..upload.fed], over, &mut self.io);
+                continue;
+            }
+            if upload.over {
+                return;
+            }
+            let (bytes, over) = match self.clients.pull(client, room, &mut self.io) {
+                Ok((bytes, false)) if bytes.is_empty() => return,
+                Ok(pulled) => pulled,
+                Err(bad) => return self.bad_body(exchange, client, bad),
+            };
+            upload.over = over;
+            let (length, budget) = (bytes.len(), self.clients.budgets.bytes / 2);
+            if !upload.spent && message.len() + length <= COPY_MOST && self.held_bytes + length <= budget {
+                message.extend_from_slice(&bytes);
+                self.held_bytes += length;
+                upload.fed = message.len();
+            } else if !std::mem::replace(&mut upload.spent, true) {
+                self.held_bytes -= message.len();
+                *message = Vec::new();
+            }
+            self.pool.push(conn, &bytes, over, &mut self.io);
+            if over {
+                return self.whole(exchange);
+            }
+        }
+    }
+
+    /// The last byte of a request that is sent on as it comes is here.
+    fn whole(&mut self, exchange: ExchangeId) {
+        let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
+        let cut_off = self.io.since + held.request.waits;
+        held.cut_off = Some(self.io.deadlines.set(cut_off, Due::CutOff(exchange)));
+        self.decide(Event::Whole { exchange, cut_off });
+    }
+
+    /// What comes of a request can't be read any further.
+    fn bad_body(&mut self, exchange: ExchangeId, client: ClientSlot, bad: Bad) {
+        self.io.counters.bad_input += 1;
+        self.clients.reply(client, bad.status(), true, &mut self.io);
+        self.left(exchange);
+    }
+
+    /// An answer that is passed on as it comes has begun, with which its exchange is over for the decisions.
+    fn began(&mut self, begun: Begun) {
+        let Begun { backend, exchange, forward, head, message, took } = begun;
+        let out = self.out(exchange);
+        let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
+        let Some(client) = held.client else {
+            return out.into_iter().for_each(|(_, slot)| self.pool.cancel(slot, &mut self.io));
+        };
+        let close = held.request.head.close || self.clients.ends(client);
+        self.io.streams += usize::from(!held.streams());
+        self.io.deadlines.call_off(held.cut_off.take());
+        self.clients.begin(client, exchange, &head.begun(&message, close), close, &mut self.io);
+        let load = head.load;
+        held.began = Some(Box::new(head));
+        self.io.counters.honoured += 1;
+        self.io.counters.ended(Outcome::Honoured);
+        let (outcome, answered, spent) = (Outcome::Honoured, true, true);
+        self.decide(Event::Ended(Ended { exchange, forward, backend, outcome, answered, spent, took, load }));
+    }
+
+    /// Passes on what has come of an answer and has room.
+    fn down(&mut self, exchange: ExchangeId) {
+        loop {
+            let Some((_, conn)) = self.out(exchange) else { return };
+            let Some(held) = self.held.get(HeldSlot::from_number(exchange.0)) else { return };
+            let (Some(client), Some(head)) = (held.client, &held.began) else { return };
+            let room = self.clients.room(client, &self.io);
+            if room == 0 {
+                return;
+            }
+            let (bytes, over) = self.pool.pull(conn, room, &mut self.io);
+            if bytes.is_empty() && !over {
+                return;
+            }
+            self.clients.go_on_with(client, &head.piece(&bytes, over), over, &mut self.io);
+            if over {
+                return self.finish(exchange);
+            }
+        }
+    }
+
+    /// An answer that had begun is over, or has broken off.
+    fn streamed(&mut self, exchange: ExchangeId, backend: BackendId, ending: Ending) {
+        let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
+        held.forwards.iter_mut().for_each(|out| *out = None);
+        let broke = !matches!(ending, Ending::Answered { .. } | Ending::CalledOff);
+        if let (true, Some(client)) = (broke, held.client) {
+            let id = held.request.head.id.as_deref();
+            tracing::debug!(id, host = self.pool.host(backend), ?ending, "answer broke off");
+            self.clients.cut(client, &mut self.io);
+            self.finish(exchange);
+            self.decide(Event::Broke(backend));
+        }
+        self.forget(exchange);
     }
 
     fn check(&mut self, backend: BackendId) {
@@ -509,7 +688,8 @@
         let host = self.pool.address(backend).map(|dial| dial.to_string()).unwrap_or_default();
         let message = format!("GET {} HTTP/1.1\r\nHost: {host}\r\n\r\n", self.check_path);
         let until = self.io.now + self.pool.dial_time();
-        self.pool.send(backend, Purpose::Check, (message.as_bytes(), true), until, &mut self.io);
+        let message = Message { bytes: message.as_bytes(), whole: true, again: true };
+        self.pool.send(backend, Purpose::Check, message, until, &mut self.io);
     }
 
     fn ended(&mut self, done: Done) {
@@ -522,6 +702,9 @@
             tracing::trace!(host, ?ending, took = took.ms(), held = load.held, "check ended");
             return self.decide(Event::Checked { backend, outcome, took, load });
         };
+        if self.held.get(HeldSlot::from_number(exchange.0)).is_some_and(|held| held.began.is_some()) {
+            return self.streamed(exchange, backend, ending);
+        }
         self.io.counters.ended(outcome);
         if outcome != Outcome::Honoured {
             let host = self.pool.host(backend);
@@ -539,7 +722,7 @@
             }
             let last = matches!(outcome, Outcome::Honoured | Outcome::Faulted);
             if let (true, Some(client), Some((head, message))) = (last, held.client, answer) {
-                let close = held.request.head.close || self.clients.leaving || self.clients.over_budget();
+                let close = held.request.head.close || self.clients.ends(client);
                 let close = close || outcome == Outcome::Faulted;
                 self.io.counters.honoured += u64::from(outcome == Outcome::Honoured);
                 let bytes = head.passed_on(&message, close);
@@ -548,7 +731,10 @@
             }
         }
         let answered = self.held.get(slot).is_none_or(|held| held.client.is_none());
-        self.decide(Event::Ended(Ended { exchange, forward, backend, outcome, answered, took, load }));
+        let spent =
+            self.held.get(slot).and_then(|held| held.upload.as_ref()).is_some_and(|upload| upload.spent);
+        let ended = Ended { exchange, forward, backend, outcome, answered, spent, took, load };
+        self.decide(Event::Ended(ended));
         self.forget(exchange);
     }
 
@@ -558,7 +744,7 @@
         let Some(client) = held.client else { return };
         let id = held.request.head.id.as_deref();
         tracing::debug!(id, status, backoff = backoff.map(Span::ms), "answered without a backend's answer");
-        let close = held.request.head.close || self.clients.leaving || self.clients.over_budget();
+        let close = held.request.head.close || self.clients.ends(client);
         let bytes = http::own_answer(status, backoff, close);
         self.clients.answer(client, status, &bytes, close, &mut self.io);
         self.finish(exchange);
@@ -568,7 +754,7 @@
     fn finish(&mut self, exchange: ExchangeId) {
         let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
         held.client = None;
-        self.io.deadlines.call_off(Some(held.cut_off));
+        self.io.deadlines.call_off(held.cut_off.take());
         self.forget(exchange);
     }
 
@@ -577,8 +763,9 @@
         let slot = HeldSlot::from_number(exchange.0);
         let over = |held: &Held| held.client.is_none() && held.forwards.iter().all(Option::is_none);
         if self.held.get(slot).is_some_and(over) {
-            let held = self.held.remove(slot);
-            self.held_bytes -= held.map_or(0, |held| held.request.message.len());
+            let Some(held) = self.held.remove(slot) else { return };
+            self.held_bytes -= held.request.message.len();
+            self.io.streams -= usize::from(held.streams());
         }
     }
 
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -45,6 +45,19 @@
     /// Connections from callers.
     pub callers: usize,
     pub notes: VecDeque<Note>,
+    /// Exchanges with bodies that are passed on as they come, and the bytes that those in each direction may hold.
+    pub streams: usize,
+    pub stream_bytes: usize,
+}
+
+const WINDOW_LEAST: usize = 8 * 1024;
+const WINDOW_MOST: usize = 128 * 1024;
+
+impl Shared {
+    /// How much of one body may be on its way through: the same for all.
+    pub fn window(&self) -> usize {
+        (self.stream_bytes / self.streams.max(1)).clamp(WINDOW_LEAST, WINDOW_MOST)
+    }
 }
 
 /// What a deadline is for.
@@ -62,6 +75,8 @@
     Dial(ConnSlot),
     /// The end of the time for what a connection carries.
     Forward(ConnSlot),
+    /// An answer whose length is unknown goes on from here, even if it is short.
+    Begin(ConnSlot),
     /// The end of the time that a connection may stand idle.
     Idle(ConnSlot),
     /// The answer of discovery, or the next call to it.
@@ -82,7 +97,11 @@
     pub head: RequestHead,
     pub message: Vec<u8>,
     pub tariff: u16,
+    /// How long the client waits from its last byte on, and until when if that has come.
+    pub waits: Span,
     pub cut_off: Time,
+    /// Its last byte has come; if not, the rest is to be had from the client.
+    pub whole: bool,
 }
 
 /// What a connection to a backend is used for.
@@ -104,12 +123,29 @@
     pub answer: Option<(AnswerHead, Vec<u8>)>,
 }
 
+/// An answer that is passed on as it comes, at its beginning.
+#[derive(Debug)]
+pub struct Begun {
+    pub backend: BackendId,
+    pub exchange: ExchangeId,
+    pub forward: ForwardNo,
+    pub head: AnswerHead,
+    /// The head and what has come of the body.
+    pub message: Vec<u8>,
+    pub took: Span,
+}
+
 #[derive(Debug)]
 pub enum Note {
     Taken(ClientSlot, Request),
     /// The client is gone; what it waited for.
     Left(ExchangeId),
     Done(Done),
+    Began(Begun),
+    /// More of a request's body has come, or can be sent on.
+    Up(ExchangeId),
+    /// And of an answer's.
+    Down(ExchangeId),
     /// A list, and the version that it follows.
     Listed(List, Option<u64>),
     ListFailed,
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -203,6 +203,13 @@
     listener
 }
 
+/// One that refuses all connections. It keeps its port: guards against another test's listener getting it.
+pub fn refusing() -> TcpListener {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    socket.into()
+}
+
 pub fn accept(listener: &TcpListener) -> TcpStream {
     patient(listener.accept().unwrap().0)
 }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -197,7 +197,7 @@
             let cut_off = Time::from_ms(r.f64()?);
             let cost = r.span()?;
             let cost = (r.u16()? & COST_VALID != 0).then_some(cost);
-            Event::Taken(Exchange { id, tariff, tenant, cut_off, cost })
+            Event::Taken(Exchange { id, tariff, tenant, cut_off, cost, whole: true })
         }
         40 => {
             let (exchange, _forward, backend) = (ExchangeId(r.u32()?.into()), r.u16()?, r.backend()?);
@@ -207,7 +207,16 @@
             let exchange = ExchangeId(r.u32()?.into());
             let (outcome, backend, last) = (r.outcome()?, r.backend()?, r.u8()?);
             let (forward, took, load) = (ForwardNo(r.u16()?), r.span()?, r.load(columns(instance))?);
-            Event::Ended(Ended { exchange, forward, backend, outcome, answered: last != 0, took, load })
+            Event::Ended(Ended {
+                exchange,
+                forward,
+                backend,
+                outcome,
+                answered: last != 0,
+                spent: false,
+                took,
+                load,
+            })
         }
         60 => Event::Left(ExchangeId(r.u32()?.into())),
         70 => Event::Timer(TimerMark(r.u64()?)),
@@ -265,8 +274,8 @@
             }
             Action::Check { backend } => put_backend(self.begin(80, instance), *backend),
             Action::CloseIdle { backend } => put_backend(self.begin(120, instance), *backend),
-            // Nobody bars a backend by hand there.
-            Action::Withdraw { .. } => {}
+            // Nobody bars a backend by hand there, and every exchange comes whole.
+            Action::Withdraw { .. } | Action::TimeOut { .. } => {}
             Action::Tell { to, bytes } => {
                 let record = self.begin(110, instance);
                 record.extend(to.map_or(PEERS_ALL, |peer| peer.0).to_le_bytes());
--- a/src/event.rs
+++ b/src/event.rs
@@ -21,6 +21,13 @@
         took: Span,
     },
     Ended(Ended),
+    /// The last byte of a request that was taken before has come, and its time runs from here.
+    Whole {
+        exchange: ExchangeId,
+        cut_off: Time,
+    },
+    /// An answer that had begun broke off, after its exchange had ended as honoured.
+    Broke(BackendId),
     /// The client no longer waits; no answer is owed.
     Left(ExchangeId),
     Timer(TimerMark),
@@ -81,6 +88,8 @@
     pub cut_off: Time,
     /// A rough guess of its work.
     pub cost: Option<Span>,
+    /// Its last byte has come; if not, `Whole` follows, and until then nothing runs.
+    pub whole: bool,
 }
 
 /// How a forward ended.
@@ -92,6 +101,8 @@
     pub outcome: Outcome,
     /// The exchange has its final answer, by this outcome or earlier.
     pub answered: bool,
+    /// Its bytes are no longer held, so that it can't be sent again.
+    pub spent: bool,
     pub took: Span,
     pub load: Load,
 }
@@ -158,6 +169,12 @@
         exchange: ExchangeId,
         forward: ForwardNo,
     },
+    /// The forward that is out has so much more time from here.
+    TimeOut {
+        exchange: ExchangeId,
+        forward: ForwardNo,
+        time_out: Span,
+    },
     Timer {
         after: Span,
         mark: TimerMark,
@@ -188,6 +205,8 @@
 pub(crate) enum BackendNote {
     Listed(Listing),
     Sent,
+    /// An answer of its broke off.
+    Broke,
     Began(Span),
     /// An outcome, and the latency that counts for it, if any: how long, and whether it was in time.
     Ended(Ended, Option<(Span, bool)>),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 //!     tenant: TenantId(0),
 //!     cut_off: start + Span::from_ms(500.0),
 //!     cost: None,
+//!     whole: true,
 //! };
 //! balancer.handle(start, Event::Taken(exchange), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Forward { backend: b, .. } if *b == backend)));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,7 +24,7 @@
 use crate::id::{BackendId, ExchangeId, ForwardNo, TimerMark};
 use crate::roster::Roster;
 use crate::settings::{Effect, Group, Settings};
-use crate::state::{census, Backend, Desk, Held, Tier};
+use crate::state::{all_barred, census, left_out, Backend, Desk, Held, Tier};
 use crate::time::{Span, Time};
 
 #[cfg(test)]
@@ -99,6 +99,7 @@
                 self.in_flight += 1.0;
                 self.credit -= 1.0;
             }
+            BackendNote::Broke => self.judge(1.0, around),
             BackendNote::Began(took) => self.sample(took, true, true, around),
             BackendNote::Ended(e, _) if e.precedes(&self.listing, around.now) => self.in_flight -= 1.0,
             BackendNote::Ended(ended, sample) => self.ended(&ended, sample, around),
@@ -385,16 +386,7 @@
 
     /// How many backends of the list get nothing now, by hand or because they fail.
     pub fn left_out(&self) -> usize {
-        let listed = self.backends.iter().filter(|(_, b)| b.listing.condition != Condition::Gone);
-        listed.filter(|(id, b)| b.out.is_some() || self.barred.contains(id)).count()
-    }
-
-    /// Whether staff have left out all that the list has.
-    fn all_barred(&self) -> bool {
-        let listed = |id| self.backends.get(id).is_some_and(|b| b.listing.condition == Condition::Ready);
-        let barred = self.barred.iter().filter(|id| listed(*id)).count();
-        barred > 0
-            && barred == self.backends.values().filter(|b| b.listing.condition == Condition::Ready).count()
+        left_out(&self.backends, &self.barred)
     }
 
     fn beat(&mut self, out: &mut Vec<Action>) {
@@ -446,6 +438,8 @@
             }
             Event::Barred { backend, barred } => self.bar(backend, barred, out),
             Event::Ended(ended) => self.ended(ended, out),
+            Event::Whole { exchange, cut_off } => self.whole(exchange, cut_off, out),
+            Event::Broke(backend) => self.tell(backend, BackendNote::Broke),
             Event::Left(id) => drop(self.release(id, out)),
             Event::Timer(MARK_BEAT) => self.beat(out),
             Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
@@ -455,32 +449,54 @@
             Event::Timer(MARK_ASKED) | Event::PeerSaid { .. } => {}
             Event::Timer(mark) => {
                 let id = ExchangeId(mark.0);
-                if self.desk.held.get(&id).is_some_and(|held| held.due <= self.now) {
+                let up = |held: &Held| held.due <= self.now && (held.whole || held.out.is_none());
+                if self.desk.held.get(&id).is_some_and(up) {
                     self.give_up(id, out);
                 }
             }
         }
     }
 
+    /// Only a stand-in: the forward's own time-out comes a round earlier, and counts as a sample.
+    fn stand_in(&self, id: ExchangeId, due: Time, out: &mut Vec<Action>) {
+        let after = due.since(self.now) + self.settings.round;
+        out.push(Action::Timer { after, mark: TimerMark(id.0) });
+    }
+
+    fn whole(&mut self, id: ExchangeId, cut_off: Time, out: &mut Vec<Action>) {
+        let Some(tariff) = self.desk.held.get(&id).map(|held| held.tariff) else { return };
+        let (goal, due) = self.settings.times(&tariff, self.now, cut_off, None);
+        self.stand_in(id, due, out);
+        self.count(id);
+        let Some(held) = self.desk.held.get_mut(&id) else { return };
+        (held.goal, held.due, held.whole) = (goal, due, true);
+        if held.out.is_some() {
+            let (forward, time_out) = (ForwardNo(held.sent - 1), due.since(self.now));
+            out.push(Action::TimeOut { exchange: id, forward, time_out });
+        }
+    }
+
+    /// A forward of what was not whole counts from here, at the latest when it ends.
+    fn count(&mut self, id: ExchangeId) {
+        let forward = self.desk.held.get(&id).filter(|held| !held.whole).and_then(|held| held.out);
+        if let Some((listing, _)) = forward {
+            self.tell(listing.backend, BackendNote::Sent);
+        }
+    }
+
     fn taken(&mut self, exchange: Exchange, out: &mut Vec<Action>) {
         let id = exchange.id;
         let tariff = self.settings.tariffs[usize::from(exchange.tariff.0)];
-        // Room for the time between two batches, and for the answer's way back.
-        let margin = self.settings.round.scaled(2.0) + Span::from_millis(2);
-        let stretch = exchange.cost.unwrap_or_default().scaled(tariff.goal_stretch);
-        let last = exchange.cut_off - margin;
-        let goal = last.min(self.now + tariff.cut_off.min(tariff.goal + stretch) - margin);
-        let due = if tariff.late_value > 0.0 { last } else { goal };
+        let (goal, due) = self.settings.times(&tariff, self.now, exchange.cut_off, exchange.cost);
         let share = self.desk.shares.get_mut(exchange.tenant.0 as usize);
         let beyond_share = share.is_some_and(|share| {
             *share -= 1.0;
             *share < 0.0
         });
-        // Only a stand-in: the forward's own time-out comes a round earlier, and counts as a sample.
-        let after = due.since(self.now) + self.settings.round;
-        out.push(Action::Timer { after, mark: TimerMark(id.0) });
+        self.stand_in(id, due, out);
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
-        self.desk.held.insert(id, Held::new(tariff, self.now, goal, due, beyond_share));
+        let held = Held::new(tariff, self.now, goal, due, beyond_share);
+        self.desk.held.insert(id, Held { whole: exchange.whole, ..held });
         self.desk.first.push(id);
         if chance > self.rng.rand_float().into() {
             // Guards against one tenant's flood: within the band, what lies beyond a share goes first.
@@ -490,6 +506,7 @@
     }
 
     fn ended(&mut self, e: Ended, out: &mut Vec<Action>) {
+        self.count(e.exchange);
         let held = self.desk.held.get(&e.exchange);
         // A full answer counts as a time-out, and both as one that had not waited: guards against the short
         // time-outs of what waited long passing for quick answers.
@@ -508,7 +525,7 @@
         held.out = None;
         let allowed = held.ran.is_none() || held.tariff.effect != Effect::AtMostOnce;
         let cost = if proven { 0.0 } else { 1.0 };
-        let more = held.sent < self.settings.max_forwards && e.outcome != Outcome::NotSent;
+        let more = held.sent < self.settings.max_forwards && e.outcome != Outcome::NotSent && !e.spent;
         if allowed && more && self.desk.purse >= cost {
             self.desk.purse -= cost;
             self.desk.further.push(e.exchange);
@@ -518,6 +535,7 @@
     }
 
     fn release(&mut self, id: ExchangeId, out: &mut Vec<Action>) -> Option<Held> {
+        self.count(id);
         let held = self.desk.held.remove(&id)?;
         self.desk.leave_lines(id);
         if held.out.is_some() && self.settings.cancelling {
@@ -547,7 +565,7 @@
     fn serve(&mut self, out: &mut Vec<Action>) -> bool {
         // What would be late gives up its place; what nobody may repeat tries while a usual answer may do.
         let needs = [self.tier.latency, self.tier.took].map(|mean| Span::from_ms(NEED * mean.or(0.0)));
-        let none = self.all_barred();
+        let none = all_barred(&self.backends, &self.barred);
         let late = |id: &&ExchangeId| {
             let held = &self.desk.held[id];
             let need = needs[usize::from(held.sent > 0 && held.tariff.effect == Effect::AtMostOnce)];
@@ -662,7 +680,9 @@
         held.out = Some((self.backends[&backend].listing, self.now));
         held.sent += 1;
         out.push(Action::Forward { exchange: id, backend, time_out: held.due.since(self.now) });
-        self.tell(backend, BackendNote::Sent);
+        if held.whole {
+            self.tell(backend, BackendNote::Sent);
+        }
         true
     }
 }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -36,7 +36,7 @@
 
 fn exchange(n: u32) -> Exchange {
     let (tariff, tenant) = (TariffId(0), TenantId(0));
-    Exchange { id: ExchangeId(n.into()), tariff, tenant, cut_off: START + ms(500), cost: None }
+    Exchange { id: ExchangeId(n.into()), tariff, tenant, cut_off: START + ms(500), cost: None, whole: true }
 }
 
 fn held(effect: Effect) -> Held {
@@ -53,7 +53,7 @@
 fn ended(outcome: Outcome) -> Ended {
     let (forward, took) = (ForwardNo(0), ms(50));
     let (exchange, backend) = (ExchangeId(1), id(0));
-    Ended { exchange, forward, backend, outcome, answered: false, took, load: Load::default() }
+    Ended { exchange, forward, backend, outcome, answered: false, spent: false, took, load: Load::default() }
 }
 
 fn by_pod() -> Effect {
@@ -656,3 +656,49 @@
     balancer.handle(START, Event::Taken(exchange(1)), &mut out);
     assert!(matches!(out.last(), Some(Action::TurnBack { .. })), "{out:?}");
 }
+
+#[test]
+fn a_request_that_is_not_whole_counts_nowhere_and_its_time_begins_with_its_last_byte() {
+    let mut balancer = balancer(Effect::AtMostOnce, 1);
+    let (mut out, later) = (Vec::new(), START + ms(3000));
+    balancer.handle(START, Event::Taken(Exchange { whole: false, ..exchange(1) }), &mut out);
+    assert!(matches!(out.last(), Some(Action::Forward { .. })), "{out:?}");
+    assert_eq!((balancer.backends[&id(0)].in_flight, balancer.tier.in_flight), (0.0, 0.0));
+    // Its own timer comes long before its last byte, and ends nothing.
+    out.clear();
+    balancer.handle(START + ms(250), Event::Timer(TimerMark(1)), &mut out);
+    assert_eq!(out, []);
+    balancer.handle(later, Event::Whole { exchange: ExchangeId(1), cut_off: later + ms(500) }, &mut out);
+    let more = |action: &Action| matches!(action, Action::TimeOut { time_out, .. } if *time_out > ms(150));
+    assert!(out.iter().any(more), "{out:?}");
+    assert_eq!(balancer.tier.in_flight, 1.0);
+    balancer.handle(later, Event::Ended(Ended { answered: true, ..ended(Outcome::Honoured) }), &mut out);
+    assert_eq!(balancer.tier.in_flight, 0.0);
+}
+
+#[test]
+fn what_ends_before_it_is_whole_leaves_no_trace_in_flight() {
+    for left in [true, false] {
+        let mut balancer = balancer(Effect::AtMostOnce, 1);
+        let mut out = Vec::new();
+        balancer.handle(START, Event::Taken(Exchange { whole: false, ..exchange(1) }), &mut out);
+        if left {
+            balancer.handle(START, Event::Left(ExchangeId(1)), &mut out);
+        }
+        // Its bytes are gone: it is turned back, and not sent again.
+        out.clear();
+        balancer.handle(START, Event::Ended(Ended { spent: true, ..ended(Outcome::Withdrawn) }), &mut out);
+        assert_eq!(out.iter().any(|action| matches!(action, Action::TurnBack { .. })), !left, "{out:?}");
+        assert!(!out.iter().any(|action| matches!(action, Action::Forward { .. })), "{out:?}");
+        assert_eq!((balancer.backends[&id(0)].in_flight, balancer.tier.in_flight), (0.0, 0.0));
+    }
+}
+
+#[test]
+fn an_answer_that_breaks_off_counts_against_its_backend() {
+    let mut balancer = balancer(Effect::Reissuable, 2);
+    balancer.handle(START, Event::Broke(id(0)), &mut Vec::new());
+    assert!(
+        balancer.backends[&id(0)].burden(&balancer.tier) > balancer.backends[&id(1)].burden(&balancer.tier)
+    );
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -84,6 +84,15 @@
 }
 
 impl Settings {
+    /// When an answer to what came whole `now` is late, and when the final answer is given.
+    pub fn times(&self, tariff: &Tariff, now: Time, cut_off: Time, cost: Option<Span>) -> (Time, Time) {
+        // Room for the time between two batches, and for the answer's way back.
+        let margin = self.round.scaled(2.0) + Span::from_millis(2);
+        let (last, stretch) = (cut_off - margin, cost.unwrap_or_default().scaled(tariff.goal_stretch));
+        let goal = last.min(now + tariff.cut_off.min(tariff.goal + stretch) - margin);
+        (goal, if tariff.late_value > 0.0 { last } else { goal })
+    }
+
     /// One instance in one zone, told of every change of the list, with no tenants.
     pub fn for_tariffs(tariffs: Vec<Tariff>) -> Settings {
         Settings {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What an instance remembers: its records, and plain measures over them. They decide nothing.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::event::{BackendNote, Condition, Event, Listing, TierNote};
 use crate::id::{BackendId, ExchangeId, ZoneId};
@@ -115,6 +115,8 @@
     /// The final answer is given by then.
     pub due: Time,
     pub beyond_share: bool,
+    /// All of it has come; before that nothing runs, and a forward counts nowhere.
+    pub whole: bool,
     pub sent: u16,
     /// Where the forward that is out may be running, and since when.
     pub out: Option<(Listing, Time)>,
@@ -143,7 +145,18 @@
 
 impl Held {
     pub fn new(tariff: Tariff, arrived: Time, goal: Time, due: Time, beyond_share: bool) -> Held {
-        Held { tariff, arrived, goal, due, beyond_share, sent: 0, out: None, ran: None, asked: None }
+        Held {
+            tariff,
+            arrived,
+            goal,
+            due,
+            beyond_share,
+            whole: true,
+            sent: 0,
+            out: None,
+            ran: None,
+            asked: None,
+        }
     }
 }
 
@@ -165,3 +178,15 @@
     let size = listed.map(|b| b.listing.size).sum::<f64>() / ready.max(1.0);
     TierNote::Beat { ready, out, others, size }
 }
+
+/// How many backends of the list are out, or barred by hand.
+pub fn left_out(backends: &BTreeMap<BackendId, Backend>, barred: &BTreeSet<BackendId>) -> usize {
+    let listed = backends.iter().filter(|(_, b)| b.listing.condition != Condition::Gone);
+    listed.filter(|(id, b)| b.out.is_some() || barred.contains(id)).count()
+}
+
+/// Whether all backends that are listed as ready are barred, and there are any.
+pub fn all_barred(backends: &BTreeMap<BackendId, Backend>, barred: &BTreeSet<BackendId>) -> bool {
+    let mut ready = backends.iter().filter(|(_, b)| b.listing.condition == Condition::Ready).peekable();
+    !barred.is_empty() && ready.peek().is_some() && ready.all(|(id, _)| barred.contains(id))
+}
