--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -58,8 +58,9 @@
         (Some(agent), _) => format!("backends from the agent at {agent}"),
         (None, known) => format!("{} backends listed", known.as_ref().map_or(0, |list| list.entries.len())),
     };
+    let operators = config.management.map(|at| format!(", operators call {at}")).unwrap_or_default();
     println!(
-        "{}: usable; {} listens on {}, {list}, tariffs {tariffs}",
+        "{}: usable; {} listens on {}{operators}, {list}, tariffs {tariffs}",
         file.display(),
         config.name,
         config.listen
