--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -1,6 +1,7 @@
 //! One non-blocking stream with what was read and not used, and what is to be written. Readiness is
 //! edge-triggered, so it remembers when it stopped reading with more to come.
 
+use std::cell::RefCell;
 use std::io::{ErrorKind, Read, Result, Write};
 use std::net::{Shutdown, SocketAddr};
 
@@ -10,6 +11,12 @@
 
 const PIECE: usize = 16 * 1024; // read at once
 
+thread_local! {
+    /// Where a read puts its bytes first. Guards against a large buffer for each of many connections that stand
+    /// idle, and against one that is made anew, all zeros, for each read.
+    static SCRATCH: RefCell<[u8; PIECE]> = const { RefCell::new([0; PIECE]) };
+}
+
 pub struct Link<S = TcpStream> {
     stream: S,
     pub input: Vec<u8>,
@@ -31,9 +38,11 @@
 
     /// Reads what there is, until `most` bytes are waiting to be used.
     pub fn fill(&mut self, most: usize) -> Result<()> {
+        SCRATCH.with_borrow_mut(|piece| self.fill_by(piece, most))
+    }
+
+    fn fill_by(&mut self, piece: &mut [u8; PIECE], most: usize) -> Result<()> {
         self.unread = true;
-        // Guards against a large buffer for each of many connections that stand idle.
-        let mut piece = [0; PIECE];
         while self.input.len() < most && !self.ended {
             let room = PIECE.min(most - self.input.len());
             match self.stream.read(&mut piece[..room]) {
