--- a/crates/command/tests/command.rs
+++ b/crates/command/tests/command.rs
@@ -64,8 +64,8 @@
         assert_eq!(done.status.code(), Some(2), "{said}");
         assert_eq!(said.lines().count(), 2, "{said}");
         assert!(
-            said.contains("bad.toml:12: unknown field `sokets`")
-                && said.contains("bad.toml:44: backends.dial"),
+            said.contains("bad.toml:17: unknown field `sokets`")
+                && said.contains("bad.toml:49: backends.dial"),
             "{said}"
         );
     }
