Take 'full' as no proof where the settings say so, asked in one function

Checked: the site's obligations.shedAfterStart, which the adapter passed over; proves_not_run counted Full as proof. Change: Outcome::may_have_run asks the settings; both new settings are decoded for the simulator, the proxy and TOML. A table test walks every outcome, effect and setting.

--- a/crates/proxy/tests/parts.rs
+++ b/crates/proxy/tests/parts.rs
@@ -6,6 +6,7 @@
 
 use sparlug::event::{Condition, Outcome};
 use sparlug::id::ZoneId;
+use sparlug::settings::Settings;
 use sparlug::time::{Span, Time};
 use sparlug_proxy::config::Config;
 use sparlug_proxy::deadlines::Deadlines;
@@ -95,8 +96,10 @@
         answered(500, true),
         answered(404, false),
     ];
-    assert!(never.iter().all(|ending| ending.outcome().proves_not_run()));
-    assert!(!perhaps.iter().any(|ending| ending.outcome().proves_not_run()));
+    let usual = Settings::for_tariffs(Vec::new());
+    let ran = |ending: &Ending| ending.outcome().may_have_run(&usual);
+    assert!(!never.iter().any(ran));
+    assert!(perhaps.iter().all(ran));
     assert_eq!(answered(200, false).outcome(), Outcome::Honoured);
     // Guards against backends left out for what a client, the list or the proxy itself is the cause of.
     let ours = [Ending::Withdrawn, Ending::NoRoom, Ending::OutOfTime { written: false }, Ending::CalledOff];
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -140,6 +140,10 @@
     ramp_time_ms: f64,
     fall_multiple: f64,
     tip_after_ms: f64,
+    #[serde(default)]
+    shed_after_start: bool,
+    #[serde(default)]
+    drain_binds_alone: bool,
 }
 
 #[derive(Default, Deserialize)]
@@ -227,6 +231,8 @@
         beyond_share: setup.beyond_share_value,
         list_on_request: matches!(setup.discovery, Discovery::OnRequest),
         max_forwards: setup.allowed.max_forwards,
+        full_proves_nothing: setup.obligations.shed_after_start,
+        only_draining_binds: setup.obligations.drain_binds_alone,
         cancelling: setup.allowed.cancelling,
         max_backoff: setup.allowed.retry_after.then(|| Span::from_ms(setup.allowed.max_retry_after_ms)),
         cold: Cold {
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -141,6 +141,8 @@
     warm_up: Option<Spanned<String>>,
     cold_multiple: Option<Spanned<f64>>,
     cold_window: Option<Spanned<String>>,
+    full_proves_nothing: bool,
+    only_draining_binds: bool,
 }
 
 #[derive(Default, Deserialize)]
@@ -490,6 +492,8 @@
         max_forwards,
         cancelling: true,
         max_backoff,
+        full_proves_nothing: b.full_proves_nothing,
+        only_draining_binds: b.only_draining_binds,
         cold,
     };
     let columns = if reports { Columns { held: Some(0), waiting: Some(1) } } else { Columns::default() };
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,7 +1,7 @@
 //! What an instance hears and what it may do.
 
 use crate::id::{BackendId, ExchangeId, ForwardNo, PeerId, PodId, TariffId, TenantId, TimerMark, ZoneId};
-use crate::settings::Group;
+use crate::settings::{Group, Settings};
 use crate::time::{Span, Time};
 
 #[derive(Clone, Debug)]
@@ -139,8 +139,13 @@
         matches!(self, Cancelled | Faulted | Full | Lost | NotSent | Withdrawn)
     }
 
-    pub fn proves_not_run(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Withdrawn)
+    /// Whether the exchange may have run, or may run yet. All that asks this asks here.
+    pub fn may_have_run(self, settings: &Settings) -> bool {
+        match self {
+            Outcome::ConnectFailed | Outcome::NotSent | Outcome::Withdrawn => false,
+            Outcome::Full => settings.full_proves_nothing,
+            _ => true,
+        }
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -521,11 +521,11 @@
             self.desk.held.remove(&e.exchange);
         }
         let Some(held) = self.desk.held.get_mut(&e.exchange) else { return };
-        let proven = e.outcome.proves_not_run();
-        held.ran = held.ran.or(held.out.filter(|_| !proven));
+        let ran = e.outcome.may_have_run(&self.settings);
+        held.ran = held.ran.or(held.out.filter(|_| ran));
         held.out = None;
         let allowed = held.ran.is_none() || held.tariff.effect != Effect::AtMostOnce;
-        let cost = if proven { 0.0 } else { 1.0 };
+        let cost = f64::from(u8::from(ran));
         let more = held.sent < self.settings.max_forwards && e.outcome != Outcome::NotSent && !e.spent;
         if allowed && more && self.desk.purse >= cost {
             self.desk.purse -= cost;
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -702,3 +702,34 @@
         balancer.backends[&id(0)].burden(&balancer.tier) > balancer.backends[&id(1)].burden(&balancer.tier)
     );
 }
+
+#[test]
+fn what_may_have_run_goes_on_only_as_its_effect_and_the_settings_allow() {
+    use Outcome::*;
+    let never = [ConnectFailed, NotSent, Withdrawn];
+    let all = [Error, Full, TimedOut, ConnectFailed, Broken, Cancelled, NotSent, Withdrawn, Lost, Faulted];
+    for (outcome, proves_nothing) in all.into_iter().flat_map(|outcome| [(outcome, false), (outcome, true)]) {
+        let ran = !never.contains(&outcome) && (outcome != Full || proves_nothing);
+        for effect in [Effect::Reissuable, by_pod(), Effect::AtMostOnce] {
+            let mut balancer = balancer(effect, 4);
+            balancer.settings.full_proves_nothing = proves_nothing;
+            assert_eq!(outcome.may_have_run(&balancer.settings), ran, "{outcome:?}");
+            balancer.desk.held.insert(ExchangeId(1), forwarded(effect));
+            let mut out = Vec::new();
+            balancer.handle(START + ms(1), Event::Ended(ended(outcome)), &mut out);
+            let to = out.iter().find_map(|action| match action {
+                Action::Forward { backend, .. } => Some(*backend),
+                _ => None,
+            });
+            // The pod of backend 0 holds backend 1 as well.
+            let inside = to.is_none_or(|to| [id(0), id(1)].contains(&to));
+            let turned = out.iter().any(|action| matches!(action, Action::TurnBack { .. }));
+            let case = format!("{outcome:?} {effect:?} {proves_nothing}: {out:?}");
+            match effect {
+                Effect::AtMostOnce if ran => assert!(to.is_none() && !turned, "{case}"),
+                Effect::Numbered { .. } if ran => assert!(inside && !turned, "{case}"),
+                _ => assert!(to.is_some() || turned, "{case}"),
+            }
+        }
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -27,6 +27,10 @@
     /// The list must be asked for.
     pub list_on_request: bool,
     pub max_forwards: u16,
+    /// Backends say that they are full of work that they had begun, too.
+    pub full_proves_nothing: bool,
+    /// A backend that is gone, or left out, and was never listed as draining, may still be sent to.
+    pub only_draining_binds: bool,
     pub cancelling: bool,
     /// The longest backoff that clients heed; `None` where they are not told any.
     pub max_backoff: Option<Span>,
@@ -108,6 +112,8 @@
             beyond_share: 1.0,
             list_on_request: false,
             max_forwards: 3,
+            full_proves_nothing: false,
+            only_draining_binds: false,
             cancelling: true,
             max_backoff: Some(Span::from_millis(1000)),
             cold: Cold {
