Let the limit's bound grow while p90 is under half of the shortest goal

Ruled out: the reports (the same before the trouble) and a queue (p90 equals the baseline; goals are 1.5 and 2 s). At fault: the bound of 6 calls a ready backend (CALLS_MOST): there exchanges wait for two tiers behind in their slots.

--- a/src/event.rs
+++ b/src/event.rs
@@ -223,6 +223,7 @@
 }
 
 /// What the tier's actor finds in its inbox.
+#[derive(Clone)]
 pub(crate) enum TierNote {
     /// A latency, whether it is that of an answer in time, and whether it was seen whole.
     Sample(Span, bool, bool),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,6 +42,8 @@
 const CALLS_LEAST: f64 = 2.0; // for each ready backend, of all instances together
 const CALLS_START: f64 = 4.0;
 const CALLS_MOST: f64 = 6.0;
+const EASE: f64 = 0.5; // part of the shortest goal: with p90 under it the most grows
+const EASE_MOST: f64 = 4.0; // times as much at the most
 const LIMIT_FLOOR: f64 = 4.0;
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
 const BAND_ALL: f64 = 3.0; // above this one nothing is taken
@@ -124,8 +126,8 @@
         let (listing, in_flight, counted, heard) = (self.listing, self.in_flight, self.counted, around.now);
         *self = Backend { listing, back, in_flight, counted, heard, ..Backend::default() };
         if around.settings.cold.warmth(self.started(), around.now) < 1.0 {
-            // Guards against a start that all instances hear of at once: each begins at its own time. Staff call
-            // one instance after the other, and see each use the backend again soon.
+            // Guards against a start that all instances hear of at once: each begins at its own time. Staff
+            // call one instance after the other, and see each use the backend again soon.
             (self.cap, self.credit) = (Some(1.0), if back.is_some() { 1.0 } else { around.chance });
         }
     }
@@ -207,8 +209,8 @@
         around.tier_inbox.push(TierNote::Verdict(failed, self.listing.zone));
     }
 
-    /// Guards against a backend that fails, or a zone, being learnt of anew by each of many instances that send
-    /// it little: what fails more than the tier weighs more in the pick from the first failure on.
+    /// Guards against a backend that fails, or a zone, being learnt of anew by each of many instances that
+    /// send it little: what fails more than the tier weighs more in the pick from the first failure on.
     fn burden(&self, tier: &Tier) -> f64 {
         let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
         let failing = self.tally.share(zone.share(tier.failing, PRIOR), PRIOR);
@@ -230,7 +232,7 @@
 }
 
 impl Tier {
-    fn act(&mut self, note: TierNote, now: Time, instances: f64) {
+    fn act(&mut self, note: TierNote, now: Time, instances: f64, goal: Span) {
         match note {
             TierNote::Holds(more) => self.in_flight += more,
             TierNote::Verdict(failed, zone) => {
@@ -253,7 +255,10 @@
                 let of_ready = |calls: f64| (calls * ready / instances).max(LIMIT_FLOOR);
                 self.limit = if self.limit == 0.0 { of_ready(CALLS_START) } else { self.limit };
                 self.update(now, of_ready(CALLS_START));
-                self.limit = self.limit.clamp(of_ready(CALLS_LEAST), of_ready(CALLS_MOST));
+                // Guards against turning back what would be answered long before its goal, where exchanges
+                // mostly wait for tiers behind. It does harm where p90 shows too late that a backend holds too much.
+                let ease = (EASE * goal.ms() / self.latency.or(f64::INFINITY)).clamp(1.0, EASE_MOST);
+                self.limit = self.limit.clamp(of_ready(CALLS_LEAST), of_ready(CALLS_MOST * ease));
             }
         }
     }
@@ -334,6 +339,7 @@
         // Empties the inboxes. The desk sends one exchange at a time, so that the next pick knows of it.
         loop {
             let (now, settings, tier_inbox) = (self.now, &self.settings, &mut self.tier_inbox);
+            let goal = settings.tariffs.iter().map(|t| t.goal).min().unwrap_or_default();
             let chance = self.rng.rand_float().into();
             let mut around = Around { now, tier: &self.tier, settings, chance, tier_inbox, out };
             for id in take(&mut self.mail) {
@@ -341,7 +347,7 @@
                 take(&mut backend.inbox).into_iter().for_each(|note| backend.act(note, &mut around));
             }
             for note in take(&mut self.tier_inbox) {
-                self.tier.act(note, now, settings.instances as f64);
+                self.tier.act(note, now, settings.instances as f64, goal);
             }
             match self.desk.inbox.pop_front() {
                 Some(event) => self.act(event, out),
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -733,3 +733,14 @@
         }
     }
 }
+
+#[test]
+fn the_limit_rises_past_its_usual_most_only_while_answers_come_long_before_the_goal() {
+    let beat = TierNote::Beat { ready: 10.0, out: 0.0, others: 0.0, size: 1.0 };
+    for (p90, most) in [(10.0, 240.0), (50.0, 120.0), (100.0, 60.0), (190.0, 60.0)] {
+        let mut tier = Tier { limit: 1000.0, ..Tier::default() };
+        tier.latency.add(p90, 1.0);
+        tier.act(beat.clone(), START, 1.0, ms(200));
+        assert_eq!(tier.limit, most, "p90 {p90}");
+    }
+}
