--- a/src/policy.rs
+++ b/src/policy.rs
@@ -256,7 +256,7 @@
                 self.limit = if self.limit == 0.0 { of_ready(CALLS_START) } else { self.limit };
                 self.update(now, of_ready(CALLS_START));
                 // Guards against turning back what would be answered long before its goal, where exchanges
-                // mostly wait for tiers behind. It does harm where p90 shows too late that backends hold much.
+                // mostly wait for tiers behind. It harms where p90 shows too late that backends hold much.
                 let ease = (EASE * goal.ms() / self.latency.or(f64::INFINITY)).clamp(1.0, EASE_MOST);
                 self.limit = self.limit.clamp(of_ready(CALLS_LEAST), of_ready(CALLS_MOST * ease));
             }
