--- a/tools/bodies.py
+++ b/tools/bodies.py
@@ -3,9 +3,10 @@
 
     tools/bodies.py long PROXY [COUNT [MB]]       peak memory with COUNT uploads and answers of MB each at once
     tools/bodies.py short PROXY OTHER [ROUNDS]    CPU a short exchange, both programs in turn, as a ratio
+    tools/bodies.py load HOST:PORT/CLASS SECONDS  eight callers, half on new connections, and how all their requests ended
 
 PROXY is a `sparlug-proxy`. Everything is on loopback, and ends by itself."""
-import json, socket, subprocess, sys, tempfile, threading, time
+import itertools, json, socket, subprocess, sys, tempfile, threading, time
 
 SETTINGS = {
     "tier": 0, "balancers": 1, "roundMs": 1.0, "discovery": "pushed", "zones": ["a"],
@@ -147,11 +148,50 @@
           (*([round(figure, 1) for figure in figures[each]] for each in (program, other)), *means, means[0] / means[1]))
 
 
+def load(target, seconds):
+    (address, path), ends, numbers = target.split("/", 1), {}, itertools.count()
+    host, port = address.split(":")
+    stop = time.time() + seconds
+
+    def ask(keeps):
+        conn = stream = None
+        while time.time() < stop:
+            end = "closed unanswered"
+            # A kept connection may end between requests; the request then goes once more, on a new one.
+            for fresh in (conn is None, True):
+                if conn is None:
+                    conn = socket.create_connection((host, int(port)), 5)
+                    stream = conn.makefile("rb")
+                close = "" if keeps else "Connection: close\r\n"
+                text = "GET /%s HTTP/1.1\r\nHost: h\r\nRequest-Id: l%d\r\nRequest-Timeout: 0.5\r\n%s\r\n"
+                try:
+                    conn.sendall((text % (path, next(numbers), close)).encode())
+                    answer = head(stream)
+                except OSError as e:
+                    answer, end = None, str(e)
+                if answer is not None:
+                    stream.read(length(answer))
+                    end = answer.split()[1].decode()
+                    conn = None if b"connection: close" in answer.lower() else conn
+                    break
+                conn = None
+                if fresh:
+                    break
+            ends[end] = ends.get(end, 0) + 1
+
+    threads = [threading.Thread(target=ask, args=(number % 2 == 0,)) for number in range(8)]
+    [thread.start() for thread in threads]
+    [thread.join() for thread in threads]
+    print("%d requests ended: %s" % (sum(ends.values()), ends))
+
+
 if __name__ == "__main__":
     what, arguments = sys.argv[1] if len(sys.argv) > 2 else "", sys.argv[2:]
     if what == "long":
         long(arguments[0], *map(int, arguments[1:]))
     elif what == "short" and len(arguments) > 1:
         short(*arguments[:2], *map(int, arguments[2:]))
+    elif what == "load" and len(arguments) == 2:
+        load(arguments[0], float(arguments[1]))
     else:
         sys.exit(__doc__)
