--- a/src/id.rs
+++ b/src/id.rs
@@ -28,13 +28,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TenantId(pub u32);
 
-/// What exchanges may have in common, beside the backend that gets them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
-    Tariff(TariffId),
-    Tenant(TenantId),
-}
-
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub u16);
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,7 +21,7 @@
 use crate::event::{
     Action, BackendNote, Condition, Ended, Event, Exchange, Listing, Load, Outcome, TierNote,
 };
-use crate::id::{BackendId, ExchangeId, ForwardNo, Kind, TimerMark};
+use crate::id::{BackendId, ExchangeId, ForwardNo, TimerMark};
 use crate::roster::Roster;
 use crate::settings::{Effect, Group, Settings};
 use crate::state::{all_barred, census, left_out, Backend, Desk, Held, Tier};
@@ -53,9 +53,6 @@
 const STRIKES_OUT: f64 = 2.0; // strikes in a row that put a backend out
 const PRIOR: f64 = 4.0; // own forwards that what is known of the zone, or the tier, counts as
 const FADE: f64 = 0.98; // what failed is forgotten by so much an update interval
-const HOPELESS: (f64, f64) = (0.6, 0.5); // parts of a kind that fail, and of the rest that do not
-const KIND_FADE: f64 = 0.85; // what a kind did is forgotten by so much an update interval
-const TRIALS: f64 = 0.1; // part of a hopeless kind that is tried all the same
 const OUT_MOST: f64 = 0.34; // part of the ready that may be out, so that the rest is not overrun
 const OUT_FIRST: Span = Span::from_millis(1000); // how long a backend is out at first
 const OUT_DOUBLINGS: u32 = 3; // and how often that doubles
@@ -401,7 +398,6 @@
 
     fn beat(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { after: BEAT, mark: MARK_BEAT });
-        self.desk.fade(KIND_FADE);
         self.roster = Roster::default();
         self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.holds() > 0.0);
         self.mail = self.backends.keys().copied().collect();
@@ -507,15 +503,8 @@
         self.stand_in(id, due, out);
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
         let held = Held::new(tariff, self.now, goal, due, beyond_share);
-        let kinds = [Kind::Tariff(exchange.tariff), Kind::Tenant(exchange.tenant)];
-        self.desk.held.insert(id, Held { whole: exchange.whole, kinds, ..held });
+        self.desk.held.insert(id, Held { whole: exchange.whole, ..held });
         self.desk.first.push(id);
-        // Guards against exchanges that are slow or deadly wherever they go holding the places of all others: a
-        // few still try. It does harm to a kind whose own backends alone fail, where it has such.
-        let hopeless = kinds.into_iter().any(|kind| self.desk.is_hopeless(kind, HOPELESS, PRIOR));
-        if hopeless && TRIALS < self.rng.rand_float().into() {
-            return self.give_up(id, out);
-        }
         if chance > self.rng.rand_float().into() {
             // Guards against one tenant's flood: within the band, what lies beyond a share goes first.
             let beyond = self.desk.first.iter().find(|id| self.desk.held[id].beyond_share);
@@ -533,12 +522,7 @@
             Outcome::Honoured => Some((e.took, e.took < goal)),
             _ => None,
         });
-        let judged = held.map(|held| held.kinds).filter(|_| !e.outcome.judges_nobody());
         self.tell(e.backend, BackendNote::Ended(e, sample));
-        if let Some(kinds) = judged {
-            let failed = e.outcome != Outcome::Honoured || sample.is_some_and(|(_, in_time)| !in_time);
-            self.desk.judge(kinds, f64::from(u8::from(failed)));
-        }
         if e.answered {
             self.desk.held.remove(&e.exchange);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::event::{BackendNote, Condition, Event, Listing, TierNote};
-use crate::id::{BackendId, ExchangeId, Kind, TariffId, TenantId, ZoneId};
+use crate::id::{BackendId, ExchangeId, ZoneId};
 use crate::settings::Tariff;
 use crate::stats::{Mean, Tally, Trend, Window};
 use crate::time::Time;
@@ -117,7 +117,6 @@
     pub beyond_share: bool,
     /// All of it has come; before that nothing runs, and a forward counts nowhere.
     pub whole: bool,
-    pub kinds: [Kind; 2],
     pub sent: u16,
     /// Where the forward that is out may be running, and since when.
     pub out: Option<(Listing, Time)>,
@@ -142,14 +141,10 @@
     /// What each tenant may still send within its share.
     pub shares: Vec<f64>,
     pub mode: &'static str,
-    /// Forwards that failed or were late, of each kind and of all.
-    pub kinds: BTreeMap<Kind, Tally>,
-    pub all: Tally,
 }
 
 impl Held {
     pub fn new(tariff: Tariff, arrived: Time, goal: Time, due: Time, beyond_share: bool) -> Held {
-        let kinds = [Kind::Tariff(TariffId(0)), Kind::Tenant(TenantId(0))];
         Held {
             tariff,
             arrived,
@@ -157,7 +152,6 @@
             due,
             beyond_share,
             whole: true,
-            kinds,
             sent: 0,
             out: None,
             ran: None,
@@ -167,23 +161,6 @@
 }
 
 impl Desk {
-    pub fn judge(&mut self, kinds: [Kind; 2], failed: f64) {
-        self.all.add(failed);
-        kinds.into_iter().for_each(|kind| self.kinds.entry(kind).or_default().add(failed));
-    }
-
-    pub fn fade(&mut self, by: f64) {
-        self.all.fade(by);
-        self.kinds.values_mut().for_each(|tally| tally.fade(by));
-    }
-
-    /// Whether nearly all of a kind fails or is late while most of the rest is not; `weight` forwards of either
-    /// are wanted to say so.
-    pub fn is_hopeless(&self, kind: Kind, (nearly_all, most): (f64, f64), weight: f64) -> bool {
-        let Some(own) = self.kinds.get(&kind) else { return false };
-        own.share(0.0, weight) > nearly_all && self.all.without(own).share(1.0, weight) < 1.0 - most
-    }
-
     pub fn leave_lines(&mut self, id: ExchangeId) {
         for line in [&mut self.first, &mut self.further, &mut self.asking] {
             line.retain(|waiting| *waiting != id);
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -38,11 +38,6 @@
         self.failed += failed;
     }
 
-    /// What is left of a tally without that of a part.
-    pub fn without(&self, part: &Tally) -> Tally {
-        Tally { judged: (self.judged - part.judged).max(0.0), failed: (self.failed - part.failed).max(0.0) }
-    }
-
     /// What has faded to a trace is forgotten, so that it decides no pick between equals.
     pub fn fade(&mut self, by: f64) {
         let failed = if self.failed < TRACE { 0.0 } else { self.failed * by };
