--- a/crates/proxy/tests/operating.rs
+++ b/crates/proxy/tests/operating.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::os::unix::net::UnixListener;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -89,6 +89,50 @@
     assert_eq!(proxy.figure("svc.backends_known"), Some(1));
 }
 
+#[test]
+fn every_ending_moves_one_figure() {
+    let listener = backend();
+    let proxy = Proxy::start_managed(&[&listener], "127.0.0.1:0", &[]);
+    let ends = ["served", "refused", "failed"];
+    let counts = |class: &str| ends.map(|end| proxy.figure(&format!("svc.requests.{class}.{end}")).unwrap());
+    // What the backend sends back, or nothing; and which figure that moves.
+    let cases = [
+        ("POST", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0),
+        ("POST", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 2),
+        ("POST", "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", 2),
+        ("POST", "noise without an end", 2),
+        ("POST", "", 2),
+    ];
+    let mut expected = [0; 3];
+    for (method, reply, figure) in cases {
+        let mut client = proxy.connect();
+        write(&mut client, &request(method, "/write", "5"));
+        let mut conn = accept(&listener);
+        message(&mut conn);
+        assert_eq!((counts("write"), proxy.figure("svc.in_flight")), (expected, Some(1)), "{reply:?}");
+        write(&mut conn, reply);
+        conn.shutdown(Shutdown::Both).unwrap();
+        assert!(message(&mut client).starts_with("HTTP/1.1 "), "{reply:?}");
+        expected[figure] += 1;
+        assert_eq!((counts("write"), proxy.figure("svc.in_flight")), (expected, Some(0)), "{reply:?}");
+    }
+    // A client that leaves.
+    let mut client = proxy.connect();
+    write(&mut client, &request("POST", "/write", "5"));
+    let mut conn = accept(&listener);
+    message(&mut conn);
+    drop(client);
+    assert_eq!(message(&mut conn), "");
+    expected[2] += 1;
+    assert_eq!((counts("write"), proxy.figure("svc.in_flight")), (expected, Some(0)));
+    // Turned back by the proxy, with nothing sent.
+    assert_eq!(proxy.call("PUT", "/backends/disable/h0").0, 200);
+    assert!(proxy.ask(&request("POST", "/write", "5")).starts_with("HTTP/1.1 503 "));
+    expected[1] += 1;
+    assert_eq!((counts("write"), proxy.figure("svc.in_flight")), (expected, Some(0)));
+    assert_eq!((counts("read"), proxy.figure("svc.attempts")), ([0; 3], Some(6)));
+}
+
 #[test]
 fn a_ban_by_hand_holds_until_it_is_called_back() {
     let proxy = Proxy::start_managed(&[&serving("a"), &serving("b")], "127.0.0.1:0", &[]);
