--- a/src/policy.rs
+++ b/src/policy.rs
@@ -116,10 +116,7 @@
             BackendNote::Beat => self.beat(around),
         }
         // Guards against a hung backend's forwards using up the limit: while it is out they do not count.
-        // And against forwards that ran long wherever they went holding the places of all others: what given-up
-        // ones leave behind counts where answers show a queue, in which it holds others up.
-        let held = if around.tier.jammed { self.holds() } else { self.in_flight };
-        let counts = if self.out.is_some() { 0.0 } else { held };
+        let counts = if self.out.is_some() { 0.0 } else { self.holds() };
         around.tier_inbox.push(TierNote::Holds(counts - self.counted));
         self.counted = counts;
     }
@@ -276,8 +273,8 @@
         self.answered.add(answered, SMOOTHING);
         let log = self.limit.log10();
         // Guards against forwards lost whatever the load: unless answers show a queue, time-outs say nothing.
-        self.jammed = self.queued(self.answered) >= 3.0 * log;
-        self.latency = if self.jammed { self.p90 } else { self.answered };
+        let jammed = self.queued(self.answered) >= 3.0 * log;
+        self.latency = if jammed { self.p90 } else { self.answered };
         // Guards against a baseline that was set in a jam, from which the limit would never come down again.
         let lower = self.latency.or(0.0) < self.baseline.or(f64::INFINITY);
         if lower || self.failing < 0.1 && self.intervals.strength() > CORRELATION {
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,8 +80,6 @@
     pub answered: Mean,
     /// The latency that the limit goes by: one of the two.
     pub latency: Mean,
-    /// Answers alone show a queue.
-    pub jammed: bool,
     /// What it is without a queue.
     pub baseline: Mean,
     pub samples: Window,
