--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -467,7 +467,7 @@
                 }
                 Action::TimeOut { exchange, time_out, .. } => {
                     let until = self.io.now + time_out;
-                    if let Some((_, slot)) = self.out(exchange) {
+                    if let Some(slot) = self.out(exchange) {
                         self.pool.set_time(slot, until, &mut self.io);
                     }
                 }
@@ -551,11 +551,9 @@
         }
     }
 
-    /// The last forward of an exchange, if it is out.
-    fn out(&self, exchange: ExchangeId) -> Option<(ForwardNo, ConnSlot)> {
-        let forwards = &self.held.get(HeldSlot::from_number(exchange.0))?.forwards;
-        let slot = (*forwards.last()?)?;
-        Some((ForwardNo(forwards.len() as u16 - 1), slot))
+    /// What carries the last forward of an exchange, if it is out.
+    fn out(&self, exchange: ExchangeId) -> Option<ConnSlot> {
+        *self.held.get(HeldSlot::from_number(exchange.0))?.forwards.last()?
     }
 
     fn left(&mut self, exchange: ExchangeId) {
@@ -563,7 +561,7 @@
         let began = self.held.get(HeldSlot::from_number(exchange.0)).is_some_and(|held| held.began.is_some());
         let out = self.out(exchange).filter(|_| began);
         self.finish(exchange);
-        if let Some((_, slot)) = out {
+        if let Some(slot) = out {
             self.pool.cancel(slot, &mut self.io);
         }
         self.decide(Event::Left(exchange));
@@ -572,7 +570,7 @@
     /// Sends on what has come of a request and has room.
     fn up(&mut self, exchange: ExchangeId) {
         loop {
-            let Some((_, conn)) = self.out(exchange) else { return };
+            let Some(conn) = self.out(exchange) else { return };
             let room = self.pool.room(conn, &self.io);
             let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
             let (Some(client), Some(upload)) = (held.client, &mut held.upload) else { return };
@@ -633,7 +631,7 @@
         let out = self.out(exchange);
         let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
         let Some(client) = held.client else {
-            return out.into_iter().for_each(|(_, slot)| self.pool.cancel(slot, &mut self.io));
+            return out.into_iter().for_each(|slot| self.pool.cancel(slot, &mut self.io));
         };
         let close = held.request.head.close || self.clients.ends(client);
         self.io.streams += usize::from(!held.streams());
@@ -650,7 +648,7 @@
     /// Passes on what has come of an answer and has room.
     fn down(&mut self, exchange: ExchangeId) {
         loop {
-            let Some((_, conn)) = self.out(exchange) else { return };
+            let Some(conn) = self.out(exchange) else { return };
             let Some(held) = self.held.get(HeldSlot::from_number(exchange.0)) else { return };
             let (Some(client), Some(head)) = (held.client, &held.began) else { return };
             let room = self.clients.room(client, &self.io);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -232,7 +232,7 @@
 }
 
 impl Tier {
-    fn act(&mut self, note: TierNote, now: Time, instances: f64, goal: Span) {
+    fn act(&mut self, note: TierNote, now: Time, settings: &Settings) {
         match note {
             TierNote::Holds(more) => self.in_flight += more,
             TierNote::Verdict(failed, zone) => {
@@ -252,11 +252,13 @@
                 self.zones.values_mut().for_each(|tally| tally.fade(FADE));
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
+                let instances = settings.instances as f64;
                 let of_ready = |calls: f64| (calls * ready / instances).max(LIMIT_FLOOR);
                 self.limit = if self.limit == 0.0 { of_ready(CALLS_START) } else { self.limit };
                 self.update(now, of_ready(CALLS_START));
                 // Guards against turning back what would be answered long before its goal, where exchanges
                 // mostly wait for tiers behind. It harms where p90 shows too late that backends hold much.
+                let goal = settings.tariffs.iter().map(|t| t.goal).min().unwrap_or_default();
                 let ease = (EASE * goal.ms() / self.latency.or(f64::INFINITY)).clamp(1.0, EASE_MOST);
                 self.limit = self.limit.clamp(of_ready(CALLS_LEAST), of_ready(CALLS_MOST * ease));
             }
@@ -339,7 +341,6 @@
         // Empties the inboxes. The desk sends one exchange at a time, so that the next pick knows of it.
         loop {
             let (now, settings, tier_inbox) = (self.now, &self.settings, &mut self.tier_inbox);
-            let goal = settings.tariffs.iter().map(|t| t.goal).min().unwrap_or_default();
             let chance = self.rng.rand_float().into();
             let mut around = Around { now, tier: &self.tier, settings, chance, tier_inbox, out };
             for id in take(&mut self.mail) {
@@ -347,7 +348,7 @@
                 take(&mut backend.inbox).into_iter().for_each(|note| backend.act(note, &mut around));
             }
             for note in take(&mut self.tier_inbox) {
-                self.tier.act(note, now, settings.instances as f64, goal);
+                self.tier.act(note, now, settings);
             }
             match self.desk.inbox.pop_front() {
                 Some(event) => self.act(event, out),
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -740,7 +740,7 @@
     for (p90, most) in [(10.0, 240.0), (50.0, 120.0), (100.0, 60.0), (190.0, 60.0)] {
         let mut tier = Tier { limit: 1000.0, ..Tier::default() };
         tier.latency.add(p90, 1.0);
-        tier.act(beat.clone(), START, 1.0, ms(200));
+        tier.act(beat.clone(), START, &Settings::for_tariffs(vec![tariff(Effect::Reissuable)]));
         assert_eq!(tier.limit, most, "p90 {p90}");
     }
 }
