--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -50,8 +50,15 @@
 
 fn take(balancer: &mut Balancer, now: Time, id: u32, actions: &mut Vec<Action>) {
     let (tariff, cut_off) = (TariffId((id % 2) as u16), now + Span::from_millis(530));
-    let exchange =
-        Exchange { id: ExchangeId(id.into()), tariff, tenant: TenantId(0), cut_off, cost: None, whole: true };
+    let exchange = Exchange {
+        id: ExchangeId(id.into()),
+        tariff,
+        tenant: TenantId(0),
+        key: None,
+        cut_off,
+        cost: None,
+        whole: true,
+    };
     balancer.handle(now, Event::Taken(exchange), actions);
 }
 
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -514,7 +514,8 @@
         self.io.streams += usize::from(!whole);
         let id = ExchangeId(slot.number());
         self.clients.holds(client, id);
-        self.decide(Event::Taken(Exchange { id, tariff, tenant: TenantId(0), cut_off, cost: None, whole }));
+        let (tenant, key, cost) = (TenantId(0), None, None);
+        self.decide(Event::Taken(Exchange { id, tariff, tenant, key, cut_off, cost, whole }));
     }
 
     fn forward(&mut self, exchange: ExchangeId, backend: BackendId, time_out: Span) {
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -67,6 +67,15 @@
     report: Report,
     #[serde(default)]
     zones: Vec<String>,
+    #[serde(default)]
+    family_info: FamilyInfo,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct FamilyInfo {
+    #[serde(default)]
+    warm_keys: bool,
 }
 
 #[derive(Deserialize)]
@@ -128,6 +137,8 @@
     #[serde(default)]
     probes: bool,
     #[serde(default)]
+    peers: bool,
+    #[serde(default)]
     retry_after: bool,
     #[serde(default)]
     max_retry_after_ms: f64,
@@ -234,6 +245,8 @@
         full_proves_nothing: setup.obligations.shed_after_start,
         only_draining_binds: setup.obligations.drain_binds_alone,
         cancelling: setup.allowed.cancelling,
+        remembers: setup.family_info.warm_keys,
+        peers: setup.allowed.peers,
         max_backoff: setup.allowed.retry_after.then(|| Span::from_ms(setup.allowed.max_retry_after_ms)),
         cold: Cold {
             share: setup.obligations.cold_share,
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -491,6 +491,8 @@
         list_on_request: false,
         max_forwards,
         cancelling: true,
+        remembers: false,
+        peers: false,
         max_backoff,
         full_proves_nothing: b.full_proves_nothing,
         only_draining_binds: b.only_draining_binds,
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -193,11 +193,11 @@
         }
         30 => {
             let (id, tariff, tenant) = (ExchangeId(r.u32()?.into()), TariffId(r.u16()?), TenantId(r.u32()?));
-            let _key = r.u64()?;
+            let key = Some(r.u64()?).filter(|key| *key != 0);
             let cut_off = Time::from_ms(r.f64()?);
             let cost = r.span()?;
             let cost = (r.u16()? & COST_VALID != 0).then_some(cost);
-            Event::Taken(Exchange { id, tariff, tenant, cut_off, cost, whole: true })
+            Event::Taken(Exchange { id, tariff, tenant, key, cut_off, cost, whole: true })
         }
         40 => {
             let (exchange, _forward, backend) = (ExchangeId(r.u32()?.into()), r.u16()?, r.backend()?);
--- a/src/event.rs
+++ b/src/event.rs
@@ -84,6 +84,8 @@
     pub id: ExchangeId,
     pub tariff: TariffId,
     pub tenant: TenantId,
+    /// What it is about; exchanges with one key belong together.
+    pub key: Option<u64>,
     /// When the client gives this try up.
     pub cut_off: Time,
     /// A rough guess of its work.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 //!     id: ExchangeId(1),
 //!     tariff: TariffId(0),
 //!     tenant: TenantId(0),
+//!     key: None,
 //!     cut_off: start + Span::from_ms(500.0),
 //!     cost: None,
 //!     whole: true,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,8 +42,6 @@
 const CALLS_LEAST: f64 = 2.0; // for each ready backend, of all instances together
 const CALLS_START: f64 = 4.0;
 const CALLS_MOST: f64 = 6.0;
-const EASE: f64 = 0.5; // part of the shortest goal: with p90 under it the most grows
-const EASE_MOST: f64 = 4.0; // times as much at the most
 const LIMIT_FLOOR: f64 = 4.0;
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
 const BAND_ALL: f64 = 3.0; // above this one nothing is taken
@@ -59,6 +57,9 @@
 const ASK_PRICE: f64 = 0.005; // the highest price of a check at which reports are asked for
 const CROSSING: f64 = 0.25; // calls that crossing zones counts as, where it has a price
 const UNSEEN: f64 = 0.5; // and of the mean nearby, for a backend that does not report
+const KEYS_FADE: f64 = 0.97; // what part of what is known of keys stays from one update to the next
+const SPREAD: f64 = 1.0; // homes of a key, for each part of the traffic that a backend's even share is
+const MOVED: f64 = 1.0; // calls that it counts as to go where a key is not known
 const SHARED: f64 = 3.0; // instances that share a backend, where there are many
 const PART_LEAST: f64 = 6.0; // and the fewest backends that an instance keeps to
 const PATIENCE: f64 = 0.05; // part of the latency goal for which reports are waited for
@@ -256,11 +257,7 @@
                 let of_ready = |calls: f64| (calls * ready / instances).max(LIMIT_FLOOR);
                 self.limit = if self.limit == 0.0 { of_ready(CALLS_START) } else { self.limit };
                 self.update(now, of_ready(CALLS_START));
-                // Guards against turning back what would be answered long before its goal, where exchanges
-                // mostly wait for tiers behind. It harms where p90 shows too late that backends hold much.
-                let goal = settings.tariffs.iter().map(|t| t.goal).min().unwrap_or_default();
-                let ease = (EASE * goal.ms() / self.latency.or(f64::INFINITY)).clamp(1.0, EASE_MOST);
-                self.limit = self.limit.clamp(of_ready(CALLS_LEAST), of_ready(CALLS_MOST * ease));
+                self.limit = self.limit.clamp(of_ready(CALLS_LEAST), of_ready(CALLS_MOST));
             }
         }
     }
@@ -399,8 +396,12 @@
 
     fn beat(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { after: BEAT, mark: MARK_BEAT });
-        self.roster = Roster::default();
+        let before = self.backends.len();
         self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.holds() > 0.0);
+        if self.backends.len() < before {
+            self.roster = Roster::default();
+        }
+        self.desk.keys.fade(KEYS_FADE);
         self.mail = self.backends.keys().copied().collect();
         self.backends.values_mut().for_each(|backend| backend.inbox.push(BackendNote::Beat));
         let open = self.backends.iter().filter(|(id, _)| !self.barred.contains(id));
@@ -504,7 +505,11 @@
         self.stand_in(id, due, out);
         let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
         let held = Held::new(tariff, self.now, goal, due, beyond_share);
-        self.desk.held.insert(id, Held { whole: exchange.whole, ..held });
+        let key = exchange.key.filter(|_| self.settings.remembers);
+        if let Some(key) = key {
+            self.desk.keys.add(key);
+        }
+        self.desk.held.insert(id, Held { whole: exchange.whole, key, ..held });
         self.desk.first.push(id);
         if chance > self.rng.rand_float().into() {
             // Guards against one tenant's flood: within the band, what lies beyond a share goes first.
@@ -530,7 +535,7 @@
         let Some(held) = self.desk.held.get_mut(&e.exchange) else { return };
         let ran = e.outcome.may_have_run(&self.settings);
         held.ran = held.ran.or(held.out.filter(|_| ran));
-        held.out = None;
+        (held.out, held.last) = (None, Some(e.backend));
         let allowed = held.ran.is_none() || held.tariff.effect != Effect::AtMostOnce;
         let cost = f64::from(u8::from(ran));
         let more = held.sent < self.settings.max_forwards && e.outcome != Outcome::NotSent && !e.spent;
@@ -630,8 +635,8 @@
         best.map(|(_, _, backend)| backend).or_else(|| self.pick(id).map(|two| two[0]))
     }
 
-    /// A random one of the backends that are ready and open to the exchange.
-    fn draw(&mut self, id: ExchangeId, near: bool, not: Option<BackendId>) -> Option<BackendId> {
+    /// Whether a backend is ready and open to the exchange, and whether few are.
+    fn open(&self, id: ExchangeId, not: Option<BackendId>) -> (bool, impl Fn(BackendId) -> bool + '_) {
         let held = &self.desk.held[&id];
         // Guards against an effect that happens twice.
         let may = |b: &Backend| match (held.tariff.effect, held.ran) {
@@ -641,13 +646,11 @@
                 self.now < since + window && at.shares(&b.listing, group)
             }
         };
-        let open = |backend: BackendId| {
+        let open = move |backend: BackendId| {
             let b = &self.backends[&backend];
             Some(backend) != not && b.ready(self.now, &self.settings) && may(b)
         };
-        // Only the few repeats that must stay in a group look through the whole list.
-        let grouped = held.ran.is_some() && held.tariff.effect != Effect::Reissuable;
-        self.roster.draw(&mut self.rng, near, grouped, open)
+        (held.ran.is_some() && held.tariff.effect != Effect::Reissuable, open)
     }
 
     /// Of two random ready backends the one with less to do, and the other.
@@ -665,9 +668,36 @@
     }
 
     fn two(&mut self, id: ExchangeId, near: bool) -> Option<[BackendId; 2]> {
-        let one = self.draw(id, near, None)?;
-        let other = self.draw(id, near, Some(one)).unwrap_or(one);
-        Some(if self.load_of(one) <= self.load_of(other) { [one, other] } else { [other, one] })
+        let mut rng = self.rng;
+        let held = &self.desk.held[&id];
+        let last = held.last;
+        let (one, other, moved) = if let Some(key) = held.key {
+            let (_, open) = self.open(id, None);
+            let spread =
+                SPREAD * self.tier.ready_and_out.0 * self.desk.keys.share(key) + f64::from(rng.rand_float());
+            let kept = (spread as usize).max(1);
+            let mut homes = self.roster.homes(key, near, kept + 2, open);
+            if homes.len() > 1 {
+                homes.retain(|id| Some(*id) != last);
+            }
+            let kept = kept.min(homes.len());
+            if kept == 0 {
+                return None;
+            }
+            let one = homes.remove(rng.rand_range(0..kept as u32) as usize);
+            let place = rng.rand_range(0..kept.min(homes.len()).max(1) as u32) as usize;
+            (one, homes.get(place).copied().unwrap_or(one), if place + 1 >= kept { MOVED } else { 0.0 })
+        } else {
+            let draw = |rng: &mut Rand32, not| {
+                let (few, open) = self.open(id, not);
+                // Only the few repeats that must stay in a group look through the whole list.
+                self.roster.draw(rng, near, few, open)
+            };
+            let one = draw(&mut rng, None)?;
+            (one, draw(&mut rng, Some(one)).unwrap_or(one), 0.0)
+        };
+        self.rng = rng;
+        Some(if self.load_of(one) <= self.load_of(other) + moved { [one, other] } else { [other, one] })
     }
 
     fn load_of(&self, id: BackendId) -> f64 {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -36,7 +36,8 @@
 
 fn exchange(n: u32) -> Exchange {
     let (tariff, tenant) = (TariffId(0), TenantId(0));
-    Exchange { id: ExchangeId(n.into()), tariff, tenant, cut_off: START + ms(500), cost: None, whole: true }
+    let (id, key, cut_off) = (ExchangeId(n.into()), None, START + ms(500));
+    Exchange { id, tariff, tenant, key, cut_off, cost: None, whole: true }
 }
 
 fn held(effect: Effect) -> Held {
@@ -553,16 +554,62 @@
 
 #[test]
 fn of_many_instances_each_keeps_to_a_part_of_the_backends_and_all_are_kept_to() {
-    let mut picked = std::collections::BTreeSet::new();
-    for ordinal in 0..20 {
+    let mut kept = std::collections::BTreeMap::<_, usize>::new();
+    for ordinal in 0..100 {
         let mut b = balancer(Effect::Reissuable, 20);
-        (b.settings.instances, b.settings.ordinal) = (20, ordinal);
+        (b.settings.instances, b.settings.ordinal) = (100, ordinal);
         b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
         let own: std::collections::BTreeSet<_> = (0..200).filter_map(|_| first_pick(&mut b)).collect();
         assert!(own.len() <= PART_LEAST as usize);
-        picked.extend(own);
+        own.into_iter().for_each(|id| *kept.entry(id).or_default() += 1);
     }
-    assert_eq!(picked.len(), 20);
+    assert!(kept.len() == 20 && kept.values().all(|kept| *kept < 60), "{kept:?}");
+}
+
+/// Guards against a backend that leaves moving what the others remember, or are connected to.
+#[test]
+fn what_leaves_the_list_moves_only_what_was_there() {
+    let homes = |without: Option<u8>, key| {
+        let all = (0..12).filter(|n| Some(*n) != without).map(listing);
+        Roster::new(all, ZoneId(0), 3.0, 0).homes(key, false, 2, |_| true)
+    };
+    for key in 1..200 {
+        let (before, after) = (homes(None, key), homes(Some(7), key));
+        let kept: Vec<_> = before.iter().filter(|home| **home != id(7)).collect();
+        assert!(kept.iter().all(|home| after.contains(home)), "{key}: {before:?} {after:?}");
+    }
+}
+
+fn keyed(key: u64, backends: u8) -> Balancer {
+    let mut b = balancer(Effect::Reissuable, backends);
+    b.settings.remembers = true;
+    b.desk.held.insert(ExchangeId(1), Held { key: Some(key), ..held(Effect::Reissuable) });
+    b
+}
+
+#[test]
+fn a_key_has_one_home_until_it_is_busy_and_more_where_it_is_much_of_the_traffic() {
+    let mut b = keyed(5, 20);
+    let homes =
+        |b: &mut Balancer| (0..100).filter_map(|_| first_pick(b)).collect::<std::collections::BTreeSet<_>>();
+    let home = homes(&mut b);
+    assert_eq!(home.len(), 1);
+    b.backends.get_mut(home.first().unwrap()).unwrap().in_flight = 9.0;
+    assert!(homes(&mut b).is_disjoint(&home));
+    let mut b = keyed(5, 20);
+    (0..30).for_each(|n| b.desk.keys.add(if n % 3 == 0 { 5 } else { n }));
+    assert!(homes(&mut b).len() > 3);
+}
+
+#[test]
+fn a_further_forward_goes_elsewhere_than_the_last() {
+    let mut b = keyed(5, 20);
+    let home = first_pick(&mut b);
+    b.desk.held.get_mut(&ExchangeId(1)).unwrap().last = home;
+    assert!(first_pick(&mut b) != home);
+    (1..20).for_each(|n| drop(b.backends.remove(&id(n))));
+    b.roster = Roster::default();
+    assert!(first_pick(&mut b) == Some(id(0)));
 }
 
 #[test]
@@ -733,14 +780,3 @@
         }
     }
 }
-
-#[test]
-fn the_limit_rises_past_its_usual_most_only_while_answers_come_long_before_the_goal() {
-    let beat = TierNote::Beat { ready: 10.0, out: 0.0, others: 0.0, size: 1.0 };
-    for (p90, most) in [(10.0, 240.0), (50.0, 120.0), (100.0, 60.0), (190.0, 60.0)] {
-        let mut tier = Tier { limit: 1000.0, ..Tier::default() };
-        tier.latency.add(p90, 1.0);
-        tier.act(beat.clone(), START, &Settings::for_tariffs(vec![tariff(Effect::Reissuable)]));
-        assert_eq!(tier.limit, most, "p90 {p90}");
-    }
-}
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -8,32 +8,43 @@
 /// How many random places are looked at, so that the work of a draw does not grow with the fleet.
 const DRAWS: usize = 40;
 
-/// The golden section's multiples, taken within 1, lie evenly, and so do every fifth and the first few.
-const GOLDEN: f64 = 0.618_034;
-
-/// All ids and those nearby, and of both the part that one instance keeps to.
+/// All ids and those nearby, in the order in which one instance keeps to them.
 #[derive(Debug, Default)]
 pub struct Roster {
     all: Vec<(BackendId, f64)>,
     near: Vec<(BackendId, f64)>,
     largest: f64,
     width: usize,
-    turn: f64,
+}
+
+/// An even mix of two numbers, the same at every instance (SplitMix64's last steps).
+fn mix(of: u64, with: u64) -> u64 {
+    let mut z = of.wrapping_add(with.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ z >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ z >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ z >> 31
+}
+
+/// Rendezvous hashing: the lower the mark, the rather is this backend a home of what `of` stands for. A larger
+/// one gets a low mark in proportion to its size, and no mark depends on which others are listed.
+fn mark(of: u64, backend: BackendId, size: f64) -> f64 {
+    let [a, b, c, d] = backend.address.map(u64::from);
+    let id = a << 40 | b << 32 | c << 24 | d << 16 | u64::from(backend.port);
+    let even = ((mix(mix(0, id), of) >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -even.ln() / size
 }
 
 impl Roster {
-    /// From all listings, in the order that all instances know. The part is `width` ids, and the parts of
-    /// instances with other ordinals lie evenly over all, whichever of them are counted.
+    /// From all listings. The part that the instance keeps to is the first `width` of its own order, which
+    /// moves by one id for each that comes or goes.
     pub fn new(all: impl Iterator<Item = Listing>, own: ZoneId, width: f64, ordinal: usize) -> Roster {
-        let turn = (ordinal as f64 * GOLDEN).fract();
-        let mut roster = Roster { width: width.ceil() as usize, turn, ..Roster::default() };
-        for listing in all {
-            let entry = (listing.backend, listing.size);
-            roster.all.push(entry);
-            roster.near.extend((listing.zone == own).then_some(entry));
-            roster.largest = roster.largest.max(listing.size);
-        }
-        roster
+        let mut listings: Vec<_> = all.map(|l| (mark(ordinal as u64, l.backend, 1.0), l)).collect();
+        listings.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let entry = |l: &Listing| (l.backend, l.size);
+        let near = listings.iter().filter(|(_, l)| l.zone == own).map(|(_, l)| entry(l)).collect();
+        let all: Vec<_> = listings.iter().map(|(_, l)| entry(l)).collect();
+        let largest = all.iter().fold(0.0, |largest: f64, (_, size)| largest.max(*size));
+        Roster { all, near, largest, width: width.ceil() as usize }
     }
 
     /// How many of the own part are nearby.
@@ -45,6 +56,20 @@
         self.all.is_empty()
     }
 
+    /// The first `most` homes of a key that are open, of all or of those nearby.
+    pub fn homes(
+        &self,
+        key: u64,
+        near: bool,
+        most: usize,
+        open: impl Fn(BackendId) -> bool,
+    ) -> Vec<BackendId> {
+        let ids = if near { &self.near } else { &self.all };
+        let mut marked: Vec<_> = ids.iter().map(|(id, size)| (mark(key, *id, *size), *id)).collect();
+        marked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        marked.into_iter().map(|(_, id)| id).filter(|id| open(*id)).take(most).collect()
+    }
+
     /// A random one that is open, a larger one with more chance, of all or of those nearby, and of the own part
     /// if one there is open. The search is bounded, unless `through_all` asks for one that misses none.
     pub fn draw(
@@ -60,11 +85,10 @@
             let place = rng.rand_range(0..found.len().max(1) as u32);
             return found.get(place as usize).map(|(id, _)| *id);
         }
-        let (len, first) = (ids.len(), (self.turn * ids.len() as f64) as usize);
+        let len = ids.len();
         let widths = [self.width.min(len), len].into_iter().filter(|width| *width > 0);
         widths.flat_map(|width| [width; DRAWS]).find_map(|width| {
-            let place = first + rng.rand_range(0..width as u32) as usize;
-            let (id, size) = ids[place % len];
+            let (id, size) = ids[rng.rand_range(0..width as u32) as usize];
             let kept = size >= self.largest || f64::from(rng.rand_float()) * self.largest < size;
             Some(id).filter(|id| kept && open(*id))
         })
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -32,6 +32,10 @@
     /// A backend that is gone, or left out, and was never listed as draining, may still be sent to.
     pub only_draining_binds: bool,
     pub cancelling: bool,
+    /// A backend that has met an exchange's key of late needs less work for it.
+    pub remembers: bool,
+    /// Instances may tell each other things.
+    pub peers: bool,
     /// The longest backoff that clients heed; `None` where they are not told any.
     pub max_backoff: Option<Span>,
     pub cold: Cold,
@@ -115,6 +119,8 @@
             full_proves_nothing: false,
             only_draining_binds: false,
             cancelling: true,
+            remembers: false,
+            peers: false,
             max_backoff: Some(Span::from_millis(1000)),
             cold: Cold {
                 share: 0.2,
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,7 +5,7 @@
 use crate::event::{BackendNote, Condition, Event, Listing, TierNote};
 use crate::id::{BackendId, ExchangeId, ZoneId};
 use crate::settings::Tariff;
-use crate::stats::{Mean, Tally, Trend, Window};
+use crate::stats::{Keys, Mean, Tally, Trend, Window};
 use crate::time::Time;
 
 /// The one record of a backend.
@@ -122,6 +122,10 @@
     pub out: Option<(Listing, Time)>,
     /// The first forward that may have run.
     pub ran: Option<(Listing, Time)>,
+    /// What it is about, where backends remember that.
+    pub key: Option<u64>,
+    /// Where its last forward ended.
+    pub last: Option<BackendId>,
     /// The two that were asked for a report, since when, and until when at most.
     pub asked: Option<([BackendId; 2], Time, Time)>,
 }
@@ -140,6 +144,8 @@
     pub purse: f64,
     /// What each tenant may still send within its share.
     pub shares: Vec<f64>,
+    /// Which keys are asked for of late.
+    pub keys: Keys,
     pub mode: &'static str,
 }
 
@@ -155,6 +161,8 @@
             sent: 0,
             out: None,
             ran: None,
+            key: None,
+            last: None,
             asked: None,
         }
     }
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -1,6 +1,6 @@
 //! Plain measures over what was observed; they decide nothing.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::time::{Span, Time};
 
@@ -112,3 +112,30 @@
         xy / (xx * yy).sqrt().max(1e-9) * n.sqrt()
     }
 }
+
+/// How often keys were met of late.
+#[derive(Debug, Default)]
+pub struct Keys {
+    met: BTreeMap<u64, f64>,
+    all: f64,
+}
+
+impl Keys {
+    pub fn add(&mut self, key: u64) {
+        *self.met.entry(key).or_default() += 1.0;
+        self.all += 1.0;
+    }
+
+    pub fn fade(&mut self, by: f64) {
+        self.all *= by;
+        self.met.retain(|_, met| {
+            *met *= by;
+            *met > TRACE
+        });
+    }
+
+    /// The part of all that is this key's, by what goes beyond one meeting, which says nothing.
+    pub fn share(&self, key: u64) -> f64 {
+        (self.met.get(&key).copied().unwrap_or(0.0) - 1.0).max(0.0) / self.all.max(1.0)
+    }
+}
