--- a/src/event.rs
+++ b/src/event.rs
@@ -3,6 +3,7 @@
 use crate::id::{BackendId, ExchangeId, ForwardNo, PeerId, PodId, TariffId, TenantId, TimerMark, ZoneId};
 use crate::settings::{Group, Settings};
 use crate::time::{Span, Time};
+use crate::word::Word;
 
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -219,6 +220,8 @@
     Ended(Ended, Option<(Span, bool)>),
     /// How a check ended, and the report that came with it.
     Checked(Outcome, Load),
+    /// What another instance saw of it.
+    Told(Word),
     /// It may serve again, after staff had left it out.
     Back,
     Beat,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,3 +44,4 @@
 mod state;
 pub mod stats;
 pub mod time;
+pub mod word;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -21,11 +21,12 @@
 use crate::event::{
     Action, BackendNote, Condition, Ended, Event, Exchange, Listing, Load, Outcome, TierNote,
 };
-use crate::id::{BackendId, ExchangeId, ForwardNo, TimerMark};
+use crate::id::{BackendId, ExchangeId, ForwardNo, PeerId, TimerMark};
 use crate::roster::Roster;
 use crate::settings::{Effect, Group, Settings};
 use crate::state::{all_barred, census, left_out, Backend, Desk, Held, Tier};
 use crate::time::{Span, Time};
+use crate::word::{decode, encode};
 
 #[cfg(test)]
 mod tests;
@@ -49,6 +50,7 @@
 const PURSE_SHARE: f64 = 0.1; // repeats of what may have run, for each first forward
 const PURSE_MOST: f64 = 10.0; // and the most that are saved up
 const STRIKES_OUT: f64 = 2.0; // strikes in a row that put a backend out
+const WORD_FADE: f64 = 5000.0; // ms in which a word of a backend fades
 const PRIOR: f64 = 4.0; // own forwards that what is known of the zone, or the tier, counts as
 const FADE: f64 = 0.98; // what failed is forgotten by so much an update interval
 const OUT_MOST: f64 = 0.34; // part of the ready that may be out, so that the rest is not overrun
@@ -58,6 +60,7 @@
 const CROSSING: f64 = 0.25; // calls that crossing zones counts as, where it has a price
 const UNSEEN: f64 = 0.5; // and of the mean nearby, for a backend that does not report
 const KEYS_FADE: f64 = 0.97; // what part of what is known of keys stays from one update to the next
+const FADE_X: f64 = 3.0;
 const SPREAD: f64 = 1.0; // homes of a key, for each part of the traffic that a backend's even share is
 const MOVED: f64 = 1.0; // calls that it counts as to go where a key is not known
 const SHARED: f64 = 3.0; // instances that share a backend, where there are many
@@ -114,6 +117,15 @@
                     self.put_out("not reached", around);
                 }
             }
+            BackendNote::Told(word) => {
+                let newer = |known: Option<(Time, f64)>| known.is_none_or(|(at, _)| at < around.now - word.age);
+                if newer(self.word) {
+                    self.word = Some((around.now - word.age, word.failing));
+                }
+                if let Some(held) = word.held.filter(|_| newer(self.others)) {
+                    self.others = Some((around.now - word.age, held));
+                }
+            }
             BackendNote::Beat => self.beat(around),
         }
         // Guards against a hung backend's forwards using up the limit: while it is out they do not count.
@@ -207,14 +219,24 @@
 
     fn judge(&mut self, failed: f64, around: &mut Around) {
         self.tally.add(failed);
+        let known = self.word(around.now, around.tier);
+        self.word = Some((around.now, known + (failed - known) * 0.3));
         around.tier_inbox.push(TierNote::Verdict(failed, self.listing.zone));
     }
 
+    /// The part of its forwards that fail, as others saw it, and with time as its zone does.
+    fn word(&self, now: Time, tier: &Tier) -> f64 {
+        let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
+        let like = zone.share(tier.failing, PRIOR);
+        self.word.map_or(like, |(at, word)| like + (word - like) * (-now.since(at).ms() / WORD_FADE).exp())
+    }
+
     /// Guards against a backend that fails, or a zone, being learnt of anew by each of many instances that
     /// send it little: what fails more than the tier weighs more in the pick from the first failure on.
-    fn burden(&self, tier: &Tier) -> f64 {
+    fn burden(&self, now: Time, tier: &Tier, peers: bool) -> f64 {
         let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
-        let failing = self.tally.share(zone.share(tier.failing, PRIOR), PRIOR);
+        let like = if peers { self.word(now, tier) } else { zone.share(tier.failing, PRIOR) };
+        let failing = self.tally.share(like, PRIOR);
         ((1.0 - tier.failing) / (1.0 - failing).max(0.1)).max(1.0).powi(2)
     }
 
@@ -402,6 +424,9 @@
             self.roster = Roster::default();
         }
         self.desk.keys.fade(KEYS_FADE);
+        if self.settings.peers && self.settings.instances > 1 {
+            self.gossip(out);
+        }
         self.mail = self.backends.keys().copied().collect();
         self.backends.values_mut().for_each(|backend| backend.inbox.push(BackendNote::Beat));
         let open = self.backends.iter().filter(|(id, _)| !self.barred.contains(id));
@@ -430,6 +455,15 @@
         (self.tier.in_flight + waiting as f64) / self.tier.limit.max(LIMIT_FLOOR)
     }
 
+    /// Tells another instance what was seen last.
+    fn gossip(&mut self, out: &mut Vec<Action>) {
+        let mut words: Vec<_> = self.backends.values().filter_map(|b| b.tells(self.now)).collect();
+        words.sort_by_key(|word| word.age);
+        let peer = self.rng.rand_range(1..self.settings.instances as u32) as usize + self.settings.ordinal;
+        let to = Some(PeerId((peer % self.settings.instances) as u16));
+        out.push(Action::Tell { to, bytes: encode(&self.desk.keys.last, words.into_iter()) });
+    }
+
     fn act(&mut self, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Listed { whole, listings } => self.list(whole, &listings),
@@ -455,7 +489,12 @@
             Event::Checked { backend, outcome, load, .. } => {
                 self.tell(backend, BackendNote::Checked(outcome, load))
             }
-            Event::Timer(MARK_ASKED) | Event::PeerSaid { .. } => {}
+            Event::Timer(MARK_ASKED) => {}
+            Event::PeerSaid { bytes, .. } => {
+                let (keys, words) = decode(&bytes);
+                keys.for_each(|key| self.desk.keys.heard(key));
+                words.for_each(|word| self.tell(word.backend, BackendNote::Told(word)));
+            }
             Event::Timer(mark) => {
                 let id = ExchangeId(mark.0);
                 let up = |held: &Held| held.due <= self.now && (held.whole || held.out.is_none());
@@ -663,7 +702,7 @@
         }
         let best = self.two(id, false)?;
         // Where crossing has a price, two of the own zone are drawn as well.
-        let near = if self.settings.crossing_priced { self.two(id, true) } else { None };
+        let near = if self.settings.crossing_priced && self.desk.held[&id].key.is_none() { self.two(id, true) } else { None };
         Some(near.filter(|near| self.load_of(near[0]) <= self.load_of(best[0])).unwrap_or(best))
     }
 
@@ -700,14 +739,20 @@
         Some(if self.load_of(one) <= self.load_of(other) + moved { [one, other] } else { [other, one] })
     }
 
+    /// How long a report tells something: an answer's time, and longer where it is the seldomer had anew.
+    fn fade(&self) -> f64 {
+        let crowd = self.settings.instances as f64 / self.tier.ready_and_out.0.max(1.0);
+        self.tier.took.or(0.0).max(1.0) * (FADE_X * crowd).max(1.0)
+    }
+
     fn load_of(&self, id: BackendId) -> f64 {
         let (b, tier) = (&self.backends[&id], &self.tier);
         let far = self.settings.crossing_priced && b.listing.zone != self.settings.zone;
-        let others = b.others(self.now, tier.others, tier.took.or(0.0).max(1.0));
+        let others = b.others(self.now, tier.others, self.fade());
         // Guards against the seeming idleness of what other zones keep busy and what reports nothing.
         let unseen = if b.others.is_some() { 0.0 } else { UNSEEN * tier.in_flight };
         let crossing = CROSSING + unseen / self.roster.nearby().max(1) as f64;
-        (b.holds() + others + 1.0) * b.pace(tier) * b.burden(tier) + if far { crossing } else { 0.0 }
+        (b.holds() + others + 1.0) * b.pace(tier) * b.burden(self.now, tier, self.settings.peers) + if far { crossing } else { 0.0 }
     }
 
     fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,7 @@
 use crate::settings::Tariff;
 use crate::stats::{Keys, Mean, Tally, Trend, Window};
 use crate::time::Time;
+use crate::word::{Word, OLDEST};
 
 /// The one record of a backend.
 #[derive(Default)]
@@ -38,6 +39,8 @@
     pub heard: Time,
     /// What it last said it holds for others, and when.
     pub others: Option<(Time, f64)>,
+    /// When it was last judged, by this instance or another that told of it, and what part failed by then.
+    pub word: Option<(Time, f64)>,
 }
 
 impl Backend {
@@ -58,6 +61,14 @@
     }
 
     /// What others have in flight here: its report, which fades towards the mean of all reports with age.
+    /// What there is to tell others of it, unless it is old.
+    pub fn tells(&self, now: Time) -> Option<Word> {
+        let seen = self.others.map(|(at, _)| at).max(self.word.map(|(at, _)| at))?;
+        let (age, held) = (now.since(seen), self.others.map(|(_, held)| held));
+        let word = Word { backend: self.listing.backend, age, held, failing: self.word.map_or(0.0, |(_, f)| f) };
+        (age < OLDEST).then_some(word)
+    }
+
     pub fn others(&self, now: Time, mean: f64, fade: f64) -> f64 {
         self.others.map_or(mean, |(at, said)| mean + (said - mean) * (-now.since(at).ms() / fade).exp())
     }
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -113,15 +113,32 @@
     }
 }
 
-/// How often keys were met of late.
+/// A key that is met for the first time is taken for the one part of the other, as if it were that much met.
+const GUESSED: f64 = 0.3;
+const GUESSES: f64 = 12.0;
+
+/// How often keys were met of late, here and elsewhere.
 #[derive(Debug, Default)]
 pub struct Keys {
-    met: BTreeMap<u64, f64>,
+    met: BTreeMap<u32, f64>,
     all: f64,
+    /// The last that were met here.
+    pub last: VecDeque<u32>,
 }
 
 impl Keys {
+    /// A key in short; two that are alike in it count as one.
+    fn short(key: u64) -> u32 {
+        (key.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as u32
+    }
+
     pub fn add(&mut self, key: u64) {
+        self.heard(Keys::short(key));
+        self.last.push_back(Keys::short(key));
+        self.last.drain(..self.last.len().saturating_sub(12));
+    }
+
+    pub fn heard(&mut self, key: u32) {
         *self.met.entry(key).or_default() += 1.0;
         self.all += 1.0;
     }
@@ -134,8 +151,9 @@
         });
     }
 
-    /// The part of all that is this key's, by what goes beyond one meeting, which says nothing.
+    /// The part of all that is this key's, by what goes beyond one meeting; a guess while few were met.
     pub fn share(&self, key: u64) -> f64 {
-        (self.met.get(&key).copied().unwrap_or(0.0) - 1.0).max(0.0) / self.all.max(1.0)
+        let more = (self.met.get(&Keys::short(key)).copied().unwrap_or(0.0) - 1.0).max(0.0);
+        (more + GUESSED) / (self.all + GUESSES)
     }
 }
