--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,7 @@
 const CALLS_START: f64 = 4.0;
 const CALLS_MOST: f64 = 6.0;
 const LIMIT_FLOOR: f64 = 4.0;
+const PRESSURE: f64 = 2.0;
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
 const BAND_ALL: f64 = 3.0; // above this one nothing is taken
 const NEED: f64 = 1.5; // time left for an answer, in p90, under which waiting ends
@@ -62,7 +63,7 @@
 const KEYS_FADE: f64 = 0.97; // what part of what is known of keys stays from one update to the next
 const FADE_X: f64 = 3.0;
 const SPREAD: f64 = 1.0; // homes of a key, for each part of the traffic that a backend's even share is
-const MOVED: f64 = 1.0; // calls that it counts as to go where a key is not known
+const MOVED: f64 = 0.4; // calls that it counts as to go where a key is not known
 const SHARED: f64 = 3.0; // instances that share a backend, where there are many
 const PART_LEAST: f64 = 6.0; // and the fewest backends that an instance keeps to
 const PATIENCE: f64 = 0.05; // part of the latency goal for which reports are waited for
@@ -118,7 +119,8 @@
                 }
             }
             BackendNote::Told(word) => {
-                let newer = |known: Option<(Time, f64)>| known.is_none_or(|(at, _)| at < around.now - word.age);
+                let newer =
+                    |known: Option<(Time, f64)>| known.is_none_or(|(at, _)| at < around.now - word.age);
                 if newer(self.word) {
                     self.word = Some((around.now - word.age, word.failing));
                 }
@@ -228,7 +230,10 @@
     fn word(&self, now: Time, tier: &Tier) -> f64 {
         let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
         let like = zone.share(tier.failing, PRIOR);
-        self.word.map_or(like, |(at, word)| like + (word - like) * (-now.since(at).ms() / WORD_FADE).exp())
+        // What has faded to a trace is forgotten, so that it decides no pick between equals.
+        let word =
+            self.word.map(|(at, word)| (now.since(at).ms() / WORD_FADE, word)).filter(|(age, _)| *age < 4.0);
+        word.map_or(like, |(age, word)| like + (word - like) * (-age).exp())
     }
 
     /// Guards against a backend that fails, or a zone, being learnt of anew by each of many instances that
@@ -255,6 +260,12 @@
 }
 
 impl Tier {
+    /// What this instance may have in flight. Guards against bursts of a few being held up where an even part is
+    /// less than a call: there what backends report shows more.
+    fn own_limit(&self) -> f64 {
+        (self.limit / self.crowd.max(1.0)).max(LIMIT_FLOOR)
+    }
+
     fn act(&mut self, note: TierNote, now: Time, settings: &Settings) {
         match note {
             TierNote::Holds(more) => self.in_flight += more,
@@ -275,8 +286,10 @@
                 self.zones.values_mut().for_each(|tally| tally.fade(FADE));
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
-                let instances = settings.instances as f64;
-                let of_ready = |calls: f64| (calls * ready / instances).max(LIMIT_FLOOR);
+                // Where instances outnumber backends, the limit is that of what all have at one of these.
+                self.crowd = (settings.instances as f64 / ready.max(1.0)).max(0.01);
+                let crowd = self.crowd;
+                let of_ready = |calls: f64| (calls / crowd.min(1.0)).max(LIMIT_FLOOR / crowd.max(1.0));
                 self.limit = if self.limit == 0.0 { of_ready(CALLS_START) } else { self.limit };
                 self.update(now, of_ready(CALLS_START));
                 self.limit = self.limit.clamp(of_ready(CALLS_LEAST), of_ready(CALLS_MOST));
@@ -285,7 +298,8 @@
     }
 
     fn update(&mut self, now: Time, start: f64) {
-        let Some((p90, answered)) = self.samples.p90(now, WINDOW, WINDOW_MOST, WINDOW_SAMPLES) else {
+        let full = (WINDOW_SAMPLES as f64 / self.crowd.max(1.0)) as usize;
+        let Some((p90, answered)) = self.samples.p90(now, WINDOW, WINDOW_MOST, full) else {
             // Guards against an instance with few calls being stuck at a low limit: it rises while unjudged.
             self.limit += if self.limit < start { 1.0 / BEATS_PER_S } else { 0.0 };
             return;
@@ -430,7 +444,7 @@
         self.mail = self.backends.keys().copied().collect();
         self.backends.values_mut().for_each(|backend| backend.inbox.push(BackendNote::Beat));
         let open = self.backends.iter().filter(|(id, _)| !self.barred.contains(id));
-        self.tier_inbox.push(census(open.map(|(_, backend)| backend)));
+        self.tier_inbox.push(census(open.map(|(_, backend)| backend), self.now));
         let instances = self.settings.instances as f64;
         for (share, allowance) in self.desk.shares.iter_mut().zip(&self.settings.allowances) {
             *share = (share.max(0.0) + allowance / instances / BEATS_PER_S).min(allowance / instances);
@@ -449,10 +463,13 @@
         }
     }
 
-    /// In flight and waiting, in multiples of the limit.
+    /// In flight and waiting, in multiples of the limit, by what is known here or by what backends report.
     fn load(&self) -> f64 {
         let waiting = self.desk.first.len() + self.desk.further.len() + self.desk.asking.len();
-        (self.tier.in_flight + waiting as f64) / self.tier.limit.max(LIMIT_FLOOR)
+        let own = (self.tier.in_flight + waiting as f64) / self.tier.own_limit();
+        own.max(
+            self.tier.others / self.tier.limit.max(1.0) * PRESSURE * (1.0 - 1.0 / self.tier.crowd).max(0.0),
+        )
     }
 
     /// Tells another instance what was seen last.
@@ -630,7 +647,7 @@
         if let Some((id, backend)) = asking.find_map(|id| Some((id, self.answered(id)?))) {
             return self.forward(id, backend, out);
         }
-        if self.tier.in_flight + self.desk.asking.len() as f64 >= self.tier.limit.max(LIMIT_FLOOR) {
+        if self.tier.in_flight + self.desk.asking.len() as f64 >= self.tier.own_limit() {
             return false;
         }
         let order = |id: &&ExchangeId| (self.desk.held[id].beyond_share, self.desk.held[id].goal);
@@ -702,7 +719,11 @@
         }
         let best = self.two(id, false)?;
         // Where crossing has a price, two of the own zone are drawn as well.
-        let near = if self.settings.crossing_priced && self.desk.held[&id].key.is_none() { self.two(id, true) } else { None };
+        let near = if self.settings.crossing_priced && self.desk.held[&id].key.is_none() {
+            self.two(id, true)
+        } else {
+            None
+        };
         Some(near.filter(|near| self.load_of(near[0]) <= self.load_of(best[0])).unwrap_or(best))
     }
 
@@ -741,8 +762,7 @@
 
     /// How long a report tells something: an answer's time, and longer where it is the seldomer had anew.
     fn fade(&self) -> f64 {
-        let crowd = self.settings.instances as f64 / self.tier.ready_and_out.0.max(1.0);
-        self.tier.took.or(0.0).max(1.0) * (FADE_X * crowd).max(1.0)
+        self.tier.took.or(0.0).max(1.0) * (FADE_X * self.tier.crowd).max(1.0)
     }
 
     fn load_of(&self, id: BackendId) -> f64 {
@@ -752,7 +772,8 @@
         // Guards against the seeming idleness of what other zones keep busy and what reports nothing.
         let unseen = if b.others.is_some() { 0.0 } else { UNSEEN * tier.in_flight };
         let crossing = CROSSING + unseen / self.roster.nearby().max(1) as f64;
-        (b.holds() + others + 1.0) * b.pace(tier) * b.burden(self.now, tier, self.settings.peers) + if far { crossing } else { 0.0 }
+        (b.holds() + others + 1.0) * b.pace(tier) * b.burden(self.now, tier, self.settings.peers)
+            + if far { crossing } else { 0.0 }
     }
 
     fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) -> bool {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -2,6 +2,7 @@
 use crate::event::Load;
 use crate::id::{PodId, TariffId, TenantId, ZoneId};
 use crate::settings::{Cold, Tariff};
+use crate::word::Word;
 
 const START: Time = Time::ORIGIN;
 
@@ -746,7 +747,8 @@
     let mut balancer = balancer(Effect::Reissuable, 2);
     balancer.handle(START, Event::Broke(id(0)), &mut Vec::new());
     assert!(
-        balancer.backends[&id(0)].burden(&balancer.tier) > balancer.backends[&id(1)].burden(&balancer.tier)
+        balancer.backends[&id(0)].burden(START, &balancer.tier, false)
+            > balancer.backends[&id(1)].burden(START, &balancer.tier, false)
     );
 }
 
@@ -780,3 +782,66 @@
         }
     }
 }
+
+/// Guards against a limit of whole calls that can't bind where an instance's even part is less than one.
+#[test]
+fn where_instances_outnumber_backends_what_these_report_turns_exchanges_back() {
+    let taken = |held: f64, instances: usize| {
+        let mut b = balancer(Effect::Reissuable, 4);
+        b.settings.instances = instances;
+        b.backends.values_mut().for_each(|b| b.others = Some((START, held)));
+        let mut out = Vec::new();
+        b.handle(START, Event::Timer(MARK_BEAT), &mut out);
+        b.handle(START, Event::Taken(exchange(1)), &mut out);
+        !out.iter().any(|action| matches!(action, Action::TurnBack { .. }))
+    };
+    assert!(taken(30.0, 1) && taken(1.0, 40));
+    assert!(!taken(30.0, 40));
+}
+
+#[test]
+fn an_old_report_counts_for_little_in_the_mean_of_all() {
+    let mut b = balancer(Effect::Reissuable, 2);
+    b.backends.get_mut(&id(0)).unwrap().others = Some((START, 40.0));
+    let now = START + ms(20_000);
+    b.backends.get_mut(&id(1)).unwrap().others = Some((now, 2.0));
+    let TierNote::Beat { others, .. } = census(b.backends.values(), now) else { panic!() };
+    assert!(others < 2.0, "{others}");
+}
+
+/// Two instances of many; the first saw backend 0 fail and hold much, and tells the other.
+#[test]
+fn what_a_peer_saw_turns_picks_away_until_it_is_old() {
+    let mut b = balancer(Effect::Reissuable, 2);
+    (b.settings.peers, b.settings.instances, b.tier.crowd) = (true, 8, 4.0);
+    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    let word = |age| Word { backend: id(0), age, held: Some(0.0), failing: 1.0 };
+    let bytes = encode(&Default::default(), [word(ms(100)), word(ms(4000))].into_iter());
+    b.handle(START + ms(5000), Event::PeerSaid { from: PeerId(3), bytes }, &mut Vec::new());
+    assert!((0..20).all(|_| first_pick(&mut b) == Some(id(1))));
+    b.now = START + ms(60_000);
+    assert!((0..60).any(|_| first_pick(&mut b) == Some(id(0))));
+}
+
+#[test]
+fn an_instance_tells_one_other_what_it_saw_and_only_where_peers_may() {
+    for (peers, instances, told) in [(true, 5, 1), (true, 1, 0), (false, 5, 0)] {
+        let mut b = balancer(Effect::Reissuable, 2);
+        (b.settings.peers, b.settings.instances, b.settings.ordinal) = (peers, instances, 3);
+        b.backends.get_mut(&id(1)).unwrap().others = Some((START, 2.0));
+        b.desk.keys.add(7);
+        let mut out = Vec::new();
+        b.handle(START, Event::Timer(MARK_BEAT), &mut out);
+        let tells: Vec<_> = out
+            .iter()
+            .filter_map(|action| match action {
+                Action::Tell { to, bytes } => {
+                    Some((to.unwrap(), decode(bytes).0.count(), decode(bytes).1.count()))
+                }
+                _ => None,
+            })
+            .collect();
+        assert_eq!(tells.len(), told);
+        assert!(tells.iter().all(|(to, keys, words)| to.0 != 3 && to.0 < 5 && (*keys, *words) == (1, 1)));
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -65,7 +65,8 @@
     pub fn tells(&self, now: Time) -> Option<Word> {
         let seen = self.others.map(|(at, _)| at).max(self.word.map(|(at, _)| at))?;
         let (age, held) = (now.since(seen), self.others.map(|(_, held)| held));
-        let word = Word { backend: self.listing.backend, age, held, failing: self.word.map_or(0.0, |(_, f)| f) };
+        let word =
+            Word { backend: self.listing.backend, age, held, failing: self.word.map_or(0.0, |(_, f)| f) };
         (age < OLDEST).then_some(word)
     }
 
@@ -78,6 +79,8 @@
 #[derive(Default)]
 pub struct Tier {
     pub limit: f64,
+    /// Instances for each ready backend.
+    pub crowd: f64,
     /// At backends that are not out, with what was given up and may still run.
     pub in_flight: f64,
     /// Mean of what the reports say that others hold at a backend.
@@ -187,11 +190,17 @@
     }
 }
 
+const SAID_FADE: f64 = 2000.0; // ms in which a report counts less in the mean of all
+const SAID_LEAST: f64 = 0.1; // reports that say that nothing is held, so that no report is none
+
 /// What the tier is told of all backends at each update.
-pub fn census<'a>(all: impl Iterator<Item = &'a Backend> + Clone) -> TierNote {
+pub fn census<'a>(all: impl Iterator<Item = &'a Backend> + Clone, now: Time) -> TierNote {
     let listed = all.filter(|b| b.listing.condition == Condition::Ready);
-    let said = listed.clone().filter_map(|b| b.others);
-    let others = said.clone().map(|(_, others)| others).sum::<f64>() / said.count().max(1) as f64;
+    // What was said long ago tells little of how much is held now.
+    let weighed = |(at, others): (Time, f64)| ((-now.since(at).ms() / SAID_FADE).exp(), others);
+    let said = listed.clone().filter_map(|b| b.others).map(weighed);
+    let (weights, sum) = said.fold((0.0, 0.0), |(w, s), (weight, others)| (w + weight, s + weight * others));
+    let others = sum / (weights + SAID_LEAST);
     let (ready, out) =
         (listed.clone().count() as f64, listed.clone().filter(|b| b.out.is_some()).count() as f64);
     let size = listed.map(|b| b.listing.size).sum::<f64>() / ready.max(1.0);
