--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,7 +44,7 @@
 const CALLS_START: f64 = 4.0;
 const CALLS_MOST: f64 = 6.0;
 const LIMIT_FLOOR: f64 = 4.0;
-const PRESSURE: f64 = 2.0;
+const PRESSURE: f64 = 3.0;
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
 const BAND_ALL: f64 = 3.0; // above this one nothing is taken
 const NEED: f64 = 1.5; // time left for an answer, in p90, under which waiting ends
@@ -281,8 +281,9 @@
                     self.took.add(took.ms(), 0.05);
                 }
             }
-            TierNote::Beat { ready, out, others, size } => {
-                (self.ready_and_out, self.others, self.size) = ((ready, out), others, size);
+            TierNote::Beat { ready, out, others, lesser, size } => {
+                (self.ready_and_out, self.size) = ((ready, out), size);
+                (self.others, self.lesser) = (others, lesser);
                 self.zones.values_mut().for_each(|tally| tally.fade(FADE));
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
@@ -463,13 +464,22 @@
         }
     }
 
-    /// In flight and waiting, in multiples of the limit, by what is known here or by what backends report.
+    /// In flight and waiting, in multiples of the limit.
     fn load(&self) -> f64 {
         let waiting = self.desk.first.len() + self.desk.further.len() + self.desk.asking.len();
-        let own = (self.tier.in_flight + waiting as f64) / self.tier.own_limit();
-        own.max(
-            self.tier.others / self.tier.limit.max(1.0) * PRESSURE * (1.0 - 1.0 / self.tier.crowd).max(0.0),
-        )
+        (self.tier.in_flight + waiting as f64) / self.tier.own_limit()
+    }
+
+    /// The same where instances outnumber backends, by what the backend holds that would be picked.
+    fn reported(&mut self, id: ExchangeId) -> f64 {
+        let weight = (1.0 - 1.0 / self.tier.crowd).max(0.0);
+        if weight == 0.0 { return 0.0 }
+        let two = self.pick(id);
+        let held = two.map_or(0.0, |two| {
+            let b = &self.backends[&two[0]];
+            b.holds() + b.others(self.now, self.tier.others, self.fade())
+        });
+        held / self.tier.limit.max(1.0) * PRESSURE * weight
     }
 
     /// Tells another instance what was seen last.
@@ -559,7 +569,6 @@
             *share < 0.0
         });
         self.stand_in(id, due, out);
-        let chance = (self.load() - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
         let held = Held::new(tariff, self.now, goal, due, beyond_share);
         let key = exchange.key.filter(|_| self.settings.remembers);
         if let Some(key) = key {
@@ -567,7 +576,8 @@
         }
         self.desk.held.insert(id, Held { whole: exchange.whole, key, ..held });
         self.desk.first.push(id);
-        if chance > self.rng.rand_float().into() {
+        let load = self.load().max(self.reported(id));
+        if (load - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE) > self.rng.rand_float().into() {
             // Guards against one tenant's flood: within the band, what lies beyond a share goes first.
             let beyond = self.desk.first.iter().find(|id| self.desk.held[id].beyond_share);
             self.give_up(beyond.copied().unwrap_or(id), out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -85,6 +85,8 @@
     pub in_flight: f64,
     /// Mean of what the reports say that others hold at a backend.
     pub others: f64,
+    /// Mean of what the less busy of any two holds by them.
+    pub lesser: f64,
     /// Mean size of the ready backends.
     pub size: f64,
     pub ready_and_out: (f64, f64),
@@ -198,13 +200,19 @@
     let listed = all.filter(|b| b.listing.condition == Condition::Ready);
     // What was said long ago tells little of how much is held now.
     let weighed = |(at, others): (Time, f64)| ((-now.since(at).ms() / SAID_FADE).exp(), others);
-    let said = listed.clone().filter_map(|b| b.others).map(weighed);
-    let (weights, sum) = said.fold((0.0, 0.0), |(w, s), (weight, others)| (w + weight, s + weight * others));
-    let others = sum / (weights + SAID_LEAST);
+    let mut said: Vec<_> = listed.clone().filter_map(|b| b.others).map(weighed).collect();
+    let weights = said.iter().map(|(weight, _)| weight).sum::<f64>() + SAID_LEAST;
+    let others = said.iter().map(|(weight, others)| weight * others).sum::<f64>() / weights;
+    said.sort_by(|a, b| a.1.total_cmp(&b.1));
+    let (mut above, mut lesser) = (weights - SAID_LEAST, 0.0);
+    for (weight, others) in said {
+        lesser += others * weight * (2.0 * above - weight) / weights.powi(2);
+        above -= weight;
+    }
     let (ready, out) =
         (listed.clone().count() as f64, listed.clone().filter(|b| b.out.is_some()).count() as f64);
     let size = listed.map(|b| b.listing.size).sum::<f64>() / ready.max(1.0);
-    TierNote::Beat { ready, out, others, size }
+    TierNote::Beat { ready, out, others, lesser, size }
 }
 
 /// How many backends of the list are out, or barred by hand.
--- a/src/word.rs
+++ b/src/word.rs
@@ -67,7 +67,7 @@
         let word = |n: u8| Word {
             backend: BackendId { address: [10, 0, 1, n], port: 8080 + u16::from(n) },
             age: Span::from_millis(20 * i64::from(n)),
-            held: (n % 3 > 0).then_some(f64::from(n) / 2.0),
+            held: (n & 3 > 0).then_some(f64::from(n) / 2.0),
             failing: f64::from(n % 2),
         };
         for (met, told, words) in [(0_u32, 0, 28), (3, 3, 27), (90, 12, 23)] {
