--- a/src/event.rs
+++ b/src/event.rs
@@ -237,5 +237,5 @@
     /// So much more is in flight at backends that are not out.
     Holds(f64),
     /// How many backends are listed as ready, how many of those are out, and the mean of their reports.
-    Beat { ready: f64, out: f64, others: f64, lesser: f64, size: f64 },
+    Beat { ready: f64, out: f64, others: f64, middle: f64, size: f64 },
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,6 +25,7 @@
 use crate::roster::Roster;
 use crate::settings::{Effect, Group, Settings};
 use crate::state::{all_barred, census, left_out, Backend, Desk, Held, Tier};
+use crate::stats::Mean;
 use crate::time::{Span, Time};
 use crate::word::{decode, encode};
 
@@ -44,7 +45,7 @@
 const CALLS_START: f64 = 4.0;
 const CALLS_MOST: f64 = 6.0;
 const LIMIT_FLOOR: f64 = 4.0;
-const PRESSURE: f64 = 3.0;
+const PRESSURE: f64 = 3.0; // how much what backends report counts against the limit, at LATE
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
 const BAND_ALL: f64 = 3.0; // above this one nothing is taken
 const NEED: f64 = 1.5; // time left for an answer, in p90, under which waiting ends
@@ -275,15 +276,17 @@
             }
             TierNote::Sample(took, in_time, seen) => {
                 self.samples.add(now, took.ms(), seen);
-                self.late += (f64::from(u8::from(!in_time)) - self.late) * 0.05;
+                // What is not known yet is not taken for good.
+                self.late = if self.late.known().is_none() { Mean::of(LATE) } else { self.late };
+                self.late.add(f64::from(u8::from(!in_time)), 0.05);
                 if in_time {
                     self.answers += 1.0;
                     self.took.add(took.ms(), 0.05);
                 }
             }
-            TierNote::Beat { ready, out, others, lesser, size } => {
+            TierNote::Beat { ready, out, others, middle, size } => {
                 (self.ready_and_out, self.size) = ((ready, out), size);
-                (self.others, self.lesser) = (others, lesser);
+                (self.others, self.middle) = (others, middle);
                 self.zones.values_mut().for_each(|tally| tally.fade(FADE));
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
@@ -318,7 +321,7 @@
         }
         let queued = self.queued(self.latency);
         // Guards against a goal so near that latency can't grow past it: much lateness is a queue, if any.
-        if queued > 6.0 * log || self.late > LATE && queued > 1.5 * log {
+        if queued > 6.0 * log || self.late.or(0.0) > LATE && queued > 1.5 * log {
             self.limit -= log.max(1.0);
         } else if queued < 3.0 * log {
             self.limit += log.max(1.0);
@@ -470,16 +473,11 @@
         (self.tier.in_flight + waiting as f64) / self.tier.own_limit()
     }
 
-    /// The same where instances outnumber backends, by what the backend holds that would be picked.
-    fn reported(&mut self, id: ExchangeId) -> f64 {
-        let weight = (1.0 - 1.0 / self.tier.crowd).max(0.0);
-        if weight == 0.0 { return 0.0 }
-        let two = self.pick(id);
-        let held = two.map_or(0.0, |two| {
-            let b = &self.backends[&two[0]];
-            b.holds() + b.others(self.now, self.tier.others, self.fade())
-        });
-        held / self.tier.limit.max(1.0) * PRESSURE * weight
+    /// The same where instances outnumber backends: by what these report, which the more counts the more is late.
+    fn reported(&self) -> f64 {
+        let tier = &self.tier;
+        let late = (tier.late.or(LATE) / LATE).clamp(0.5, 1.0);
+        (1.0 - 1.0 / tier.crowd).max(0.0) * tier.middle / tier.limit.max(1.0) * PRESSURE * late
     }
 
     /// Tells another instance what was seen last.
@@ -576,8 +574,8 @@
         }
         self.desk.held.insert(id, Held { whole: exchange.whole, key, ..held });
         self.desk.first.push(id);
-        let load = self.load().max(self.reported(id));
-        if (load - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE) > self.rng.rand_float().into() {
+        let chance = (self.load().max(self.reported()) - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
+        if chance > self.rng.rand_float().into() {
             // Guards against one tenant's flood: within the band, what lies beyond a share goes first.
             let beyond = self.desk.first.iter().find(|id| self.desk.held[id].beyond_share);
             self.give_up(beyond.copied().unwrap_or(id), out);
--- a/src/state.rs
+++ b/src/state.rs
@@ -85,8 +85,8 @@
     pub in_flight: f64,
     /// Mean of what the reports say that others hold at a backend.
     pub others: f64,
-    /// Mean of what the less busy of any two holds by them.
-    pub lesser: f64,
+    /// Half of the reports say less.
+    pub middle: f64,
     /// Mean size of the ready backends.
     pub size: f64,
     pub ready_and_out: (f64, f64),
@@ -107,7 +107,7 @@
     /// Answer time in ms.
     pub took: Mean,
     /// Part of the samples that were not in time.
-    pub late: f64,
+    pub late: Mean,
     /// Part of the forwards that fail.
     pub failing: f64,
     /// What failed of late in each zone.
@@ -204,15 +204,16 @@
     let weights = said.iter().map(|(weight, _)| weight).sum::<f64>() + SAID_LEAST;
     let others = said.iter().map(|(weight, others)| weight * others).sum::<f64>() / weights;
     said.sort_by(|a, b| a.1.total_cmp(&b.1));
-    let (mut above, mut lesser) = (weights - SAID_LEAST, 0.0);
-    for (weight, others) in said {
-        lesser += others * weight * (2.0 * above - weight) / weights.powi(2);
-        above -= weight;
-    }
+    let mut below = SAID_LEAST;
+    let middle = said.iter().find(|(weight, _)| {
+        below += weight;
+        2.0 * below >= weights
+    });
+    let middle = middle.map_or(0.0, |(_, others)| *others);
     let (ready, out) =
         (listed.clone().count() as f64, listed.clone().filter(|b| b.out.is_some()).count() as f64);
     let size = listed.map(|b| b.listing.size).sum::<f64>() / ready.max(1.0);
-    TierNote::Beat { ready, out, others, lesser, size }
+    TierNote::Beat { ready, out, others, middle, size }
 }
 
 /// How many backends of the list are out, or barred by hand.
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -9,6 +9,10 @@
 pub struct Mean(Option<f64>);
 
 impl Mean {
+    pub fn of(value: f64) -> Mean {
+        Mean(Some(value))
+    }
+
     pub fn add(&mut self, value: f64, weight: f64) {
         self.0 = Some(self.0.map_or(value, |mean| mean + (value - mean) * weight));
     }
