--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,7 +49,6 @@
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
 const BAND_ALL: f64 = 3.0; // above this one nothing is taken
 const NEED: f64 = 1.5; // time left for an answer, in p90, under which waiting ends
-const GIVEN_UP: f64 = 2.0; // p90 after which a forward is given up for another
 const PURSE_SHARE: f64 = 0.1; // repeats of what may have run, for each first forward
 const PURSE_MOST: f64 = 10.0; // and the most that are saved up
 const STRIKES_OUT: f64 = 2.0; // strikes in a row that put a backend out
@@ -792,13 +791,7 @@
             PURSE_SHARE.min(PURSE_MOST - self.desk.purse) * f64::from(u8::from(held.sent == 0));
         held.out = Some((self.backends[&backend].listing, self.now));
         held.sent += 1;
-        // Guards against a silent backend taking all the time there is, while another may answer.
-        let spare = self.desk.purse >= 1.0 && self.tier.late.or(LATE) < LATE;
-        let again = held.whole && held.tariff.effect != Effect::AtMostOnce && spare;
-        let patience = Span::from_ms(GIVEN_UP * self.tier.latency.or(f64::INFINITY).min(1e6));
-        let left = held.due.since(self.now);
-        let early = again && held.sent < self.settings.max_forwards && self.now + patience.scaled(1.5) < held.goal;
-        out.push(Action::Forward { exchange: id, backend, time_out: if early { patience } else { left } });
+        out.push(Action::Forward { exchange: id, backend, time_out: held.due.since(self.now) });
         if held.whole {
             self.tell(backend, BackendNote::Sent);
         }
