--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -14,7 +14,6 @@
 pub struct Columns {
     pub held: Option<usize>,
     pub waiting: Option<usize>,
-    pub service: Option<usize>,
 }
 
 /// An instance's settings: what the decisions read, and what only its adapter does.
@@ -38,7 +37,6 @@
         match name {
             "busy_reqs" | "inflight" => load.held = Some(value),
             "pending" | "queue" => load.waiting = Some(value),
-            "svc_ms" | "latency_ms" => load.service = Some(value),
             _ => {}
         }
     }
@@ -225,7 +223,7 @@
 pub fn decode(text: &[u8]) -> Result<Setup, String> {
     let setup: Text = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
     let place = |name: &str| setup.report.columns.iter().position(|column| column == name);
-    let columns = Columns { held: place("busy_reqs"), waiting: place("pending"), service: place("svc_ms") };
+    let columns = Columns { held: place("busy_reqs"), waiting: place("pending") };
     let answers = matches!(setup.report.how, How::Answers);
     let asked = answers && setup.allowed.probes && columns.held.or(columns.waiting).is_some();
     let tariff_names = setup.tariffs.iter().map(|tariff| tariff.name.clone()).collect();
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -498,7 +498,7 @@
         only_draining_binds: b.only_draining_binds,
         cold,
     };
-    let columns = if reports { Columns { held: Some(0), waiting: Some(1), service: None } } else { Columns::default() };
+    let columns = if reports { Columns { held: Some(0), waiting: Some(1) } } else { Columns::default() };
     let setup = Setup {
         settings,
         columns,
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -105,8 +105,6 @@
                 load.held = value;
             } else if columns.waiting == Some(place) {
                 load.waiting = value;
-            } else if columns.service == Some(place) {
-                load.service = value;
             }
         }
         Ok(load)
--- a/src/event.rs
+++ b/src/event.rs
@@ -157,8 +157,6 @@
 pub struct Load {
     pub held: Option<f64>,
     pub waiting: Option<f64>,
-    /// How long it works on an exchange of late, in ms, without its wait.
-    pub service: Option<f64>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -239,5 +237,5 @@
     /// So much more is in flight at backends that are not out.
     Holds(f64),
     /// How many backends are listed as ready, how many of those are out, and the mean of their reports.
-    Beat { ready: f64, out: f64, others: f64, middle: f64, service: f64, size: f64 },
+    Beat { ready: f64, out: f64, others: f64, middle: f64, size: f64 },
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -127,7 +127,6 @@
                 }
                 if let Some(held) = word.held.filter(|_| newer(self.others)) {
                     self.others = Some((around.now - word.age, held));
-                    self.service = word.service.or(self.service);
                 }
             }
             BackendNote::Beat => self.beat(around),
@@ -160,7 +159,6 @@
     fn report(&mut self, load: Load, now: Time) {
         let said = load.held.or(load.waiting).map(|held| (now, (held - self.in_flight).max(0.0)));
         self.others = said.or(self.others);
-        self.service = load.service.or(self.service);
     }
 
     fn beat(&mut self, around: &mut Around) {
@@ -286,9 +284,9 @@
                     self.took.add(took.ms(), 0.05);
                 }
             }
-            TierNote::Beat { ready, out, others, middle, service, size } => {
+            TierNote::Beat { ready, out, others, middle, size } => {
                 (self.ready_and_out, self.size) = ((ready, out), size);
-                (self.others, self.middle, self.service) = (others, middle, service);
+                (self.others, self.middle) = (others, middle);
                 self.zones.values_mut().for_each(|tally| tally.fade(FADE));
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
@@ -482,15 +480,6 @@
         (1.0 - 1.0 / tier.crowd).max(0.0) * tier.middle / tier.limit.max(1.0) * PRESSURE * late
     }
 
-    /// How far the time that the picked backend wants goes beyond what there is, by its report.
-    fn expected(&mut self, id: ExchangeId) -> f64 {
-        let Some(two) = (self.tier.service > 0.0).then(|| self.pick(id)).flatten() else { return 0.0 };
-        let (b, held) = (&self.backends[&two[0]], &self.desk.held[&id]);
-        let holds = b.holds() + b.others(self.now, self.tier.others, self.fade()) + 1.0;
-        let part = holds * b.service.unwrap_or(self.tier.service) / held.goal.since(self.now).ms().max(1.0);
-        (part - 0.5) / 0.5
-    }
-
     /// Tells another instance what was seen last.
     fn gossip(&mut self, out: &mut Vec<Action>) {
         let mut words: Vec<_> = self.backends.values().filter_map(|b| b.tells(self.now)).collect();
@@ -585,7 +574,7 @@
         }
         self.desk.held.insert(id, Held { whole: exchange.whole, key, ..held });
         self.desk.first.push(id);
-        let chance = (self.load().max(self.reported()).max(BAND_CHANCE + self.expected(id)) - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
+        let chance = (self.load().max(self.reported()) - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
         if chance > self.rng.rand_float().into() {
             // Guards against one tenant's flood: within the band, what lies beyond a share goes first.
             let beyond = self.desk.first.iter().find(|id| self.desk.held[id].beyond_share);
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,8 +39,6 @@
     pub heard: Time,
     /// What it last said it holds for others, and when.
     pub others: Option<(Time, f64)>,
-    /// How long it works on an exchange, in ms, where it says so.
-    pub service: Option<f64>,
     /// When it was last judged, by this instance or another that told of it, and what part failed by then.
     pub word: Option<(Time, f64)>,
 }
@@ -58,9 +56,6 @@
     /// How many times as long as its peers it takes; small differences do not count, and its size counts by
     /// its root: what it waits for elsewhere takes no longer on a small machine.
     pub fn pace(&self, tier: &Tier) -> f64 {
-        if let Some(service) = self.service.filter(|_| tier.service > 0.0) {
-            return (service / tier.service).clamp(0.1, 10.0);
-        }
         let size = self.listing.size / if tier.size > 0.0 { tier.size } else { self.listing.size };
         (self.took.or(tier.took.or(0.0)) / tier.took.or(0.0).max(1.0) / 1.2).clamp(1.0, 8.0) / size.sqrt()
     }
@@ -71,7 +66,7 @@
         let seen = self.others.map(|(at, _)| at).max(self.word.map(|(at, _)| at))?;
         let (age, held) = (now.since(seen), self.others.map(|(_, held)| held));
         let word =
-            Word { backend: self.listing.backend, age, held, service: self.service, failing: self.word.map_or(0.0, |(_, f)| f) };
+            Word { backend: self.listing.backend, age, held, failing: self.word.map_or(0.0, |(_, f)| f) };
         (age < OLDEST).then_some(word)
     }
 
@@ -92,8 +87,6 @@
     pub others: f64,
     /// Half of the reports say less.
     pub middle: f64,
-    /// Mean of how long they work on an exchange, where they say so; else 0.
-    pub service: f64,
     /// Mean size of the ready backends.
     pub size: f64,
     pub ready_and_out: (f64, f64),
@@ -217,12 +210,10 @@
         2.0 * below >= weights
     });
     let middle = middle.map_or(0.0, |(_, others)| *others);
-    let (sum, known) = listed.clone().filter_map(|b| b.service).fold((0.0, 0.0), |(s, n), ms| (s + ms, n + 1.0));
-    let service = sum / f64::max(known, 1.0);
     let (ready, out) =
         (listed.clone().count() as f64, listed.clone().filter(|b| b.out.is_some()).count() as f64);
     let size = listed.map(|b| b.listing.size).sum::<f64>() / ready.max(1.0);
-    TierNote::Beat { ready, out, others, middle, service, size }
+    TierNote::Beat { ready, out, others, middle, size }
 }
 
 /// How many backends of the list are out, or barred by hand.
--- a/src/word.rs
+++ b/src/word.rs
@@ -13,8 +13,6 @@
     pub age: Span,
     /// What it said that it holds.
     pub held: Option<f64>,
-    /// How long it works on an exchange, in ms.
-    pub service: Option<f64>,
     /// The part of its forwards that fail.
     pub failing: f64,
 }
@@ -22,14 +20,13 @@
 /// What is older is not told.
 pub const OLDEST: Span = Span::from_millis(5000);
 
-const BYTES: usize = 10;
+const BYTES: usize = 9;
 const KEY_BYTES: usize = 4;
 const KEYS_MOST: usize = 12;
 const MOST: usize = 256;
 const UNKNOWN: u8 = u8::MAX;
 const AGE_STEP: f64 = 20.0; // ms, which leaves room for `OLDEST` in a byte
 const HELD_STEP: f64 = 0.5;
-const SERVICE_STEP: f64 = 4.0; // ms
 
 /// The last few keys that were met, and as many of the words as one message holds besides.
 pub fn encode(keys: &VecDeque<u32>, words: impl Iterator<Item = Word>) -> Vec<u8> {
@@ -40,11 +37,9 @@
     for word in words.take((MOST - bytes.len()) / BYTES) {
         bytes.extend(word.backend.address);
         bytes.extend(word.backend.port.to_le_bytes());
-        let short = |value: Option<f64>, step: f64| value.map_or(UNKNOWN, |v| (v / step).round().min(254.0) as u8);
-        let (held, service) = (short(word.held, HELD_STEP), short(word.service, SERVICE_STEP));
+        let held = word.held.map_or(UNKNOWN, |held| (held / HELD_STEP).round().min(254.0) as u8);
         // The casts saturate.
-        let age = (word.age.ms() / AGE_STEP).ceil() as u8;
-        bytes.extend([age, held, service, (word.failing * 255.0).round() as u8]);
+        bytes.extend([(word.age.ms() / AGE_STEP).ceil() as u8, held, (word.failing * 255.0).round() as u8]);
     }
     bytes
 }
@@ -54,13 +49,11 @@
     let (keys, rest) = bytes.split_first().unwrap_or((&0, &[]));
     let (keys, words) = rest.split_at((usize::from(*keys) * KEY_BYTES).min(rest.len()));
     let keys = keys.chunks_exact(KEY_BYTES).map(|b| u32::from_le_bytes([b[0], b[1], b[2], b[3]]));
-    let known = |byte: u8| (byte != UNKNOWN).then_some(f64::from(byte));
-    let words = words.chunks_exact(BYTES).map(move |b| Word {
+    let words = words.chunks_exact(BYTES).map(|b| Word {
         backend: BackendId { address: [b[0], b[1], b[2], b[3]], port: u16::from_le_bytes([b[4], b[5]]) },
         age: Span::from_ms(f64::from(b[6]) * AGE_STEP),
-        held: known(b[7]).map(|held| held * HELD_STEP),
-        service: known(b[8]).map(|service| service * SERVICE_STEP),
-        failing: f64::from(b[9]) / 255.0,
+        held: Some(b[7]).filter(|held| *held != UNKNOWN).map(|held| f64::from(held) * HELD_STEP),
+        failing: f64::from(b[8]) / 255.0,
     });
     (keys, words)
 }
@@ -75,10 +68,9 @@
             backend: BackendId { address: [10, 0, 1, n], port: 8080 + u16::from(n) },
             age: Span::from_millis(20 * i64::from(n)),
             held: (n & 3 > 0).then_some(f64::from(n) / 2.0),
-            service: (n & 1 > 0).then_some(f64::from(n) * 4.0),
             failing: f64::from(n % 2),
         };
-        for (met, told, words) in [(0_u32, 0, 25), (3, 3, 24), (90, 12, 20)] {
+        for (met, told, words) in [(0_u32, 0, 28), (3, 3, 27), (90, 12, 23)] {
             let bytes = encode(&(0..met).collect(), (0..200).map(word));
             assert!(bytes.len() <= MOST);
             let (keys, read) = decode(&bytes);
@@ -98,9 +90,9 @@
     #[test]
     fn figures_beyond_a_byte_stay_at_its_ends() {
         let backend = BackendId { address: [0; 4], port: 0 };
-        let word = Word { backend, age: Span::from_millis(90_000), held: Some(1e9), service: None, failing: 7.0 };
+        let word = Word { backend, age: Span::from_millis(90_000), held: Some(1e9), failing: 7.0 };
         let bytes = encode(&VecDeque::new(), [word].into_iter());
         let read = decode(&bytes).1.next().unwrap();
-        assert_eq!((read.age, read.held, read.service, read.failing), (Span::from_millis(5100), Some(127.0), None, 1.0));
+        assert_eq!((read.age, read.held, read.failing), (Span::from_millis(5100), Some(127.0), 1.0));
     }
 }
