--- a/src/policy.rs
+++ b/src/policy.rs
@@ -474,10 +474,13 @@
     }
 
     /// The same where instances outnumber backends: by what these report, which the more counts the more is late.
-    fn reported(&self) -> f64 {
-        let tier = &self.tier;
+    fn reported(&mut self, id: ExchangeId) -> f64 {
+        let weight = (1.0 - 1.0 / self.tier.crowd).max(0.0);
+        let Some(two) = (weight > 0.0).then(|| self.pick(id)).flatten() else { return 0.0 };
+        let (tier, b) = (&self.tier, &self.backends[&two[0]]);
+        let held = (b.holds() + b.others(self.now, tier.others, self.fade()) + tier.middle) / 2.0;
         let late = (tier.late.or(LATE) / LATE).clamp(0.5, 1.0);
-        (1.0 - 1.0 / tier.crowd).max(0.0) * tier.middle / tier.limit.max(1.0) * PRESSURE * late
+        weight * held / tier.limit.max(1.0) * PRESSURE * late
     }
 
     /// Tells another instance what was seen last.
@@ -574,7 +577,7 @@
         }
         self.desk.held.insert(id, Held { whole: exchange.whole, key, ..held });
         self.desk.first.push(id);
-        let chance = (self.load().max(self.reported()) - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
+        let chance = (self.load().max(self.reported(id)) - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
         if chance > self.rng.rand_float().into() {
             // Guards against one tenant's flood: within the band, what lies beyond a share goes first.
             let beyond = self.desk.first.iter().find(|id| self.desk.held[id].beyond_share);
