--- a/src/policy.rs
+++ b/src/policy.rs
@@ -169,6 +169,7 @@
         let bears = cold.warmth(self.started(), around.now) * cold.multiple * 0.5 * around.tier.rate;
         self.credit = (self.credit + bears.max(floor) / BEATS_PER_S).min(1.5);
         self.ghosts.retain(|until| *until > around.now);
+        self.tally.fade(FADE);
         // What was slow is forgotten with time, so that it is tried again.
         self.took.add(around.tier.took.or(0.0), 0.01);
         if self.in_flight > 0.0 && around.now.since(self.heard).ms() > 3.0 * around.tier.latency.or(1000.0) {
@@ -220,6 +221,7 @@
     }
 
     fn judge(&mut self, failed: f64, around: &mut Around) {
+        self.tally.add(failed);
         let known = self.word(around.now, around.tier);
         self.word = Some((around.now, known + (failed - known) * 0.3));
         around.tier_inbox.push(TierNote::Verdict(failed, self.listing.zone));
@@ -237,8 +239,10 @@
 
     /// Guards against a backend that fails, or a zone, being learnt of anew by each of many instances that
     /// send it little: what fails more than the tier weighs more in the pick from the first failure on.
-    fn burden(&self, now: Time, tier: &Tier) -> f64 {
-        let failing = self.word(now, tier);
+    fn burden(&self, now: Time, tier: &Tier, peers: bool) -> f64 {
+        let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
+        let like = if peers { self.word(now, tier) } else { zone.share(tier.failing, PRIOR) };
+        let failing = self.tally.share(like, PRIOR);
         ((1.0 - tier.failing) / (1.0 - failing).max(0.1)).max(1.0).powi(2)
     }
 
@@ -779,7 +783,7 @@
         // Guards against the seeming idleness of what other zones keep busy and what reports nothing.
         let unseen = if b.others.is_some() { 0.0 } else { UNSEEN * tier.in_flight };
         let crossing = CROSSING + unseen / self.roster.nearby().max(1) as f64;
-        (b.holds() + others + 1.0) * b.pace(tier) * b.burden(self.now, tier)
+        (b.holds() + others + 1.0) * b.pace(tier) * b.burden(self.now, tier, self.settings.peers)
             + if far { crossing } else { 0.0 }
     }
 
