--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -19,6 +19,8 @@
     pub checks: u64,
     pub dialled: u64,
     pub reused: u64,
+    /// Messages of peers.
+    pub heard: u64,
     pub lists: u64,
     pub lists_failed: u64,
     /// Lists that were odd in some way, whether or not they were taken over.
@@ -69,7 +71,8 @@
         write!(f, "honoured={} turned_back={} ", self.honoured, self.turned_back)?;
         write!(f, "forfeited={} overdue={} left={} ", self.forfeited, self.overdue, self.left)?;
         write!(f, "forwards={} dialled={} reused={} ", self.forwards, self.dialled, self.reused)?;
-        write!(f, "checks={} lists={} lists_failed={} ", self.checks, self.lists, self.lists_failed)?;
+        write!(f, "checks={} heard={} ", self.checks, self.heard)?;
+        write!(f, "lists={} lists_failed={} ", self.lists, self.lists_failed)?;
         write!(f, "lists_odd={}", self.lists_odd)?;
         let names = [
             "honoured",
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -86,6 +86,8 @@
     /// The path without its query.
     pub path: String,
     pub tariff: Option<String>,
+    /// What the request is about, in short; requests with one key belong together.
+    pub key: Option<u64>,
     /// How long the client waits, as it was written.
     pub time_out: Option<String>,
     left_out: Vec<Range<usize>>,
@@ -113,7 +115,7 @@
     // Guards against a head that a backend reads in another way: bare line feeds, or a field twice.
     let bare = bytes[..length].windows(2).any(|two| two[1] == b'\n' && two[0] != b'\r');
     let twice = |name: &&str| request.headers.iter().filter(|header| is(header, name)).count() > 1;
-    if bare || ["Host", "Request-Id", "Request-Class", "Request-Timeout"].iter().any(twice) {
+    if bare || ["Host", "Request-Id", "Request-Class", "Request-Timeout", "Request-Key"].iter().any(twice) {
         return Err(Bad::Malformed);
     }
     let target = request.path.filter(|target| target.starts_with('/')).ok_or(Bad::Malformed)?;
@@ -132,11 +134,26 @@
         id: value("Request-Id").filter(|id| !id.is_empty()).map(str::to_string),
         path: target.split('?').next().unwrap_or_default().to_string(),
         tariff: value("Request-Class").map(str::to_string),
+        key: value("Request-Key")
+            .or(value("Request-Info").and_then(key_of))
+            .filter(|key| !key.is_empty())
+            .map(short),
         time_out: value("Request-Timeout").map(str::to_string),
         left_out: found.left_out,
     }))
 }
 
+/// The key among a request's further figures, `name=value` between commas.
+fn key_of(figures: &str) -> Option<&str> {
+    figures.split(',').find_map(|figure| figure.trim().strip_prefix("key="))
+}
+
+/// A key in 64 bits, the same at every proxy and with every build (FNV-1a).
+fn short(key: &str) -> u64 {
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    key.bytes().fold(0xcbf2_9ce4_8422_2325, step)
+}
+
 impl RequestHead {
     /// The request as it goes on: as it came, but with the time that is left now.
     pub fn forwarded(&self, message: &[u8], left: Span) -> Vec<u8> {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod listing;
 pub mod management;
 pub mod patience;
+pub mod peers;
 pub mod pool;
 pub mod proxy;
 pub mod shared;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -25,6 +25,7 @@
 use crate::http::{self, AnswerHead, Bad};
 use crate::listing::{backend_id, Handed, List};
 use crate::management::{Call, Management};
+use crate::peers::Peers;
 use crate::pool::{Message, Pool};
 use crate::shared::{
     Begun, CallSlot, ClientSlot, ConnSlot, Done, Due, HeldSlot, Note, OfHeld, Owner, Purpose, Request, Shared,
@@ -86,6 +87,7 @@
     discovery: Discovery,
     management: Management,
     handover: Handover,
+    peers: Peers,
     /// Alone, and while another process lives beside it.
     budgets: [Budgets; 2],
     /// The path at which a backend is checked.
@@ -159,7 +161,10 @@
         let handover = Handover::new(path, wanted, before, &mut io);
         let budgets = [config.budgets, config.halved];
         let now_budgets = budgets[usize::from(handover.beside())];
-        let setup = config.setup;
+        let mut setup = config.setup;
+        let peers = Peers::new(setup.peers, setup.settings.ordinal, managed, &io)?;
+        // Nothing is said where nobody's address is known.
+        setup.settings.peers &= peers.any();
         let cut_offs: Vec<_> = setup.settings.tariffs.iter().map(|tariff| tariff.cut_off).collect();
         let longest = cut_offs.iter().copied().max().unwrap_or_default();
         let method = |effect| if effect == Effect::Reissuable { "GET" } else { "POST" };
@@ -198,6 +203,7 @@
             discovery,
             management,
             handover,
+            peers,
             budgets,
             check_path,
             longest,
@@ -274,6 +280,7 @@
             Owner::Call(slot) => self.management.event(slot, &mut self.io),
             Owner::Handover => self.hand_over(),
             Owner::Peer(slot) => self.handover.event(slot, &mut self.io),
+            Owner::Peers => self.hear(),
         }
     }
 
@@ -293,6 +300,19 @@
             Due::Leave => self.leave(),
             Due::Call(slot) => self.management.close(slot, &mut self.io),
             Due::CallRead(slot) => self.management.event(slot, &mut self.io),
+            Due::Hear => self.hear(),
+        }
+    }
+
+    /// What peers say; a few at a time, so that a flood of it keeps nobody else waiting.
+    fn hear(&mut self) {
+        let (heard, more) = self.peers.heard();
+        for (from, bytes) in heard {
+            self.io.counters.heard += 1;
+            self.decide(Event::PeerSaid { from, bytes });
+        }
+        if more {
+            self.io.deadlines.set(self.io.now, Due::Hear);
         }
     }
 
@@ -484,8 +504,7 @@
                     Some(host) => tracing::info!(host, "{text}"),
                     None => tracing::info!("{text}"),
                 },
-                // The instances have no way to talk to each other here.
-                Action::Tell { .. } => {}
+                Action::Tell { to, bytes } => self.peers.tell(to, &bytes),
             }
         }
     }
@@ -493,6 +512,7 @@
     fn taken(&mut self, client: ClientSlot, request: Request) {
         self.io.counters.taken += 1;
         let (tariff, cut_off, whole) = (TariffId(request.tariff), request.cut_off, request.whole);
+        let (tenant, key, cost) = (TenantId(0), request.head.key, None);
         // Guards against large requests filling the memory while they wait.
         let bytes = request.message.len();
         let room = bytes + self.held_bytes <= self.clients.budgets.bytes;
@@ -514,7 +534,6 @@
         self.io.streams += usize::from(!whole);
         let id = ExchangeId(slot.number());
         self.clients.holds(client, id);
-        let (tenant, key, cost) = (TenantId(0), None, None);
         self.decide(Event::Taken(Exchange { id, tariff, tenant, key, cut_off, cost, whole }));
     }
 
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -81,6 +81,8 @@
     Idle(ConnSlot),
     /// The answer of discovery, or the next call to it.
     List,
+    /// More of what peers say is there to be read.
+    Hear,
     /// Connections are to be accepted again.
     Accept,
     /// The next step of going down.
@@ -169,6 +171,7 @@
     Call(CallSlot),
     Handover,
     Peer(PeerSlot),
+    Peers,
 }
 
 impl Owner {
@@ -178,6 +181,7 @@
             Owner::Signals => (0, 1),
             Owner::Management => (0, 2),
             Owner::Handover => (0, 3),
+            Owner::Peers => (0, 4),
             Owner::Discovery(turn) => (1, u64::from(turn)),
             Owner::Client(slot) => (2, slot.number()),
             Owner::Conn(slot) => (3, slot.number()),
@@ -193,7 +197,8 @@
             (0, 0) => Owner::Listener,
             (0, 1) => Owner::Signals,
             (0, 2) => Owner::Management,
-            (0, _) => Owner::Handover,
+            (0, 3) => Owner::Handover,
+            (0, _) => Owner::Peers,
             (1, _) => Owner::Discovery(number as u32),
             (2, _) => Owner::Client(Slot::from_number(number)),
             (3, _) => Owner::Conn(Slot::from_number(number)),
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -100,8 +100,21 @@
         Proxy::run(config(backends, 1024, &settings(5000, ""), &addresses), 1024, environment)
     }
 
-    fn run((config, discovery): (String, TcpListener), descriptors: usize, more: &[(&str, &str)]) -> Proxy {
-        let path = new_path();
+    /// By a configuration in the project's own form, which names its backends itself.
+    pub fn start_native(text: &str) -> Proxy {
+        Proxy::run_at(new_path().with_extension("toml"), (text.to_string(), backend()), 1024, &[])
+    }
+
+    fn run(config: (String, TcpListener), descriptors: usize, more: &[(&str, &str)]) -> Proxy {
+        Proxy::run_at(new_path(), config, descriptors, more)
+    }
+
+    fn run_at(
+        path: PathBuf,
+        (config, discovery): (String, TcpListener),
+        descriptors: usize,
+        more: &[(&str, &str)],
+    ) -> Proxy {
         let (mut child, log) = run(&config, descriptors, &path, more);
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| log.0.send(line)));
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod native;
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use sparlug::event::Load;
 use sparlug::id::ZoneId;
@@ -24,6 +26,8 @@
     /// In the order of the settings' tariffs and zones.
     pub tariff_names: Vec<String>,
     pub zone_names: Vec<String>,
+    /// Where the proxies of the tier hear each other, by their numbers.
+    pub peers: Vec<SocketAddr>,
     /// A connection that is not up by then counts as failed.
     pub dial: Span,
     /// A backend closes a connection that stood idle for so long.
@@ -69,6 +73,8 @@
     zones: Vec<String>,
     #[serde(default)]
     family_info: FamilyInfo,
+    #[serde(default)]
+    peer_addresses: Vec<SocketAddr>,
 }
 
 #[derive(Default, Deserialize)]
@@ -256,5 +262,9 @@
         },
     };
     let (dial, idle) = (Span::from_ms(dial), Span::from_ms(idle));
-    Ok(Setup { settings, columns, tariff_names, zone_names: setup.zones, dial, idle })
+    let (zone_names, peers) = (setup.zones, setup.peer_addresses);
+    if !peers.is_empty() && peers.len() != settings.instances {
+        return Err(format!("settings: {} peerAddresses for {} balancers", peers.len(), settings.instances));
+    }
+    Ok(Setup { settings, columns, tariff_names, zone_names, peers, dial, idle })
 }
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -127,6 +127,7 @@
     zones: Vec<String>,
     zone: Option<Spanned<String>>,
     crossing_priced: bool,
+    peers: Vec<Spanned<String>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -143,6 +144,7 @@
     cold_window: Option<Spanned<String>>,
     full_proves_nothing: bool,
     only_draining_binds: bool,
+    remember_keys: bool,
 }
 
 #[derive(Default, Deserialize)]
@@ -268,6 +270,38 @@
         self.value(field, found, read)
     }
 
+    /// Where the proxies hear each other, one address for each in the order of their numbers.
+    fn peers(&mut self, found: &[Spanned<String>], instances: usize) -> Vec<SocketAddr> {
+        let mut peers = Vec::new();
+        for one in found {
+            let (at, text) = (one.span().start, one.get_ref());
+            match text.parse::<SocketAddr>() {
+                Ok(peer) if peers.contains(&peer) => {
+                    self.fault(at, format!("tier.peers: {text:?} is there twice"))
+                }
+                Ok(peer) if peer.port() == 0 => {
+                    self.fault(at, format!("tier.peers: {text:?}: wanted a port above 0"))
+                }
+                Ok(peer) => peers.push(peer),
+                Err(_) => self.fault(
+                    at,
+                    format!("tier.peers: {text:?}: wanted an address and a port, such as \"127.0.0.1:9601\""),
+                ),
+            }
+        }
+        if let Some(first) = found.first().filter(|_| found.len() != instances) {
+            let at = first.span().start;
+            self.fault(
+                at,
+                format!(
+                    "tier.peers: {} addresses, wanted one for each of tier.proxies = {instances}",
+                    found.len()
+                ),
+            );
+        }
+        peers
+    }
+
     fn tariff(&mut self, name: &str, found: &Spanned<TariffText>) -> Tariff {
         let (at, t) = (found.span().start, found.get_ref());
         let field = |field: &str| format!("tariff.{name}.{field}");
@@ -407,6 +441,7 @@
     let zone = c.value("tier.zone", &tier.zone, |zone| place(zone, &zones)).unwrap_or(0);
     let instances = c.whole("tier.proxies", &tier.proxies, (1, 100_000), 1);
     let ordinal = c.whole("tier.ordinal", &tier.ordinal, (0, instances as i64 - 1), 0);
+    let peers = c.peers(&tier.peers, instances);
     let above = c.whole("tier.above", &tier.above, (0, 100), 0);
 
     let directory = match &read.discovery {
@@ -491,8 +526,8 @@
         list_on_request: false,
         max_forwards,
         cancelling: true,
-        remembers: false,
-        peers: false,
+        remembers: b.remember_keys,
+        peers: !peers.is_empty(),
         max_backoff,
         full_proves_nothing: b.full_proves_nothing,
         only_draining_binds: b.only_draining_binds,
@@ -504,6 +539,7 @@
         columns,
         tariff_names: read.tariff.into_keys().collect(),
         zone_names: zones,
+        peers,
         dial,
         idle,
     };
--- a/src/event.rs
+++ b/src/event.rs
@@ -111,6 +111,17 @@
 }
 
 impl Ended {
+    /// The latency that counts for it, if any, and whether it was in time. A full answer counts as a time-out, and
+    /// both as one that had not waited: guards against the short time-outs of what waited long passing for quick
+    /// answers.
+    pub fn sample(&self, goal: Span) -> Option<(Span, bool)> {
+        match self.outcome {
+            Outcome::Full | Outcome::TimedOut => Some((goal.max(self.took), false)),
+            Outcome::Honoured => Some((self.took, self.took < goal)),
+            _ => None,
+        }
+    }
+
     /// Whether it was sent before the backend's process last started, and so tells nothing of that.
     pub fn precedes(&self, listing: &Listing, now: Time) -> bool {
         listing.started.is_some_and(|started| started + self.took > now)
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,30 +1,20 @@
 //! All decisions of an instance: where an exchange goes, when it waits, when it is turned back.
 //! Make one [`Balancer`] with the instance's settings, then hand it every event in order; it appends what is
-//! to be done. Its interface is `event.rs` (what it hears and does) and `settings.rs` (what it is told).
-//! The ordinary path is the design of `docs/design.md`. Beside it stand six mechanisms:
-//! 1. Health: a backend that fails or falls silent while its peers answer is out until a trial is honoured.
-//! 2. Further forwards: a line of their own, and a purse for what may have run, which first forwards fill.
-//! 3. Turn-backs: what can no longer be answered in time gets its final answer at once.
-//! 4. Fairness: within the refusal band, what lies beyond its tenant's share goes first.
-//! 5. Cold cap: a fresh backend's forwards are capped in flight and in rate, and grow with its answers.
-//! 6. Following the list: departures bind at once; a lost watch is asked for again with a growing wait.
+//! to be done. The ordinary path is the design of `docs/design.md`, which tells what stands beside it.
 //!
 //! Each backend is an actor, and so are the tier's limit and the desk that holds the exchanges. They change
-//! each other only by notes put into inboxes, which one loop, in [`Balancer::handle`], empties. What each
-//! remembers is in `state.rs`.
+//! each other only by notes, which one loop, in [`Balancer::handle`], hands out; `state.rs` has their memory.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem::take;
 
 use oorandom::Rand32;
 
-use crate::event::{
-    Action, BackendNote, Condition, Ended, Event, Exchange, Listing, Load, Outcome, TierNote,
-};
+use crate::event::{Action, BackendNote, Condition, Ended, Event, Exchange, Listing, Outcome, TierNote};
 use crate::id::{BackendId, ExchangeId, ForwardNo, PeerId, TimerMark};
 use crate::roster::Roster;
 use crate::settings::{Effect, Group, Settings};
-use crate::state::{all_barred, census, left_out, Backend, Desk, Held, Tier};
+use crate::state::{all_barred, census, left_out, words, Backend, Desk, Held, Tier};
 use crate::stats::Mean;
 use crate::time::{Span, Time};
 use crate::word::{decode, encode};
@@ -62,7 +52,7 @@
 const CROSSING: f64 = 0.25; // calls that crossing zones counts as, where it has a price
 const UNSEEN: f64 = 0.5; // and of the mean nearby, for a backend that does not report
 const KEYS_FADE: f64 = 0.97; // what part of what is known of keys stays from one update to the next
-const FADE_X: f64 = 3.0;
+const SELDOM: f64 = 3.0; // answers' times, by instances a backend, in which a report loses its weight
 const SPREAD: f64 = 1.0; // homes of a key, for each part of the traffic that a backend's even share is
 const MOVED: f64 = 0.4; // calls that it counts as to go where a key is not known
 const SHARED: f64 = 3.0; // instances that share a backend, where there are many
@@ -119,16 +109,7 @@
                     self.put_out("not reached", around);
                 }
             }
-            BackendNote::Told(word) => {
-                let newer =
-                    |known: Option<(Time, f64)>| known.is_none_or(|(at, _)| at < around.now - word.age);
-                if newer(self.word) {
-                    self.word = Some((around.now - word.age, word.failing));
-                }
-                if let Some(held) = word.held.filter(|_| newer(self.others)) {
-                    self.others = Some((around.now - word.age, held));
-                }
-            }
+            BackendNote::Told(word) => self.hear(word, around.now),
             BackendNote::Beat => self.beat(around),
         }
         // Guards against a hung backend's forwards using up the limit: while it is out they do not count.
@@ -156,11 +137,6 @@
         }
     }
 
-    fn report(&mut self, load: Load, now: Time) {
-        let said = load.held.or(load.waiting).map(|held| (now, (held - self.in_flight).max(0.0)));
-        self.others = said.or(self.others);
-    }
-
     fn beat(&mut self, around: &mut Around) {
         // Guards against a cold backend being pushed over by all instances together: each sends it its part
         // of what its warmth bears, measured by what its peers carry.
@@ -222,30 +198,11 @@
 
     fn judge(&mut self, failed: f64, around: &mut Around) {
         self.tally.add(failed);
-        let known = self.word(around.now, around.tier);
+        let known = self.word(around.now, around.tier, PRIOR, WORD_FADE);
         self.word = Some((around.now, known + (failed - known) * 0.3));
         around.tier_inbox.push(TierNote::Verdict(failed, self.listing.zone));
     }
 
-    /// The part of its forwards that fail, as others saw it, and with time as its zone does.
-    fn word(&self, now: Time, tier: &Tier) -> f64 {
-        let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
-        let like = zone.share(tier.failing, PRIOR);
-        // What has faded to a trace is forgotten, so that it decides no pick between equals.
-        let word =
-            self.word.map(|(at, word)| (now.since(at).ms() / WORD_FADE, word)).filter(|(age, _)| *age < 4.0);
-        word.map_or(like, |(age, word)| like + (word - like) * (-age).exp())
-    }
-
-    /// Guards against a backend that fails, or a zone, being learnt of anew by each of many instances that
-    /// send it little: what fails more than the tier weighs more in the pick from the first failure on.
-    fn burden(&self, now: Time, tier: &Tier, peers: bool) -> f64 {
-        let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
-        let like = if peers { self.word(now, tier) } else { zone.share(tier.failing, PRIOR) };
-        let failing = self.tally.share(like, PRIOR);
-        ((1.0 - tier.failing) / (1.0 - failing).max(0.1)).max(1.0).powi(2)
-    }
-
     fn put_out(&mut self, why: &str, around: &mut Around) {
         if self.out.is_none() {
             if around.tier.ready_and_out.1 + 1.0 > (OUT_MOST * around.tier.ready_and_out.0).round() {
@@ -261,8 +218,7 @@
 }
 
 impl Tier {
-    /// What this instance may have in flight. Guards against bursts of a few being held up where an even part is
-    /// less than a call: there what backends report shows more.
+    /// What this instance may have in flight. Guards against bursts of a few being held up in a large crowd.
     fn own_limit(&self) -> f64 {
         (self.limit / self.crowd.max(1.0)).max(LIMIT_FLOOR)
     }
@@ -276,8 +232,7 @@
             }
             TierNote::Sample(took, in_time, seen) => {
                 self.samples.add(now, took.ms(), seen);
-                // What is not known yet is not taken for good.
-                self.late = if self.late.known().is_none() { Mean::of(LATE) } else { self.late };
+                self.late = Mean::of(self.late.or(LATE)); // what is not known yet is not taken for good
                 self.late.add(f64::from(u8::from(!in_time)), 0.05);
                 if in_time {
                     self.answers += 1.0;
@@ -285,8 +240,8 @@
                 }
             }
             TierNote::Beat { ready, out, others, middle, size } => {
-                (self.ready_and_out, self.size) = ((ready, out), size);
-                (self.others, self.middle) = (others, middle);
+                (self.ready_and_out, self.others, self.middle, self.size) =
+                    ((ready, out), others, middle, size);
                 self.zones.values_mut().for_each(|tally| tally.fade(FADE));
                 self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
@@ -355,20 +310,8 @@
         let own = settings.allowances.iter().filter(|_| settings.tier == 0);
         let shares = own.map(|allowance| allowance / settings.instances as f64).collect();
         let desk = Desk { purse: PURSE_MOST / 2.0, shares, mode: "ordinary", ..Desk::default() };
-        let (backends, barred, mail, roster, tier, tier_inbox) = Default::default();
-        Balancer {
-            settings,
-            rng,
-            now,
-            backends,
-            barred,
-            mail,
-            roster,
-            tier,
-            tier_inbox,
-            desk,
-            list_failures: 0,
-        }
+        let (backends, barred, mail, roster, tier, tier_inbox, list_failures) = Default::default();
+        Balancer { settings, rng, now, backends, barred, mail, roster, tier, tier_inbox, desk, list_failures }
     }
 
     /// Takes one event and appends what is to be done about it now.
@@ -438,42 +381,24 @@
         out.push(Action::Timer { after: BEAT, mark: MARK_BEAT });
         let before = self.backends.len();
         self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.holds() > 0.0);
-        if self.backends.len() < before {
-            self.roster = Roster::default();
-        }
+        let moved = self.backends.len() < before;
+        self.roster = if moved { Roster::default() } else { take(&mut self.roster) };
         self.desk.keys.fade(KEYS_FADE);
-        if self.settings.peers && self.settings.instances > 1 {
-            self.gossip(out);
-        }
+        out.extend(self.gossip());
         self.mail = self.backends.keys().copied().collect();
         self.backends.values_mut().for_each(|backend| backend.inbox.push(BackendNote::Beat));
         let open = self.backends.iter().filter(|(id, _)| !self.barred.contains(id));
         self.tier_inbox.push(census(open.map(|(_, backend)| backend), self.now));
-        let instances = self.settings.instances as f64;
-        for (share, allowance) in self.desk.shares.iter_mut().zip(&self.settings.allowances) {
-            *share = (share.max(0.0) + allowance / instances / BEATS_PER_S).min(allowance / instances);
-        }
-        let (limit, load) = (self.tier.limit, self.load());
-        let mode = match self.desk.first.len() {
-            0 => "ordinary",
-            _ if load <= BAND_CHANCE => "waiting",
-            _ => "refusing",
-        };
-        if mode != self.desk.mode {
-            self.desk.mode = mode;
-            let [p90, base] = [self.tier.latency, self.tier.baseline].map(|mean| mean.or(0.0));
-            let text = format!("{mode}: limit {limit:.1}, load {load:.2}, p90 {p90:.0}/{base:.0}");
-            out.push(Action::Log(text));
-        }
+        self.desk.refill(&self.settings, BEATS_PER_S);
+        out.extend(self.desk.tell_mode(self.load(), BAND_CHANCE, &self.tier).map(Action::Log));
     }
 
     /// In flight and waiting, in multiples of the limit.
     fn load(&self) -> f64 {
-        let waiting = self.desk.first.len() + self.desk.further.len() + self.desk.asking.len();
-        (self.tier.in_flight + waiting as f64) / self.tier.own_limit()
+        (self.tier.in_flight + self.desk.waiting()) / self.tier.own_limit()
     }
 
-    /// The same where instances outnumber backends: by what these report, which the more counts the more is late.
+    /// The same where instances outnumber backends: by what these report, the more so the more is late.
     fn reported(&mut self, id: ExchangeId) -> f64 {
         let weight = (1.0 - 1.0 / self.tier.crowd).max(0.0);
         let Some(two) = (weight > 0.0).then(|| self.pick(id)).flatten() else { return 0.0 };
@@ -484,12 +409,12 @@
     }
 
     /// Tells another instance what was seen last.
-    fn gossip(&mut self, out: &mut Vec<Action>) {
-        let mut words: Vec<_> = self.backends.values().filter_map(|b| b.tells(self.now)).collect();
-        words.sort_by_key(|word| word.age);
-        let peer = self.rng.rand_range(1..self.settings.instances as u32) as usize + self.settings.ordinal;
-        let to = Some(PeerId((peer % self.settings.instances) as u16));
-        out.push(Action::Tell { to, bytes: encode(&self.desk.keys.last, words.into_iter()) });
+    fn gossip(&mut self) -> Option<Action> {
+        let Settings { instances, ordinal, .. } = self.settings;
+        let next =
+            (self.settings.peers && instances > 1).then(|| self.rng.rand_range(1..instances as u32))?;
+        let to = Some(PeerId(((ordinal + next as usize) % instances) as u16));
+        Some(Action::Tell { to, bytes: encode(&self.desk.keys.last, words(&self.backends, self.now)) })
     }
 
     fn act(&mut self, event: Event, out: &mut Vec<Action>) {
@@ -564,17 +489,11 @@
         let id = exchange.id;
         let tariff = self.settings.tariffs[usize::from(exchange.tariff.0)];
         let (goal, due) = self.settings.times(&tariff, self.now, exchange.cut_off, exchange.cost);
-        let share = self.desk.shares.get_mut(exchange.tenant.0 as usize);
-        let beyond_share = share.is_some_and(|share| {
-            *share -= 1.0;
-            *share < 0.0
-        });
+        let beyond_share = self.desk.goes_beyond(exchange.tenant);
         self.stand_in(id, due, out);
         let held = Held::new(tariff, self.now, goal, due, beyond_share);
         let key = exchange.key.filter(|_| self.settings.remembers);
-        if let Some(key) = key {
-            self.desk.keys.add(key);
-        }
+        key.into_iter().for_each(|key| self.desk.keys.add(key));
         self.desk.held.insert(id, Held { whole: exchange.whole, key, ..held });
         self.desk.first.push(id);
         let chance = (self.load().max(self.reported(id)) - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
@@ -588,13 +507,7 @@
     fn ended(&mut self, e: Ended, out: &mut Vec<Action>) {
         self.count(e.exchange);
         let held = self.desk.held.get(&e.exchange);
-        // A full answer counts as a time-out, and both as one that had not waited: guards against the short
-        // time-outs of what waited long passing for quick answers.
-        let sample = held.map(|held| held.tariff.goal).and_then(|goal| match e.outcome {
-            Outcome::Full | Outcome::TimedOut => Some((goal.max(e.took), false)),
-            Outcome::Honoured => Some((e.took, e.took < goal)),
-            _ => None,
-        });
+        let sample = held.and_then(|held| e.sample(held.tariff.goal));
         self.tell(e.backend, BackendNote::Ended(e, sample));
         if e.answered {
             self.desk.held.remove(&e.exchange);
@@ -671,8 +584,8 @@
             self.desk.leave_lines(id);
             self.desk.asking.push(id);
             let wait = self.desk.held[&id].tariff.goal.scaled(PATIENCE);
-            let asked = Some((two, self.now, self.now + wait));
-            self.desk.held.entry(id).and_modify(|held| held.asked = asked);
+            let now = self.now;
+            self.desk.held.entry(id).and_modify(|held| held.asked = Some((two, now, now + wait)));
             out.extend(two.map(|backend| Action::Check { backend }));
             out.push(Action::Timer { after: wait, mark: MARK_ASKED });
             return true;
@@ -683,8 +596,8 @@
     /// Where instances outnumber backends, own forwards say next to nothing of what a backend holds, and
     /// reports that came with answers are old: there the two that were drawn are asked first.
     fn asks(&self) -> bool {
-        let price = self.settings.report_price.filter(|price| *price <= ASK_PRICE);
-        price.is_some() && self.settings.instances as f64 > self.tier.ready_and_out.0
+        let cheap = self.settings.report_price.is_some_and(|price| price <= ASK_PRICE);
+        cheap && self.settings.instances as f64 > self.tier.ready_and_out.0
     }
 
     /// The better of the two that were asked, once both have answered or the time for it is up.
@@ -702,8 +615,8 @@
         best.map(|(_, _, backend)| backend).or_else(|| self.pick(id).map(|two| two[0]))
     }
 
-    /// Whether a backend is ready and open to the exchange, and whether few are.
-    fn open(&self, id: ExchangeId, not: Option<BackendId>) -> (bool, impl Fn(BackendId) -> bool + '_) {
+    /// Whether a backend is ready and open to the exchange.
+    fn open(&self, id: ExchangeId, not: Option<BackendId>) -> impl Fn(BackendId) -> bool + '_ {
         let held = &self.desk.held[&id];
         // Guards against an effect that happens twice.
         let may = |b: &Backend| match (held.tariff.effect, held.ran) {
@@ -713,11 +626,10 @@
                 self.now < since + window && at.shares(&b.listing, group)
             }
         };
-        let open = move |backend: BackendId| {
+        move |backend: BackendId| {
             let b = &self.backends[&backend];
             Some(backend) != not && b.ready(self.now, &self.settings) && may(b)
-        };
-        (held.ran.is_some() && held.tariff.effect != Effect::Reissuable, open)
+        }
     }
 
     /// Of two random ready backends the one with less to do, and the other.
@@ -730,50 +642,31 @@
         }
         let best = self.two(id, false)?;
         // Where crossing has a price, two of the own zone are drawn as well.
-        let near = if self.settings.crossing_priced && self.desk.held[&id].key.is_none() {
-            self.two(id, true)
-        } else {
-            None
-        };
+        let zoned = self.settings.crossing_priced && self.desk.held[&id].key.is_none();
+        let near = if zoned { self.two(id, true) } else { None };
         Some(near.filter(|near| self.load_of(near[0]) <= self.load_of(best[0])).unwrap_or(best))
     }
 
     fn two(&mut self, id: ExchangeId, near: bool) -> Option<[BackendId; 2]> {
-        let mut rng = self.rng;
-        let held = &self.desk.held[&id];
-        let last = held.last;
+        let (mut rng, held) = (self.rng, &self.desk.held[&id]);
+        // Only the few repeats that must stay in a group look through the whole list.
+        let grouped = held.ran.is_some() && held.tariff.effect != Effect::Reissuable;
         let (one, other, moved) = if let Some(key) = held.key {
-            let (_, open) = self.open(id, None);
-            let spread =
-                SPREAD * self.tier.ready_and_out.0 * self.desk.keys.share(key) + f64::from(rng.rand_float());
-            let kept = (spread as usize).max(1);
-            let mut homes = self.roster.homes(key, near, kept + 2, open);
-            if homes.len() > 1 {
-                homes.retain(|id| Some(*id) != last);
-            }
-            let kept = kept.min(homes.len());
-            if kept == 0 {
-                return None;
-            }
-            let one = homes.remove(rng.rand_range(0..kept as u32) as usize);
-            let place = rng.rand_range(0..kept.min(homes.len()).max(1) as u32) as usize;
-            (one, homes.get(place).copied().unwrap_or(one), if place + 1 >= kept { MOVED } else { 0.0 })
+            let homes = SPREAD * self.tier.ready_and_out.0 * self.desk.keys.share(key);
+            self.roster.draw_homes(&mut rng, key, homes, held.last, self.open(id, None))?
         } else {
-            let draw = |rng: &mut Rand32, not| {
-                let (few, open) = self.open(id, not);
-                // Only the few repeats that must stay in a group look through the whole list.
-                self.roster.draw(rng, near, few, open)
-            };
-            let one = draw(&mut rng, None)?;
-            (one, draw(&mut rng, Some(one)).unwrap_or(one), 0.0)
+            let mut draw = |not| self.roster.draw(&mut rng, near, grouped, self.open(id, not));
+            let one = draw(None)?;
+            (one, draw(Some(one)).unwrap_or(one), false)
         };
         self.rng = rng;
+        let moved = f64::from(u8::from(moved)) * MOVED;
         Some(if self.load_of(one) <= self.load_of(other) + moved { [one, other] } else { [other, one] })
     }
 
     /// How long a report tells something: an answer's time, and longer where it is the seldomer had anew.
     fn fade(&self) -> f64 {
-        self.tier.took.or(0.0).max(1.0) * (FADE_X * self.tier.crowd).max(1.0)
+        self.tier.took.or(0.0).max(1.0) * (SELDOM * self.tier.crowd).max(1.0)
     }
 
     fn load_of(&self, id: BackendId) -> f64 {
@@ -783,8 +676,8 @@
         // Guards against the seeming idleness of what other zones keep busy and what reports nothing.
         let unseen = if b.others.is_some() { 0.0 } else { UNSEEN * tier.in_flight };
         let crossing = CROSSING + unseen / self.roster.nearby().max(1) as f64;
-        (b.holds() + others + 1.0) * b.pace(tier) * b.burden(self.now, tier, self.settings.peers)
-            + if far { crossing } else { 0.0 }
+        let weight = b.pace(tier) * b.burden(self.now, tier, self.settings.peers, (PRIOR, WORD_FADE));
+        (b.holds() + others + 1.0) * weight + if far { crossing } else { 0.0 }
     }
 
     fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) -> bool {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -450,11 +450,11 @@
 
 #[test]
 fn much_lateness_lowers_the_limit_where_a_queue_shows_at_all() {
-    let mut late = Tier { late: 0.3, ..tier(100) };
+    let mut late = Tier { late: Mean::of(0.3), ..tier(100) };
     late.baseline.add(85.0, 1.0);
     late.update(START + ms(2400), 20.0);
     assert!(late.limit < 20.0);
-    let mut heavy = Tier { late: 0.3, ..tier(100) };
+    let mut heavy = Tier { late: Mean::of(0.3), ..tier(100) };
     heavy.update(START + ms(2400), 20.0);
     assert!(heavy.limit > 20.0);
 }
@@ -572,7 +572,7 @@
 fn what_leaves_the_list_moves_only_what_was_there() {
     let homes = |without: Option<u8>, key| {
         let all = (0..12).filter(|n| Some(*n) != without).map(listing);
-        Roster::new(all, ZoneId(0), 3.0, 0).homes(key, false, 2, |_| true)
+        Roster::new(all, ZoneId(0), 3.0, 0).homes(key, 2, |_| true)
     };
     for key in 1..200 {
         let (before, after) = (homes(None, key), homes(Some(7), key));
@@ -747,8 +747,8 @@
     let mut balancer = balancer(Effect::Reissuable, 2);
     balancer.handle(START, Event::Broke(id(0)), &mut Vec::new());
     assert!(
-        balancer.backends[&id(0)].burden(START, &balancer.tier, false)
-            > balancer.backends[&id(1)].burden(START, &balancer.tier, false)
+        balancer.backends[&id(0)].burden(START, &balancer.tier, false, (PRIOR, WORD_FADE))
+            > balancer.backends[&id(1)].burden(START, &balancer.tier, false, (PRIOR, WORD_FADE))
     );
 }
 
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -56,18 +56,35 @@
         self.all.is_empty()
     }
 
-    /// The first `most` homes of a key that are open, of all or of those nearby.
-    pub fn homes(
+    /// The first `most` homes of a key that are open.
+    pub fn homes(&self, key: u64, most: usize, open: impl Fn(BackendId) -> bool) -> Vec<BackendId> {
+        let mut marked: Vec<_> = self.all.iter().map(|(id, size)| (mark(key, *id, *size), *id)).collect();
+        marked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        marked.into_iter().map(|(_, id)| id).filter(|id| open(*id)).take(most).collect()
+    }
+
+    /// Two homes of a key that are open: a random one of the first so many, a part of one by chance, and another of
+    /// them or of the next; and whether that one lies beyond them. Neither is `last`, if there are others.
+    pub fn draw_homes(
         &self,
+        rng: &mut Rand32,
         key: u64,
-        near: bool,
-        most: usize,
+        so_many: f64,
+        last: Option<BackendId>,
         open: impl Fn(BackendId) -> bool,
-    ) -> Vec<BackendId> {
-        let ids = if near { &self.near } else { &self.all };
-        let mut marked: Vec<_> = ids.iter().map(|(id, size)| (mark(key, *id, *size), *id)).collect();
-        marked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        marked.into_iter().map(|(_, id)| id).filter(|id| open(*id)).take(most).collect()
+    ) -> Option<(BackendId, BackendId, bool)> {
+        let wanted = ((so_many + f64::from(rng.rand_float())) as usize).max(1);
+        let mut homes = self.homes(key, wanted + 2, open);
+        if homes.len() > 1 {
+            homes.retain(|id| Some(*id) != last);
+        }
+        let first = wanted.min(homes.len());
+        if first == 0 {
+            return None;
+        }
+        let one = homes.remove(rng.rand_range(0..first as u32) as usize);
+        let place = rng.rand_range(0..first.min(homes.len()).max(1) as u32) as usize;
+        Some((one, homes.get(place).copied().unwrap_or(one), place + 1 >= first))
     }
 
     /// A random one that is open, a larger one with more chance, of all or of those nearby, and of the own part
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::event::{BackendNote, Condition, Event, Listing, TierNote};
-use crate::id::{BackendId, ExchangeId, ZoneId};
-use crate::settings::Tariff;
+use crate::event::{BackendNote, Condition, Event, Listing, Load, TierNote};
+use crate::id::{BackendId, ExchangeId, TenantId, ZoneId};
+use crate::settings::{Settings, Tariff};
 use crate::stats::{Keys, Mean, Tally, Trend, Window};
 use crate::time::Time;
 use crate::word::{Word, OLDEST};
@@ -61,6 +61,40 @@
     }
 
     /// What others have in flight here: its report, which fades towards the mean of all reports with age.
+    /// Guards against a backend that fails, or a zone, being learnt of anew by each of many instances that
+    /// send it little: what fails more than the tier weighs more in the pick from the first failure on.
+    pub fn burden(&self, now: Time, tier: &Tier, peers: bool, (prior, fade): (f64, f64)) -> f64 {
+        let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
+        let like = if peers { self.word(now, tier, prior, fade) } else { zone.share(tier.failing, prior) };
+        let failing = self.tally.share(like, prior);
+        ((1.0 - tier.failing) / (1.0 - failing).max(0.1)).max(1.0).powi(2)
+    }
+
+    /// What it says that it holds, without this instance's forwards.
+    pub fn report(&mut self, load: Load, now: Time) {
+        let said = load.held.or(load.waiting).map(|held| (now, (held - self.in_flight).max(0.0)));
+        self.others = said.or(self.others);
+    }
+
+    /// The part of its forwards that fail, as others saw it, and with time as its zone does.
+    pub fn word(&self, now: Time, tier: &Tier, prior: f64, fade: f64) -> f64 {
+        let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
+        let like = zone.share(tier.failing, prior);
+        // What has faded to a trace is forgotten, so that it decides no pick between equals.
+        let word =
+            self.word.map(|(at, word)| (now.since(at).ms() / fade, word)).filter(|(age, _)| *age < 4.0);
+        word.map_or(like, |(age, word)| like + (word - like) * (-age).exp())
+    }
+
+    /// Takes another instance's word where it is newer than what is known.
+    pub fn hear(&mut self, word: Word, now: Time) {
+        let at = now - word.age;
+        let newer = |known: Option<(Time, f64)>| known.is_none_or(|(known, _)| known < at);
+        self.word = if newer(self.word) { Some((at, word.failing)) } else { self.word };
+        let held = word.held.filter(|_| newer(self.others)).map(|held| (at, held));
+        self.others = held.or(self.others);
+    }
+
     /// What there is to tell others of it, unless it is old.
     pub fn tells(&self, now: Time) -> Option<Word> {
         let seen = self.others.map(|(at, _)| at).max(self.word.map(|(at, _)| at))?;
@@ -185,6 +219,39 @@
 }
 
 impl Desk {
+    pub fn waiting(&self) -> f64 {
+        (self.first.len() + self.further.len() + self.asking.len()) as f64
+    }
+
+    /// Gives each tenant its part of what it may ask of one instance in an update interval.
+    pub fn refill(&mut self, settings: &Settings, beats_per_s: f64) {
+        for (share, allowance) in self.shares.iter_mut().zip(&settings.allowances) {
+            let own = allowance / settings.instances as f64;
+            *share = (share.max(0.0) + own / beats_per_s).min(own);
+        }
+    }
+
+    /// Counts an exchange against its tenant's share; whether it lies beyond it.
+    pub fn goes_beyond(&mut self, tenant: TenantId) -> bool {
+        let share = self.shares.get_mut(tenant.0 as usize);
+        share.is_some_and(|share| {
+            *share -= 1.0;
+            *share < 0.0
+        })
+    }
+
+    /// A line for the log, where it is another state than before.
+    pub fn tell_mode(&mut self, load: f64, band: f64, tier: &Tier) -> Option<String> {
+        let mode = match self.first.len() {
+            0 => "ordinary",
+            _ if load <= band => "waiting",
+            _ => "refusing",
+        };
+        let [p90, base] = [tier.latency, tier.baseline].map(|mean| mean.or(0.0));
+        let text = format!("{mode}: limit {:.1}, load {load:.2}, p90 {p90:.0}/{base:.0}", tier.limit);
+        (std::mem::replace(&mut self.mode, mode) != mode).then_some(text)
+    }
+
     pub fn leave_lines(&mut self, id: ExchangeId) {
         for line in [&mut self.first, &mut self.further, &mut self.asking] {
             line.retain(|waiting| *waiting != id);
@@ -216,6 +283,13 @@
     TierNote::Beat { ready, out, others, middle, size }
 }
 
+/// What there is to tell another instance of them, the newest first.
+pub fn words(backends: &BTreeMap<BackendId, Backend>, now: Time) -> impl Iterator<Item = Word> {
+    let mut words: Vec<_> = backends.values().filter_map(|b| b.tells(now)).collect();
+    words.sort_by_key(|word| word.age);
+    words.into_iter()
+}
+
 /// How many backends of the list are out, or barred by hand.
 pub fn left_out(backends: &BTreeMap<BackendId, Backend>, barred: &BTreeSet<BackendId>) -> usize {
     let listed = backends.iter().filter(|(_, b)| b.listing.condition != Condition::Gone);
