--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,7 +53,7 @@
 const UNSEEN: f64 = 0.5; // and of the mean nearby, for a backend that does not report
 const KEYS_FADE: f64 = 0.97; // what part of what is known of keys stays from one update to the next
 const SELDOM: f64 = 3.0; // answers' times, by instances a backend, in which a report loses its weight
-const SPREAD: f64 = 1.0; // homes of a key, for each part of the traffic that a backend's even share is
+const SPREAD: f64 = 2.5; // homes of a key, for each part of the traffic that a backend's even share is
 const MOVED: f64 = 0.4; // calls that it counts as to go where a key is not known
 const SHARED: f64 = 3.0; // instances that share a backend, where there are many
 const PART_LEAST: f64 = 6.0; // and the fewest backends that an instance keeps to
@@ -408,11 +408,11 @@
         weight * held / tier.limit.max(1.0) * PRESSURE * late
     }
 
-    /// Tells another instance what was seen last.
+    /// Tells another instance what was seen last, for each exchange once at the most: it has a price.
     fn gossip(&mut self) -> Option<Action> {
         let Settings { instances, ordinal, .. } = self.settings;
-        let next =
-            (self.settings.peers && instances > 1).then(|| self.rng.rand_range(1..instances as u32))?;
+        let tells = self.settings.peers && instances > 1 && take(&mut self.desk.met);
+        let next = tells.then(|| self.rng.rand_range(1..instances as u32))?;
         let to = Some(PeerId(((ordinal + next as usize) % instances) as u16));
         Some(Action::Tell { to, bytes: encode(&self.desk.keys.last, words(&self.backends, self.now)) })
     }
@@ -490,10 +490,10 @@
         let tariff = self.settings.tariffs[usize::from(exchange.tariff.0)];
         let (goal, due) = self.settings.times(&tariff, self.now, exchange.cut_off, exchange.cost);
         let beyond_share = self.desk.goes_beyond(exchange.tenant);
+        self.desk.met = true;
         self.stand_in(id, due, out);
         let held = Held::new(tariff, self.now, goal, due, beyond_share);
-        let key = exchange.key.filter(|_| self.settings.remembers);
-        key.into_iter().for_each(|key| self.desk.keys.add(key));
+        let key = exchange.key.filter(|_| self.settings.remembers).inspect(|key| self.desk.keys.add(*key));
         self.desk.held.insert(id, Held { whole: exchange.whole, key, ..held });
         self.desk.first.push(id);
         let chance = (self.load().max(self.reported(id)) - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
@@ -567,8 +567,8 @@
         for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
         }
-        let mut asking = self.desk.asking.clone().into_iter();
-        if let Some((id, backend)) = asking.find_map(|id| Some((id, self.answered(id)?))) {
+        for id in self.desk.asking.clone() {
+            let Some(backend) = self.answered(id) else { continue };
             return self.forward(id, backend, out);
         }
         if self.tier.in_flight + self.desk.asking.len() as f64 >= self.tier.own_limit() {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -832,6 +832,9 @@
         b.desk.keys.add(7);
         let mut out = Vec::new();
         b.handle(START, Event::Timer(MARK_BEAT), &mut out);
+        assert!(!out.iter().any(|action| matches!(action, Action::Tell { .. })), "nothing was taken");
+        b.desk.met = true;
+        b.handle(START, Event::Timer(MARK_BEAT), &mut out);
         let tells: Vec<_> = out
             .iter()
             .filter_map(|action| match action {
--- a/src/state.rs
+++ b/src/state.rs
@@ -194,6 +194,8 @@
     pub purse: f64,
     /// What each tenant may still send within its share.
     pub shares: Vec<f64>,
+    /// An exchange was taken since the last update.
+    pub met: bool,
     /// Which keys are asked for of late.
     pub keys: Keys,
     pub mode: &'static str,
