--- a/src/policy.rs
+++ b/src/policy.rs
@@ -52,7 +52,7 @@
 const CROSSING: f64 = 0.25; // calls that crossing zones counts as, where it has a price
 const UNSEEN: f64 = 0.5; // and of the mean nearby, for a backend that does not report
 const KEYS_FADE: f64 = 0.97; // what part of what is known of keys stays from one update to the next
-const SELDOM: f64 = 3.0; // answers' times, by instances a backend, in which a report loses its weight
+const SELDOM: f64 = 5.0; // more answers' times, in a large crowd, in which a report loses its weight
 const SPREAD: f64 = 2.5; // homes of a key, for each part of the traffic that a backend's even share is
 const MOVED: f64 = 0.4; // calls that it counts as to go where a key is not known
 const SHARED: f64 = 3.0; // instances that share a backend, where there are many
@@ -666,7 +666,7 @@
 
     /// How long a report tells something: an answer's time, and longer where it is the seldomer had anew.
     fn fade(&self) -> f64 {
-        self.tier.took.or(0.0).max(1.0) * (SELDOM * self.tier.crowd).max(1.0)
+        self.tier.took.or(0.0).max(1.0) * (1.0 + SELDOM * (1.0 - 1.0 / self.tier.crowd).max(0.0))
     }
 
     fn load_of(&self, id: BackendId) -> f64 {
