--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -591,6 +591,7 @@
 #[test]
 fn a_key_has_one_home_until_it_is_busy_and_more_where_it_is_much_of_the_traffic() {
     let mut b = keyed(5, 20);
+    (100..160).for_each(|other| b.desk.keys.add(other));
     let homes =
         |b: &mut Balancer| (0..100).filter_map(|_| first_pick(b)).collect::<std::collections::BTreeSet<_>>();
     let home = homes(&mut b);
