--- a/crates/proxy/tests/framing.rs
+++ b/crates/proxy/tests/framing.rs
@@ -107,3 +107,16 @@
         assert_eq!(load(report), Default::default(), "{report}");
     }
 }
+
+#[test]
+fn a_key_is_read_from_its_header_or_from_the_further_figures() {
+    let key = |lines: &str| {
+        let text = format!("GET /read HTTP/1.1\r\nHost: h\r\n{lines}\r\n");
+        request_head(text.as_bytes(), CALLERS_METHODS).map(|head| head.unwrap().key)
+    };
+    let (a, b) = (key("Request-Key: a\r\n").unwrap(), key("Request-Key: b\r\n").unwrap());
+    assert!(a.is_some() && b.is_some() && a != b);
+    assert_eq!(key("Request-Info: cost=3, key=a\r\n").unwrap(), a);
+    assert_eq!(key("").unwrap().or(key("Request-Key: \r\n").unwrap()), None);
+    assert_eq!(key("Request-Key: a\r\nRequest-Key: b\r\n"), Err(Bad::Malformed));
+}
--- a/crates/setup/tests/native.rs
+++ b/crates/setup/tests/native.rs
@@ -85,6 +85,23 @@
             SMALL.to_string() + "[tier]\nzone = \"x\"\n",
             "14: tier.zone: \"x\": wanted one of tier.zones: local",
         ),
+        (
+            SMALL.to_string() + "[tier]\nproxies = 2\npeers = [\"127.0.0.1:9601\"]\n",
+            "15: tier.peers: 1 addresses, wanted one for each of tier.proxies = 2",
+        ),
+        (
+            SMALL.to_string() + "[tier]\nproxies = 2\npeers = [\"a:1\", \"b\"]\n",
+            "15: tier.peers: \"a:1\": wanted an address and a port",
+        ),
+        (
+            SMALL.to_string() + "[tier]\nproxies = 2\npeers = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n",
+            "15: tier.peers: \"127.0.0.1:1\" is there twice",
+        ),
+        (
+            SMALL.to_string() + "[tier]\npeers = [\"127.0.0.1:0\"]\n",
+            "14: tier.peers: \"127.0.0.1:0\": wanted a port above 0",
+        ),
+        (SMALL.to_string() + "[backends]\nremember_keys = 1\n", "14: "),
         (SMALL.to_string() + "[log]\nformat = \"xml\"\n", "14: log.format: \"xml\": wanted text or json"),
         ("name = \"x\" =\n".to_string() + SMALL, "1: "),
     ];
@@ -106,3 +123,31 @@
     let lines: Vec<&str> = found.iter().filter_map(|fault| fault.split(':').next()).collect();
     assert_eq!(lines, ["1", "4", "10", "12", "13", "16"], "{found:#?}");
 }
+
+#[test]
+fn keys_and_peers_are_off_unless_they_are_set() {
+    let found = decode(SMALL).unwrap_or_else(|faults| panic!("{faults:?}"));
+    let settings = &found.setup.settings;
+    assert_eq!((settings.remembers, settings.peers, found.setup.peers.len()), (false, false, 0));
+    let text = SMALL.to_string()
+        + "[tier]\nproxies = 2\nordinal = 1\npeers = [\"127.0.0.1:9601\", \"127.0.0.1:9602\"]\n\
+           [backends]\nremember_keys = true\n";
+    let found = decode(&text).unwrap_or_else(|faults| panic!("{faults:?}"));
+    let settings = &found.setup.settings;
+    assert_eq!((settings.remembers, settings.peers, found.setup.peers.len()), (true, true, 2));
+}
+
+#[test]
+fn the_platforms_form_says_as_much() {
+    let base = r#"{"tier":0,"balancers":2,"roundMs":1.0,"discovery":"pushed","tariffs":[],
+        "allowed":{"maxForwards":2},"obligations":
+        {"coldShare":0.3,"rampTimeMs":8000,"fallMultiple":3,"tipAfterMs":3000}"#;
+    let plain = sparlug_setup::decode(format!("{base}}}").as_bytes()).unwrap();
+    assert_eq!((plain.settings.remembers, plain.settings.peers, plain.peers.len()), (false, false, 0));
+    let more = r#","familyInfo":{"warmKeys":true},"peerAddresses":["127.0.0.1:9601","127.0.0.1:9602"]}"#;
+    let full = base.replace("\"maxForwards\":2", "\"maxForwards\":2,\"peers\":true") + more;
+    let full = sparlug_setup::decode(full.as_bytes()).unwrap();
+    assert_eq!((full.settings.remembers, full.settings.peers, full.peers.len()), (true, true, 2));
+    let few = format!(r#"{base},"peerAddresses":["127.0.0.1:9601"]}}"#);
+    assert!(sparlug_setup::decode(few.as_bytes()).unwrap_err().contains("1 peerAddresses for 2 balancers"));
+}
