Take test ports from below those that the system hands out

operating.rs failed once in nine runs ('the proxy says where it serves: Disconnected'): a port that was found free went to another test's connection before the proxy had it. moving.rs holds a lock from finding ports until its proxies have them.

--- a/crates/proxy/tests/moving.rs
+++ b/crates/proxy/tests/moving.rs
@@ -86,6 +86,9 @@
            [tariff.write]\ngoal = \"1s\"\ncut_off = \"2s\"\neffect = \"at-most-once\"\n"
 }
 
+/// Held from when addresses are found free until they are taken: guards against another test's finding them.
+static STARTING: Mutex<()> = Mutex::new(());
+
 /// Free addresses, each held until all are found.
 fn addresses(count: usize) -> Vec<String> {
     let held: Vec<_> = (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
@@ -146,9 +149,11 @@
 #[test]
 fn while_some_proxies_are_of_the_old_shape_and_some_of_the_new_the_rules_hold_and_none_starves() {
     let (backends, dials): (Vec<_>, Vec<_>) = (0..BACKENDS).map(|_| StandIn::start()).unzip();
+    let starting = STARTING.lock().unwrap_or_else(|held| held.into_inner());
     let shapes = shapes(&addresses(4));
     let proxies: Vec<_> =
         shapes.iter().map(|(tier, more)| Proxy::start_native(&config(&dials, false, tier, more))).collect();
+    drop(starting);
     // One backend breaks what it has run, for good; later another is to drain.
     let breaking = backends[BACKENDS - 1].clone();
     let breaks = std::thread::spawn(move || {
@@ -194,9 +199,11 @@
 #[test]
 fn proxies_of_the_new_shape_send_a_key_to_the_same_home_and_hear_each_other() {
     let (backends, dials): (Vec<_>, Vec<_>) = (0..BACKENDS).map(|_| StandIn::start()).unzip();
+    let starting = STARTING.lock().unwrap_or_else(|held| held.into_inner());
     let shapes = shapes(&addresses(3));
     let start = |(tier, more): &(String, &str)| Proxy::start_native(&config(&dials, false, tier, more));
     let proxies: Vec<_> = shapes[2..].iter().map(start).collect();
+    drop(starting);
     ask_all(&proxies, 1, Duration::from_millis(1500));
     let mut homes = BTreeMap::<String, BTreeMap<usize, usize>>::new();
     for (place, backend) in backends.iter().enumerate() {
--- a/crates/proxy/tests/operating.rs
+++ b/crates/proxy/tests/operating.rs
@@ -6,7 +6,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::os::unix::net::UnixListener;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::sync::Arc;
 use std::thread;
 
@@ -157,7 +157,12 @@
 fn place(name: &str) -> (PathBuf, String) {
     let folder = std::env::temp_dir().join(format!("sparlug-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
-    (folder, backend().local_addr().unwrap().to_string())
+    // Below those that the system hands out: guards against another test's connection getting it first.
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    let first = 20_000 + std::process::id() as u16 % 100 * 100;
+    let next = || first + TAKEN.fetch_add(1, Ordering::Relaxed);
+    let free = |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
+    (folder, format!("127.0.0.1:{}", std::iter::repeat_with(next).find(free).unwrap()))
 }
 
 #[test]
