--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -8,11 +8,10 @@
 use mio::Interest;
 use socket2::{Domain, Socket, Type};
 use sparlug::id::PeerId;
+use sparlug::word::MOST;
 
 use crate::shared::{Owner, Shared};
 
-/// A longer message is none of ours.
-const MESSAGE_MOST: usize = 256;
 /// How many are read before others have their turn; the loop comes back for the rest.
 const AT_ONCE: usize = 64;
 
@@ -60,7 +59,7 @@
     pub fn heard(&self) -> (Vec<(PeerId, Vec<u8>)>, bool) {
         let mut heard = Vec::new();
         let Some(socket) = &self.socket else { return (heard, false) };
-        let mut buffer = [0; MESSAGE_MOST + 1];
+        let mut buffer = [0; MOST + 1]; // a longer message is none of ours
         for _ in 0..AT_ONCE {
             let (length, from) = match socket.recv_from(&mut buffer) {
                 Ok(came) => came,
@@ -69,7 +68,7 @@
                 Err(_) => continue,
             };
             let place = self.all.iter().position(|peer| *peer == from).filter(|place| *place != self.own);
-            if let Some(place) = place.filter(|_| length <= MESSAGE_MOST) {
+            if let Some(place) = place.filter(|_| length <= MOST) {
                 heard.push((PeerId(place as u16), buffer[..length].to_vec()));
             }
         }
--- a/crates/proxy/tests/moving.rs
+++ b/crates/proxy/tests/moving.rs
@@ -4,13 +4,13 @@
 mod helper;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use helper::{answer, message, Proxy};
+use helper::{answer, ask, message, Proxy};
 
 const BACKENDS: usize = 6;
 const WORK: Duration = Duration::from_millis(4);
@@ -105,15 +105,11 @@
         let id = format!("{number:04x}{turn:08x}");
         let (write, key) = (turn % 3 == 0, (turn * 7 + number as u64) % KEYS);
         let (method, path) = if write { ("POST", "write") } else { ("GET", "read") };
-        let mut conn = TcpStream::connect(address).unwrap();
-        conn.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
         let text = format!(
             "{method} /{path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nRequest-Key: k{key}\r\n\
              Request-Timeout: 2.0\r\nConnection: close\r\n\r\n"
         );
-        conn.write_all(text.as_bytes()).unwrap();
-        let mut all = String::new();
-        conn.read_to_string(&mut all).unwrap();
+        let all = ask(address, &text);
         assert_eq!(all.matches("HTTP/1.1 ").count(), 1, "one answer for {id}: {all:?}");
         asked.push((id, write, all[9..12].parse().unwrap()));
     }
--- a/crates/setup/tests/native.rs
+++ b/crates/setup/tests/native.rs
@@ -51,6 +51,7 @@
 
 #[test]
 fn each_fault_is_told_with_its_line_and_what_would_be_right() {
+    let with = |more: &str| SMALL.to_string() + more;
     let cases = [
         (SMALL.replace("name", "nmae"), "1: unknown field `nmae`"),
         (
@@ -73,36 +74,27 @@
             "6: discovery: wanted an agent or at least one [[discovery.backend]]",
         ),
         (SMALL.replace("[[listener]]\naddress = \"127.0.0.1:8080\"", ""), "1: listener: missing"),
+        (with("[limits]\nsockets = 3\n"), "14: limits.sockets: 3: wanted a whole number from 64"),
+        (with("[backends]\ncold_share = 7.0\n"), "14: backends.cold_share: 7: wanted a number from"),
+        (with("[tier]\nzone = \"x\"\n"), "14: tier.zone: \"x\": wanted one of tier.zones: local"),
         (
-            SMALL.to_string() + "[limits]\nsockets = 3\n",
-            "14: limits.sockets: 3: wanted a whole number from 64",
-        ),
-        (
-            SMALL.to_string() + "[backends]\ncold_share = 7.0\n",
-            "14: backends.cold_share: 7: wanted a number from",
-        ),
-        (
-            SMALL.to_string() + "[tier]\nzone = \"x\"\n",
-            "14: tier.zone: \"x\": wanted one of tier.zones: local",
-        ),
-        (
-            SMALL.to_string() + "[tier]\nproxies = 2\npeers = [\"127.0.0.1:9601\"]\n",
+            with("[tier]\nproxies = 2\npeers = [\"127.0.0.1:9601\"]\n"),
             "15: tier.peers: 1 addresses, wanted one for each of tier.proxies = 2",
         ),
         (
-            SMALL.to_string() + "[tier]\nproxies = 2\npeers = [\"a:1\", \"b\"]\n",
+            with("[tier]\nproxies = 2\npeers = [\"a:1\", \"b\"]\n"),
             "15: tier.peers: \"a:1\": wanted an address and a port",
         ),
         (
-            SMALL.to_string() + "[tier]\nproxies = 2\npeers = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n",
+            with("[tier]\nproxies = 2\npeers = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n"),
             "15: tier.peers: \"127.0.0.1:1\" is there twice",
         ),
         (
-            SMALL.to_string() + "[tier]\npeers = [\"127.0.0.1:0\"]\n",
+            with("[tier]\npeers = [\"127.0.0.1:0\"]\n"),
             "14: tier.peers: \"127.0.0.1:0\": wanted a port above 0",
         ),
-        (SMALL.to_string() + "[backends]\nremember_keys = 1\n", "14: "),
-        (SMALL.to_string() + "[log]\nformat = \"xml\"\n", "14: log.format: \"xml\": wanted text or json"),
+        (with("[backends]\nremember_keys = 1\n"), "14: "),
+        (with("[log]\nformat = \"xml\"\n"), "14: log.format: \"xml\": wanted text or json"),
         ("name = \"x\" =\n".to_string() + SMALL, "1: "),
     ];
     for (text, wanted) in cases {
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,12 +60,10 @@
         (self.took.or(tier.took.or(0.0)) / tier.took.or(0.0).max(1.0) / 1.2).clamp(1.0, 8.0) / size.sqrt()
     }
 
-    /// What others have in flight here: its report, which fades towards the mean of all reports with age.
     /// Guards against a backend that fails, or a zone, being learnt of anew by each of many instances that
     /// send it little: what fails more than the tier weighs more in the pick from the first failure on.
     pub fn burden(&self, now: Time, tier: &Tier, peers: bool, (prior, fade): (f64, f64)) -> f64 {
-        let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
-        let like = if peers { self.word(now, tier, prior, fade) } else { zone.share(tier.failing, prior) };
+        let like = if peers { self.word(now, tier, prior, fade) } else { self.like(tier, prior) };
         let failing = self.tally.share(like, prior);
         ((1.0 - tier.failing) / (1.0 - failing).max(0.1)).max(1.0).powi(2)
     }
@@ -76,10 +74,15 @@
         self.others = said.or(self.others);
     }
 
+    /// The part of forwards that fail in its zone.
+    fn like(&self, tier: &Tier, prior: f64) -> f64 {
+        let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
+        zone.share(tier.failing, prior)
+    }
+
     /// The part of its forwards that fail, as others saw it, and with time as its zone does.
     pub fn word(&self, now: Time, tier: &Tier, prior: f64, fade: f64) -> f64 {
-        let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
-        let like = zone.share(tier.failing, prior);
+        let like = self.like(tier, prior);
         // What has faded to a trace is forgotten, so that it decides no pick between equals.
         let word =
             self.word.map(|(at, word)| (now.since(at).ms() / fade, word)).filter(|(age, _)| *age < 4.0);
@@ -104,6 +107,7 @@
         (age < OLDEST).then_some(word)
     }
 
+    /// What others have in flight here: its report, which fades towards the mean of all reports with age.
     pub fn others(&self, now: Time, mean: f64, fade: f64) -> f64 {
         self.others.map_or(mean, |(at, said)| mean + (said - mean) * (-now.since(at).ms() / fade).exp())
     }
--- a/src/word.rs
+++ b/src/word.rs
@@ -22,8 +22,10 @@
 
 const BYTES: usize = 9;
 const KEY_BYTES: usize = 4;
-const KEYS_MOST: usize = 12;
-const MOST: usize = 256;
+/// The most keys of a message.
+pub const KEYS_MOST: usize = 12;
+/// The most bytes of a message.
+pub const MOST: usize = 256;
 const UNKNOWN: u8 = u8::MAX;
 const AGE_STEP: f64 = 20.0; // ms, which leaves room for `OLDEST` in a byte
 const HELD_STEP: f64 = 0.5;
