Keep a call for the list out at all times where lists are pushed

Where they are pushed, the agent on the same machine holds a call open while discovery is down and answers it on its return: n29, n33 and others were answered 80 ms after it on calls made in the silence. Only those in a pause were late. Ruled out by the same log: no forward was decided before the list and written after it, no list lay unread, no restarted process forwarded before its first answer, no watch that was open missed the change.

Change: where lists are pushed, the watch goes on by itself when a call fails: at once after one that was given up unanswered, 100 ms after the last one was made where the agent lets nobody in. Asked lists are as they were. New log lines: lists asked for and heard, `discovery answers again`, the id with each forward.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,5 +1,6 @@
 //! The watch on the list of backends: one connection, on which the next call follows each answer at once.
-//! When a call fails it tells so; the decisions say when to ask again.
+//! Where lists are pushed, a call that fails is followed by the next one too, so that one is out at all times;
+//! where they are asked for, it tells that it failed, and the decisions say when to ask again.
 
 use std::net::SocketAddr;
 
@@ -13,12 +14,14 @@
 
 const WAIT: Span = Span::from_millis(1_000); // how long a call may wait for something newer, about
 const GRACE: Span = Span::from_millis(300); // for an answer, beyond the time it may wait
-const PACE: Span = Span::from_millis(100); // between calls that bring nothing and do not wait either
+const PACE: Span = Span::from_millis(100); // between calls that bring nothing, or fail, and do not wait either
 const LIST_MOST: usize = 4 * 1024 * 1024;
 
 pub struct Discovery {
     /// The agent; without one there is nothing to ask.
     address: Option<SocketAddr>,
+    /// What the agent has counts as told, without being asked for: a call costs it nothing and is out always.
+    pushed: bool,
     zones: Vec<String>,
     /// The version that the proxy has; `None` asks for the whole list.
     version: Option<u64>,
@@ -33,6 +36,8 @@
     /// The call went out on a connection that had brought an answer before.
     reused: bool,
     since: Time,
+    /// How many calls in a row have failed, and when the first of them did.
+    lost: Option<(u32, Time)>,
     deadline: Option<DeadlineId>,
 }
 
@@ -40,15 +45,17 @@
     /// `chance`, from 0 to 1, is another one at each proxy, so that not all notice a silence in one moment.
     pub fn new(
         address: Option<SocketAddr>,
+        pushed: bool,
         zones: Vec<String>,
         version: Option<u64>,
         chance: f64,
     ) -> Discovery {
-        let (link, head, deadline) = Default::default();
+        let (link, head, lost, deadline) = Default::default();
         let wait = WAIT.scaled(0.75 + 0.5 * chance);
         let since = Time::default();
         Discovery {
             address,
+            pushed,
             zones,
             version,
             wait,
@@ -58,6 +65,7 @@
             asked: false,
             reused: false,
             since,
+            lost,
             deadline,
         }
     }
@@ -86,6 +94,7 @@
     pub fn go_to(&mut self, address: Option<SocketAddr>, io: &mut Shared) -> bool {
         let moved = std::mem::replace(&mut self.address, address) != address;
         if moved {
+            self.lost = None;
             self.fetch(io);
         }
         moved
@@ -101,7 +110,7 @@
 
     fn ask(&mut self, io: &mut Shared) {
         let Some(address) = self.address else { return };
-        self.reused = self.link.is_some();
+        (self.since, self.reused) = (io.now, self.link.is_some());
         if self.link.is_none() {
             self.turn = self.turn.wrapping_add(1);
             match Link::dial(address, &io.registry, Owner::Discovery(self.turn).token()) {
@@ -109,7 +118,8 @@
                 Err(e) => return self.failed(&e.to_string(), io),
             }
         }
-        (self.asked, self.since) = (true, io.now);
+        self.asked = true;
+        tracing::trace!(version = self.version, turn = self.turn, reused = self.reused, "list asked for");
         let query = self.version.map(|version| format!("?index={version}&wait={:.0}", self.wait.ms()));
         let wait = if query.is_some() { self.wait } else { Span::ZERO };
         let host = address;
@@ -139,10 +149,20 @@
     }
 
     fn failed(&mut self, why: &str, io: &mut Shared) {
-        tracing::warn!(why, "discovery failed");
         io.counters.lists_failed += 1;
         self.stop(io);
-        io.notes.push_back(Note::ListFailed);
+        let (lost, since) = self.lost.map_or((1, io.now), |(lost, since)| (lost + 1, since));
+        self.lost = Some((lost, since));
+        // Guards against a line for each of many calls that an agent lets not even in.
+        if lost.is_power_of_two() || !self.pushed {
+            tracing::warn!(why, lost, "discovery failed");
+        }
+        if !self.pushed {
+            return io.notes.push_back(Note::ListFailed);
+        }
+        // Guards against a drain that is heard late: an agent that is silent answers the call that is out when
+        // discovery is back, and from then on what it has counts as told.
+        self.deadline = Some(io.deadlines.set(self.since + PACE, Due::List));
     }
 
     fn go_on(&mut self, io: &mut Shared) {
@@ -207,6 +227,26 @@
             Err(why) => return self.failed(&why, io),
         };
         io.counters.lists += 1;
+        let waited = io.now.since(self.since).ms();
+        let [ready, draining, gone] = list.counts();
+        tracing::debug!(
+            version = list.version,
+            whole = list.whole,
+            ready,
+            draining,
+            gone,
+            waited,
+            "list heard"
+        );
+        if let Some((lost, since)) = self.lost.take() {
+            tracing::info!(
+                lost,
+                since_ms = io.now.since(since).ms(),
+                draining,
+                gone,
+                "discovery answers again"
+            );
+        }
         let before = self.version.replace(list.version);
         // Guards against spinning on an agent that answers at once with nothing new, or with the same again.
         let same = list.entries.is_empty() || before == Some(list.version);
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -53,6 +53,12 @@
 }
 
 impl List {
+    /// How many entries say that a backend is ready, that it drains, and that it is gone.
+    pub fn counts(&self) -> [usize; 3] {
+        let of = |what| self.entries.iter().filter(|entry| entry.listing.condition == what).count();
+        [of(Condition::Ready), of(Condition::Draining), of(Condition::Gone)]
+    }
+
     /// What is odd about a list, for those who look after discovery. `ready` backends were known before, at
     /// `version`.
     pub fn oddities(&self, ready: usize, version: Option<u64>) -> Vec<&'static str> {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -191,13 +191,13 @@
         let known = handed.filter(newer).or(config.known);
         let version = known.as_ref().map(|known| known.version);
         let chance = f64::from(Rand32::new(config.seed).rand_float());
-        let discovery = Discovery::new(config.discovery, setup.zone_names, version, chance);
+        let pushed = !setup.settings.list_on_request;
+        let discovery = Discovery::new(config.discovery, pushed, setup.zone_names, version, chance);
         let check_path =
             if setup.columns.held.or(setup.columns.waiting).is_some() { "/status/load" } else { "/health" };
         if let Some(known) = known {
             io.notes.push_back(Note::Listed(known, None));
         }
-        let follows = !setup.settings.list_on_request;
         let mut actions = Vec::new();
         let balancer = Balancer::new(setup.settings, config.seed, now, &mut actions);
         let (held, held_bytes, leaving) = (Slots::default(), 0, None);
@@ -231,7 +231,7 @@
         for barred in state.barred {
             proxy.bar(said::backend(barred), true);
         }
-        if follows {
+        if pushed {
             proxy.discovery.watch(&mut proxy.io);
         }
         let told = proxy.fleet.start(&mut proxy.io)?;
@@ -614,7 +614,8 @@
             return self.io.notes.push_back(Note::Done(done));
         };
         self.io.counters.forwards += 1;
-        tracing::trace!(exchange = exchange.0, host = self.pool.host(backend), "forward");
+        let id = held.request.head.id.as_deref();
+        tracing::trace!(id, exchange = exchange.0, host = self.pool.host(backend), "forward");
         let number = ForwardNo(held.forwards.len() as u16);
         held.forwards.push(None);
         let (request, window) = (&held.request, self.io.window());
