--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -134,19 +134,33 @@
     assert_eq!(b.backends[&id(1)].listing.condition, Condition::Ready);
 }
 
-#[test]
-fn a_lost_watch_is_asked_for_again_later_each_time() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
-    (0..4).for_each(|_| b.handle(START, Event::ListFailed, &mut out));
+/// How long it waits, each time, until it asks for the list again.
+fn watch_waits(out: &[Action]) -> Vec<Span> {
     let wait = |action: &Action| match action {
         Action::Timer { after, mark: MARK_WATCH } => Some(*after),
         _ => None,
     };
-    let waits: Vec<Span> = out.iter().filter_map(wait).collect();
+    out.iter().filter_map(wait).collect()
+}
+
+#[test]
+fn a_lost_watch_is_asked_for_again_later_each_time() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
+    (0..4).for_each(|_| b.handle(START, Event::ListFailed, &mut out));
+    let waits = watch_waits(&out);
     assert_eq!(waits.len(), 4);
     assert!(waits[3] > waits[0]);
 }
 
+/// What discovery has to tell counts as told 6 s later, and a call that is lost may have taken 1.6 s of them.
+#[test]
+fn a_lost_watch_is_asked_for_again_while_a_drain_can_still_be_heard_in_time() {
+    let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
+    (0..500).for_each(|_| b.handle(START, Event::ListFailed, &mut out));
+    let longest = watch_waits(&out).into_iter().max().unwrap().ms();
+    assert!((2500.0..=3000.0).contains(&longest), "{longest}");
+}
+
 #[test]
 fn the_limit_holds_what_is_above_it() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
