--- a/crates/lab/src/source.rs
+++ b/crates/lab/src/source.rs
@@ -8,6 +8,7 @@
 use crate::draw;
 use crate::figures::Figures;
 use crate::scenario::{Balance, Effect, Fault, Scenario, Variant};
+use crate::world::PARTS_MOST;
 
 /// A file with what is to be changed in it.
 #[derive(Clone)]
@@ -118,8 +119,8 @@
             let last = n + 1 == scenario.tiers.len();
             let why = match tier {
                 t if t.name.is_empty() || t.name.contains(['/', ' ']) => "name: wanted a word",
-                t if !(1..=200).contains(&t.backends) => "backends: wanted 1 to 200",
-                t if !(1..=200).contains(&t.proxies) => "proxies: wanted 1 to 200",
+                t if !(1..=PARTS_MOST).contains(&t.backends) => "backends: wanted 1 to 1249",
+                t if !(1..=PARTS_MOST).contains(&t.proxies) => "proxies: wanted 1 to 1249",
                 t if t.sizes.iter().any(|size| !(0.1..=10.0).contains(size)) => {
                     "sizes: wanted 0.1 to 10 each"
                 }
--- a/crates/lab/src/timeline.rs
+++ b/crates/lab/src/timeline.rs
@@ -8,7 +8,7 @@
 const NOTICE: Micros = Micros::from_millis(500); // until a crash is known
 const BACK: Micros = Micros::from_millis(800); // a killed proxy is back, unless the fault says when
 const COMING: Micros = Micros::from_millis(50); // until a backend that is back is named
-const DIVERSE: u32 = 1000; // parts that one fault befalls at the most
+const DIVERSE: u32 = 10_000; // parts that one fault befalls at the most
 
 /// Which fault keeps a proxy from running: it goes on when none does any more.
 pub type Claim = u32;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -32,7 +32,11 @@
 const SEEDS: usize = 3;
 const WATCHED: usize = 8; // proxies that one thread asks in turn
 /// The place of an address that no proxy has.
-const NOBODY: usize = 249;
+const NOBODY: usize = PARTS_MOST;
+const IPS: usize = 250; // of a run, on each of which a kind of part has so many ports:
+const PORTS: u16 = 5;
+/// Of one kind in a tier, for which there are addresses beside that of nobody.
+pub const PARTS_MOST: usize = IPS * PORTS as usize - 1;
 
 /// Why a run could not be.
 #[derive(Debug)]
@@ -91,8 +95,8 @@
         }
         let (a, b, port) = self.base;
         let kind = "spalcmwfg".find(letter).unwrap_or(0) as u16;
-        let ip = Ipv4Addr::new(127, a, b, (n % 250 + 1) as u8);
-        SocketAddr::new(IpAddr::V4(ip), port + tier as u16 * 50 + kind * 5 + (n / 250) as u16)
+        let ip = Ipv4Addr::new(127, a, b, (n % IPS + 1) as u8);
+        SocketAddr::new(IpAddr::V4(ip), port + tier as u16 * 50 + kind * PORTS + (n / IPS) as u16)
     }
 
     fn name(&self, tier: usize, letter: char, n: usize) -> String {
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -142,6 +142,11 @@
         found?.split('|').next()?.parse().ok()
     }
 
+    /// Of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn connect(&self) -> TcpStream {
         patient(TcpStream::connect(&self.address).unwrap())
     }
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -451,7 +451,7 @@
     let peers = c.peers(&tier.peers, instances);
     let beside = tier.peers.first().map(|peer| peer.span().start);
     let fleet = read.fleet.as_ref().and_then(|fleet| c.fleet(fleet, read.name.as_ref(), beside));
-    let above = c.whole("tier.above", &tier.above, (0, 100), 0);
+    let above = c.whole("tier.above", &tier.above, (0, 100_000), 0);
 
     let directory = match &read.discovery {
         None if parsed => {
