--- a/crates/lab/src/agent.rs
+++ b/crates/lab/src/agent.rs
@@ -89,6 +89,10 @@
     delay: Micros,
     address: SocketAddr,
     cut: bool,
+    /// It has moved, and the proxy has not asked at the new address yet.
+    moved: bool,
+    /// What counts as told to the proxy, whether or not it asks: the health of each backend.
+    had: BTreeMap<String, String>,
 }
 
 /// How the list stood from a moment on.
@@ -157,6 +161,7 @@
     }
 
     fn tell_all(&mut self, hub: &mut Loop) {
+        self.count(hub);
         let all: Vec<_> = self.waiting.iter().map(|(conn, (side, from, _))| (*conn, *side, *from)).collect();
         for (conn, side, from) in all {
             if !self.sides[side].mute && from != self.told_to(side, hub.now).0 {
@@ -166,6 +171,27 @@
         }
     }
 
+    /// Counts as told what it has for each proxy: lists are pushed, and the agent is on the proxy's own machine.
+    /// What it holds back itself counts when it is written.
+    fn count(&mut self, hub: &mut Loop) {
+        for side in 0..self.sides.len() {
+            let Side { mute, cut, moved, delay, .. } = self.sides[side];
+            if mute || cut || moved || delay > Micros::ZERO {
+                continue;
+            }
+            let (seq, entries) = self.told_to(side, hub.now);
+            let has: BTreeMap<_, _> = entries.into_iter().map(|entry| (entry.host, entry.health)).collect();
+            let side = &mut self.sides[side];
+            let gone = side.had.keys().filter(|host| !has.contains_key(*host)).map(|host| (host, "Gone"));
+            let changed = has.iter().filter(|(host, health)| side.had.get(*host) != Some(*health));
+            for (host, health) in gone.chain(changed.map(|(host, health)| (host, health.as_str()))) {
+                let (proxy, host, health) = (side.name.clone(), host.clone(), health.to_string());
+                hub.record(What::Told { proxy, host, health, seq });
+            }
+            side.had = has;
+        }
+    }
+
     /// Writes the list, or what changed since a version.
     fn tell(&mut self, hub: &mut Loop, conn: ConnId, side: usize, from: Option<u64>) {
         let (version, entries) = self.told_to(side, hub.now);
@@ -211,6 +237,9 @@
                 let found = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
                 found.and_then(|value| value.parse::<u64>().ok())
             };
+            if std::mem::take(&mut self.sides[side].moved) {
+                self.count(hub);
+            }
             if !call.path.starts_with("/v1/endpoints") {
                 hub.write(conn, &message::write_answer(404, &[], b""));
                 continue;
@@ -264,8 +293,9 @@
     fn start(&mut self, hub: &mut Loop) -> io::Result<()> {
         for (name, address) in self.spec.listen.clone() {
             let listener = Some(hub.listen(address)?);
-            let (mute, frozen, behind, delay, cut) = Default::default();
-            self.sides.push(Side { name, listener, mute, frozen, behind, delay, address, cut });
+            let (mute, frozen, behind, delay, cut, moved) = Default::default();
+            let had = self.entries.values().map(|entry| (entry.host.clone(), entry.health.clone())).collect();
+            self.sides.push(Side { name, listener, mute, frozen, behind, delay, address, cut, moved, had });
         }
         Ok(())
     }
@@ -331,6 +361,7 @@
                     self.shut(hub, proxy, true);
                 } else {
                     self.open(hub, proxy);
+                    self.count(hub);
                 }
             }
             Command::Behind { proxy, by } => {
@@ -339,7 +370,7 @@
             }
             Command::Delay { proxy, by } => self.sides[proxy].delay = by,
             Command::Move { proxy, to } => {
-                self.sides[proxy].address = to;
+                (self.sides[proxy].address, self.sides[proxy].moved) = (to, true);
                 self.shut(hub, proxy, false);
                 if !self.sides[proxy].cut {
                     self.open(hub, proxy);
--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -104,6 +104,8 @@
     dropped: BTreeSet<String>,
     /// What each proxy was told of each backend: when, and whether it may be used.
     told: BTreeMap<(String, String), Vec<(At, bool)>>,
+    /// The last word of an agent on each, which a new life of the proxy has been told from its first moment.
+    has: BTreeMap<(String, String), bool>,
     downs: Spans,
     cuts: Spans,
     starts: BTreeMap<String, Vec<(At, bool)>>,
@@ -173,10 +175,11 @@
             What::Told { proxy, host, health, .. } => {
                 let told = self.told.entry((proxy.clone(), host.clone())).or_default();
                 told.push((t, health == "Ready"));
+                self.has.insert((proxy.clone(), host.clone()), health == "Ready");
             }
             What::ProxyDown { proxy, how } => {
                 open(&mut self.downs, proxy, t, how);
-                // A new life knows only what it is told anew.
+                // A new life knows nothing yet.
                 if how != "freeze" && !how.starts_with("slow") {
                     self.told
                         .iter_mut()
@@ -184,7 +187,16 @@
                         .for_each(|(_, told)| told.push((t, true)));
                 }
             }
-            What::ProxyUp { proxy } => shut(&mut self.downs, proxy, t),
+            What::ProxyUp { proxy } => {
+                let anew = self.downs.get(proxy).and_then(|spans| spans.last());
+                if anew.is_some_and(|(_, _, how)| how != "freeze" && !how.starts_with("slow")) {
+                    for ((_, host), ready) in self.has.iter().filter(|((p, _), _)| p == proxy) {
+                        let told = self.told.entry((proxy.clone(), host.clone())).or_default();
+                        told.extend([(t, true), (t, *ready)]);
+                    }
+                }
+                shut(&mut self.downs, proxy, t);
+            }
             What::Cut { link, how } => open(&mut self.cuts, link, t, how),
             What::Healed { link } => shut(&mut self.cuts, link, t),
             What::Started { warm, .. } => self.starts.entry(part.clone()).or_default().push((t, *warm)),
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -118,7 +118,7 @@
         bearable: f64,
     },
 
-    /// An agent wrote to a proxy what became of a backend.
+    /// An agent has for a proxy, or wrote to it, what became of a backend: either counts as told.
     Told {
         proxy: String,
         host: String,
