--- a/crates/command/tests/scenarios.rs
+++ b/crates/command/tests/scenarios.rs
@@ -13,8 +13,13 @@
 const SMALLER: [&str; 2] =
     ["variant.1.set={\"callers.idle\"=300}", "variant.1.bounds={honoured_least=0.99, idle_least=300}"];
 
-const FLEET: [&str; 4] =
-    ["fleet-half-killed.toml", "fleet-lists.toml", "fleet-search.toml", "fleet-agent-cut.toml"];
+const FLEET: [&str; 5] = [
+    "fleet-half-killed.toml",
+    "fleet-lists.toml",
+    "fleet-search.toml",
+    "fleet-agent-cut.toml",
+    "fleet-herd.toml",
+];
 
 fn play(file: &Path) -> Result<(), String> {
     let idle = file.ends_with("idle.toml");
