Assert again in the test of a lost watch that each loss is told and counted

The mend of the watch had dropped a check there: the line for each loss, of which only the 1st, 2nd, 4th are written now.

--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -513,7 +513,11 @@
         write(&mut agent, reply);
         drop(agent);
     }
-    accept(&proxy.discovery);
+    let _open = accept(&proxy.discovery);
+    proxy.logged("discovery failed");
+    proxy.signal("-USR1");
+    let counters = proxy.logged("counters=");
+    assert!(counters.contains(" lists_failed=3 "), "{counters}");
 }
 
 /// Guards against odd lists, whatever discovery makes of the fleet: each costs a line, and exchanges are honoured.
