--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,6 +3,8 @@
 //! it is, and on what each of its properties rests.
 
 pub mod counted;
+pub mod duties;
+pub mod leases;
 pub mod members;
 pub mod news;
 pub mod view;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -10,6 +10,7 @@
 
 use crate::claims::Suspicion;
 use crate::counted::{divide_by, Counted};
+use crate::duties::Letter;
 use crate::exchange::Claim;
 use crate::news::News;
 use crate::probing::{Probe, Relay};
@@ -68,6 +69,8 @@
         nth: usize,
         bytes: Vec<u8>,
     },
+    /// A letter about duties.
+    Post(SocketAddr, Letter),
     /// It will end soon, by order.
     Leave,
 }
@@ -88,6 +91,8 @@
         from: String,
         bytes: Vec<u8>,
     },
+    /// One of the fleet that has announced itself has sent a letter about duties.
+    Letter(Entry, Letter),
 }
 
 /// What was not taken, and how often.
@@ -252,6 +257,12 @@
                     self.send_to(&to, Body::Word { bytes }, 0, out);
                 }
             }
+            Event::Post(to, letter) => {
+                // One that keeps out holds nothing, and gives back what it held.
+                if !self.kept_out() || matches!(letter, Letter::Release { .. }) {
+                    self.send(to, Body::Duty(letter), 0, None, out);
+                }
+            }
             Event::Leave => self.leave(out),
         }
         self.count();
@@ -463,7 +474,11 @@
         let Message { sender, body, news, .. } = message;
         let mine = sender.name == self.me.name && sender.life == self.me.life;
         if mine {
-            return self.echoed(&body); // it comes back to itself by the address that it tells others
+            // It comes back by the address that it tells others.
+            if let Body::Duty(letter) = body {
+                return out.push(Action::Letter(sender, letter));
+            }
+            return self.echoed(&body);
         }
         if self.kept_out() {
             return self.heard_outside(&sender, &body, out);
@@ -499,6 +514,8 @@
                 }
                 self.table(sender, ask, entries, out);
             }
+            Body::Duty(letter) if sender.incarnation > 0 => out.push(Action::Letter(sender, letter)),
+            Body::Duty(_) => {}
             Body::Word { bytes } => {
                 let there = self.others.get(&sender.name).is_some_and(|member| member.entry.state.is_there());
                 if there {
@@ -510,6 +527,11 @@
 
     // What is seen of it.
 
+    /// Of this process its own.
+    pub fn life(&self) -> u64 {
+        self.me.life
+    }
+
     /// A line of the log, a bounded number of them.
     pub(crate) fn say(&mut self, out: &mut Vec<Action>, text: String) {
         let (left, at) = self.lines;
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::duties::Letter;
+
 /// Bytes of a datagram at the most: it passes every usual link in one piece.
 pub const MOST: usize = 1200;
 /// Goes up when a message can't be read by those of before.
@@ -88,6 +90,8 @@
     Word {
         bytes: Vec<u8>,
     },
+    /// Of duties that one holds.
+    Duty(Letter),
 }
 
 impl Body {
@@ -100,11 +104,12 @@
             Body::Gossip => 5,
             Body::Table { .. } => 6,
             Body::Word { .. } => 7,
+            Body::Duty(_) => 8,
         }
     }
 }
 
-const KINDS: std::ops::RangeInclusive<u8> = 1..=7;
+const KINDS: std::ops::RangeInclusive<u8> = 1..=8;
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
@@ -199,6 +204,7 @@
         Body::PingFor { to, address, .. } => fits(to) && address.port() != 0,
         Body::Table { entries, .. } => entries.len() <= ENTRIES_MOST && entries.iter().all(entry),
         Body::Word { bytes } => bytes.len() <= WORD_MOST,
+        Body::Duty(letter) => letter.makes_sense(NAME_MOST),
         Body::Ack { .. } | Body::Nack { .. } | Body::Gossip => true,
     };
     let news = message.news.len() <= ENTRIES_MOST && message.news.iter().all(entry);
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -9,6 +9,7 @@
 use socket2::{Domain, Socket, Type};
 use sparlug::id::PeerId;
 use sparlug::time::Time;
+use sparlug_fleet::duties::{self, Duties};
 use sparlug_fleet::members::{Action, Event, Members, Settings};
 use sparlug_fleet::view::View;
 use sparlug_fleet::wire::MOST;
@@ -31,6 +32,9 @@
 
 struct On {
     members: Members,
+    /// What only one of the members does, where that is configured.
+    duties: Option<Duties>,
+    duties_wake: Option<DeadlineId>,
     socket: UdpSocket,
     wake: Option<DeadlineId>,
     counted: usize,
@@ -39,6 +43,9 @@
 pub struct Fleet {
     /// What it is told, if there is a fleet, and whether another process may listen beside it.
     plan: Option<(Settings, std::net::SocketAddr, bool)>,
+    duties: Option<sparlug_setup::fleet::Duties>,
+    /// Whether another process with this one's name and address may be there.
+    beside: bool,
     seed: u64,
     on: Option<On>,
 }
@@ -70,7 +77,8 @@
             };
             (settings, found.address, shared)
         });
-        Fleet { plan, seed, on: None }
+        let duties = found.and_then(|found| found.duties.clone());
+        Fleet { plan, duties, beside: false, seed, on: None }
     }
 
     /// Listens and begins to look for others. An error is one line.
@@ -90,14 +98,83 @@
         let counted = settings.instances;
         // Each life draws anew, also where the seed is given.
         let seed = self.seed ^ io.now.since(Time::ORIGIN).ms().to_bits();
+        let (name, own) = (settings.name.clone(), settings.address);
         let members = Members::new(settings, seed, io.now);
-        self.on = Some(On { members, socket, wake: None, counted });
-        Ok(self.handle(Event::Start, io))
+        let plan = self.duties.clone().map(|found| duties::Plan {
+            duties: found.names,
+            lease: found.lease,
+            voters: found.voters,
+            name,
+            address: own,
+            life: members.life(),
+            seed: seed.rotate_left(32),
+        });
+        let duties = plan.map(|plan| Duties::new(plan, io.now));
+        self.on = Some(On { members, duties, duties_wake: None, socket, wake: None, counted });
+        let told = self.handle(Event::Start, io);
+        self.beside(self.beside, io);
+        self.see(io);
+        self.duty(duties::Event::Start, io);
+        Ok(told)
+    }
+
+    fn duty(&mut self, event: duties::Event, io: &mut Shared) {
+        let Some(on) = &mut self.on else { return };
+        let Some(machine) = &mut on.duties else { return };
+        let mut actions = Vec::new();
+        machine.handle(io.now, event, &mut actions);
+        for action in actions {
+            match action {
+                duties::Action::Send { to, letter } => {
+                    self.handle(Event::Post(to, letter), io);
+                }
+                duties::Action::Wake(at) => {
+                    let Some(on) = &mut self.on else { return };
+                    io.deadlines.call_off(on.duties_wake.take());
+                    on.duties_wake = Some(io.deadlines.set(at, Due::Duties));
+                }
+                duties::Action::Log(text) => tracing::info!("{text}"),
+            }
+        }
+    }
+
+    pub fn duties_due(&mut self, io: &mut Shared) {
+        if let Some(on) = &mut self.on {
+            on.duties_wake = None;
+        }
+        self.duty(duties::Event::Due, io);
+    }
+
+    /// Hands the view on to the duties.
+    fn see(&mut self, io: &mut Shared) {
+        let Some(on) = self.on.as_ref().filter(|on| on.duties.is_some()) else { return };
+        let view = on.members.view(io.now);
+        let there = view.members.into_iter().filter(|seen| seen.state.is_there());
+        let there = there.map(|seen| (seen.name, seen.address)).collect();
+        self.duty(duties::Event::Crowd { there, kept_out: view.kept_out }, io);
+    }
+
+    /// Whether another process with this one's name and address may be there, and vote.
+    pub fn beside(&mut self, beside: bool, io: &mut Shared) {
+        let ended = self.beside && !beside;
+        self.beside = beside;
+        if beside || ended {
+            self.duty(duties::Event::Beside(beside), io);
+        }
+    }
+
+    /// Staff pause a duty here, or allow it again. `false`: it is none that is configured.
+    pub fn pause(&mut self, duty: &str, paused: bool, io: &mut Shared) -> bool {
+        let known = self.on.as_ref().and_then(|on| on.duties.as_ref()).is_some_and(|all| all.knows(duty));
+        if known {
+            self.duty(duties::Event::Pause { duty, paused }, io);
+        }
+        known
     }
 
     fn handle(&mut self, event: Event, io: &mut Shared) -> Vec<Told> {
         let Some(on) = &mut self.on else { return Vec::new() };
-        let (mut actions, mut told) = (Vec::new(), Vec::new());
+        let (mut actions, mut told, mut letters, mut changed) = (Vec::new(), Vec::new(), Vec::new(), false);
         on.members.handle(io.now, event, &mut actions);
         for action in actions {
             match action {
@@ -112,7 +189,9 @@
                 }
                 Action::Log(text) => tracing::info!("{text}"),
                 Action::Word { from, bytes } => told.push(Told::Word(PeerId(ordinal(&from) as u16), bytes)),
+                Action::Letter(from, letter) => letters.push((from, letter)),
                 Action::Changed => {
+                    changed = true;
                     let counted = on.members.counted();
                     if counted != on.counted {
                         on.counted = counted;
@@ -121,6 +200,12 @@
                 }
             }
         }
+        if changed {
+            self.see(io);
+        }
+        for (from, letter) in letters {
+            self.duty(duties::Event::Heard { from: &from, letter }, io);
+        }
         told
     }
 
@@ -160,13 +245,16 @@
 
     /// Tells others that it goes.
     pub fn leave(&mut self, io: &mut Shared) {
+        self.duty(duties::Event::Leave, io);
         self.handle(Event::Leave, io);
     }
 
     /// The process that took over is this member now: this one falls silent without a word.
     pub fn yield_to_next(&mut self, io: &mut Shared) {
+        self.duty(duties::Event::Leave, io);
         if let Some(mut on) = self.on.take() {
             io.deadlines.call_off(on.wake);
+            io.deadlines.call_off(on.duties_wake);
             let _ = io.registry.deregister(&mut on.socket);
             tracing::info!("the next process is this member of the fleet now");
         }
@@ -185,10 +273,17 @@
                 "incarnation": seen.incarnation, "since_ms": seen.since.ms().round(),
             })
         });
+        let shown = self.on.as_ref().and_then(|on| on.duties.as_ref()).map(|all| all.shown(now));
+        let duties = shown.unwrap_or_default().into_iter().map(|duty| {
+            serde_json::json!({
+                "name": duty.name, "holder": duty.holder, "term": duty.term, "held_here": duty.held_here,
+                "left_ms": duty.left.ms().round(), "paused": duty.paused,
+            })
+        });
         let json = serde_json::json!({
             "fleet": view.fleet, "self": view.me, "members": members.collect::<Vec<_>>(), "alive": view.alive,
             "expected": view.expected, "majority": view.majority, "counted": view.counted,
-            "kept_out": view.kept_out,
+            "kept_out": view.kept_out, "duties": duties.collect::<Vec<_>>(),
         });
         Some(format!("{json}\n"))
     }
@@ -224,6 +319,16 @@
         ] {
             let _ = writeln!(text, "svc.fleet.{name}:{count}|c");
         }
+        if let Some(all) = &on.duties {
+            let held = all.shown(now).iter().filter(|duty| duty.held_here).count();
+            let _ = writeln!(text, "svc.fleet.duties_held:{held}|g");
+            let c = all.counts;
+            for (name, count) in
+                [("taken", c.taken), ("lost", c.lost), ("given", c.given), ("other_voters", c.other_voters)]
+            {
+                let _ = writeln!(text, "svc.fleet.duties_{name}:{count}|c");
+            }
+        }
         text
     }
 }
--- a/crates/proxy/src/management.rs
+++ b/crates/proxy/src/management.rs
@@ -122,13 +122,15 @@
 
 /// What a call asks for, once it is whole; or the answer that it gets for being none.
 fn parse(bytes: &[u8]) -> Result<Option<Call>, Refusal> {
-    let refusal = |bad: Bad| match bad {
+    let refusal = |bad: Bad| {
+        match bad {
         Bad::Method => (
             405,
             "Allow: GET, PUT\r\n",
-            "GET /ready, GET /metrics, GET /fleet, PUT /backends/disable/ID or enable\n",
+            "GET /ready, GET /metrics, GET /fleet, PUT /backends/disable/ID or enable, PUT /fleet/duties/pause/NAME or resume\n",
         ),
         bad => (bad.status(), "", "no HTTP/1.1 call that can be read\n"),
+    }
     };
     let Some(mut head) = http::request_head(bytes, OPERATORS_METHODS).map_err(refusal)? else {
         return Ok(None);
@@ -148,6 +150,14 @@
         path => match (path.strip_prefix("/backends/disable/"), path.strip_prefix("/backends/enable/")) {
             (Some(id), _) => bar(id, true)?,
             (_, Some(id)) => bar(id, false)?,
+            _ if path.starts_with("/fleet/duties/") => {
+                let rest = path.strip_prefix("/fleet/duties/").and_then(|rest| rest.split_once('/'));
+                match rest {
+                    Some(("pause", name)) => ("PUT", Call::Duty { name: name.to_string(), paused: true }),
+                    Some(("resume", name)) => ("PUT", Call::Duty { name: name.to_string(), paused: false }),
+                    _ => return Err((404, "", "no such call\n")),
+                }
+            }
             _ => return Err((404, "", "no such call\n")),
         },
     };
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -234,6 +234,7 @@
         if pushed {
             proxy.discovery.watch(&mut proxy.io);
         }
+        proxy.fleet.beside(proxy.handover.beside(), &mut proxy.io);
         let told = proxy.fleet.start(&mut proxy.io)?;
         proxy.told(told);
         let listen = proxy.clients.address().unwrap_or(config.listen);
@@ -324,6 +325,7 @@
                 self.told(told);
             }
             Due::FleetHear => self.fleet_hear(),
+            Due::Duties => self.fleet.duties_due(&mut self.io),
         }
     }
 
@@ -359,6 +361,7 @@
 
     /// One member and not two: while the next process is there, it is the one.
     fn share_fleet(&mut self) {
+        self.fleet.beside(self.handover.beside(), &mut self.io);
         if self.handover.succeeded() {
             self.fleet.yield_to_next(&mut self.io);
         } else if !self.fleet.is_on() && self.leaving.is_none() {
@@ -469,6 +472,13 @@
             Call::Ready if self.clients.ready && self.leaving.is_none() => (200, String::new()),
             Call::Ready => (503, String::new()),
             Call::Metrics => (200, self.figures()),
+            Call::Duty { name, paused } => {
+                if self.fleet.pause(&name, paused, &mut self.io) {
+                    (200, String::new())
+                } else {
+                    (404, format!("no duty {name} is configured here\n"))
+                }
+            }
             Call::Fleet => match self.fleet.json(self.io.now) {
                 Some(json) => (200, json),
                 None => (404, "no fleet is configured, or the next process is its member\n".to_string()),
--- a/crates/proxy/src/said.rs
+++ b/crates/proxy/src/said.rs
@@ -23,6 +23,11 @@
         host: String,
         barred: bool,
     },
+    /// Not hold a duty here, or hold it again.
+    Duty {
+        name: String,
+        paused: bool,
+    },
 }
 
 /// The name of a backend in what is said.
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -85,6 +85,8 @@
     /// The fleet's members have something to do, or more of what they say is there to be read.
     Fleet,
     FleetHear,
+    /// A duty is to be asked for, renewed or given away.
+    Duties,
     /// Connections are to be accepted again.
     Accept,
     /// The next step of going down.
--- a/crates/setup/src/fleet.rs
+++ b/crates/setup/src/fleet.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use sparlug::time::Span;
 use toml::Spanned;
 
-use crate::native::Checker;
+use crate::native::{span, Checker};
 
 /// What a proxy is told of its fleet.
 #[derive(Clone, Debug, PartialEq)]
@@ -20,6 +21,16 @@
     pub seeds: Vec<SocketAddr>,
     /// How many proxies there usually are, if staff say.
     pub expected: Option<usize>,
+    /// What only one of them does at a time, if anything.
+    pub duties: Option<Duties>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Duties {
+    pub names: Vec<String>,
+    pub lease: Span,
+    /// Members that vote, by the addresses that they tell others: one set, or two while staff change from one to the other.
+    pub voters: Vec<Vec<SocketAddr>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -30,9 +41,19 @@
     advertise: Option<Spanned<String>>,
     seeds: Vec<Spanned<String>>,
     expected: Option<Spanned<i64>>,
+    duties: Vec<Spanned<String>>,
+    lease: Option<Spanned<String>>,
+    voters: Vec<Spanned<String>>,
+    voters_before: Vec<Spanned<String>>,
 }
 
 const NAME_MOST: usize = 64;
+const DUTIES_MOST: usize = 1024;
+
+/// Whether nobody can send to it.
+fn open(address: &SocketAddr) -> bool {
+    address.ip().is_unspecified() || address.port() == 0
+}
 
 /// A name that fits into a message.
 fn word(text: &str) -> Result<String, String> {
@@ -67,7 +88,6 @@
         }
         let fleet = self.value("fleet.name", &text.name, |name| word(name));
         let address = self.address("fleet.address", &text.address, at);
-        let open = |address: &SocketAddr| address.ip().is_unspecified() || address.port() == 0;
         let advertise = match &text.advertise {
             None => {
                 if let (Some(_), Some(found)) = (address.filter(open), &text.address) {
@@ -88,25 +108,66 @@
                 advertise
             }
         };
-        let mut seeds = Vec::new();
-        for one in &text.seeds {
-            match one.get_ref().parse::<SocketAddr>() {
-                Ok(seed) if open(&seed) || seeds.contains(&seed) => {
-                    let why = format!(
-                        "fleet.seeds: {:?}: wanted an address that others can send to, once",
-                        one.get_ref()
-                    );
-                    self.fault(one.span().start, why);
+        let seeds = self.members_named("fleet.seeds", &text.seeds);
+        let duties = self.duties(text, &seeds);
+        let expected = self.whole("fleet.expected", &text.expected, (1, 4096), 1);
+        let expected = text.expected.as_ref().map(|_| expected);
+        Some(Fleet { name: fleet?, address: address?, advertise: advertise?, seeds, expected, duties })
+    }
+
+    /// Addresses of members, each once.
+    fn members_named(&mut self, field: &str, found: &[Spanned<String>]) -> Vec<SocketAddr> {
+        let mut all = Vec::new();
+        for one in found {
+            let (at, text) = (one.span().start, one.get_ref());
+            match text.parse::<SocketAddr>() {
+                Ok(member) if open(&member) || all.contains(&member) => {
+                    let why = format!("{field}: {text:?}: wanted an address that others can send to, once");
+                    self.fault(at, why);
                 }
-                Ok(seed) => seeds.push(seed),
+                Ok(member) => all.push(member),
                 Err(_) => {
                     let wanted = "wanted an address and a port, such as \"127.0.0.1:7101\"";
-                    self.fault(one.span().start, format!("fleet.seeds: {:?}: {wanted}", one.get_ref()));
+                    self.fault(at, format!("{field}: {text:?}: {wanted}"));
                 }
             }
         }
-        let expected = self.whole("fleet.expected", &text.expected, (1, 4096), 1);
-        let expected = text.expected.as_ref().map(|_| expected);
-        Some(Fleet { name: fleet?, address: address?, advertise: advertise?, seeds, expected })
+        all
+    }
+
+    fn duties(&mut self, text: &FleetText, seeds: &[SocketAddr]) -> Option<Duties> {
+        let mut names: Vec<String> = Vec::new();
+        for one in &text.duties {
+            let (at, name) = (one.span().start, one.get_ref());
+            match word(name) {
+                Ok(name) if names.contains(&name) => {
+                    self.fault(at, format!("fleet.duties: {name:?}: wanted each once"));
+                }
+                Ok(name) if names.len() < DUTIES_MOST => names.push(name),
+                Ok(_) => self.fault(at, format!("fleet.duties: wanted at most {DUTIES_MOST}")),
+                Err(why) => self.fault(at, format!("fleet.duties: {why}")),
+            }
+        }
+        let lease = self.value("fleet.lease", &text.lease, |text| {
+            let lease = span(text)?;
+            let fits = (Span::from_millis(200)..=Span::from_millis(60_000)).contains(&lease);
+            fits.then_some(lease).ok_or_else(|| format!("{text:?}: wanted a span from 200ms to 60s"))
+        });
+        let lease = lease.unwrap_or(Span::from_millis(1_500));
+        let voters = self.members_named("fleet.voters", &text.voters);
+        let before = self.members_named("fleet.voters_before", &text.voters_before);
+        if let (Some(first), true) = (text.voters_before.first(), voters.is_empty()) {
+            self.fault(first.span().start, "fleet.voters_before: wanted voters beside it, which come after");
+        }
+        let first = text.duties.first()?;
+        let voters = if voters.is_empty() { seeds.to_vec() } else { voters };
+        if voters.is_empty() {
+            self.fault(
+                first.span().start,
+                "fleet.duties: wanted voters, or seeds, of which a majority grants them",
+            );
+        }
+        let sets = [voters, before].into_iter().filter(|set| !set.is_empty()).collect();
+        Some(Duties { names, lease, voters: sets })
     }
 }
--- a/src/time.rs
+++ b/src/time.rs
@@ -2,10 +2,10 @@
 
 use std::ops::{Add, Sub};
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Time(i64);
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Span(i64);
 
 impl Time {
