--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -475,6 +475,12 @@
             return;
         }
         duty.tenure.refused(answer.term);
+        let turn = lease.scaled(0.125 * duty.rank.min(RANKS) as f64);
+        let hopeless = duty.tenure.hopeless(now, seq, voter, &self.electorate);
+        if let Some(term) = hopeless {
+            duty.next = now + turn + jitter;
+            return self.ask_all(Letter::Release { duties: vec![(answer.duty, term)] }, out);
+        }
         let left = Span::from_millis(answer.left_ms.into());
         let held = !answer.holder.is_empty();
         if held {
@@ -482,7 +488,6 @@
         }
         if duty.acting.is_none() {
             // Who comes first asks first: guards against all asking in one moment, and none having a majority.
-            let turn = lease.scaled(0.125 * duty.rank.min(RANKS) as f64);
             let at = now + left + turn + jitter;
             duty.next = if held { at } else { duty.next.min(at) };
         }
--- a/crates/lab/src/configuration.rs
+++ b/crates/lab/src/configuration.rs
@@ -30,6 +30,9 @@
     pub advertise: SocketAddr,
     pub seeds: Vec<SocketAddr>,
     pub expected: Option<usize>,
+    pub duties: usize,
+    pub lease: Micros,
+    pub voters: Vec<SocketAddr>,
 }
 
 /// The same in the project's own form, which has no list from before.
@@ -66,6 +69,11 @@
         if let Some(expected) = fleet.expected {
             text += &format!("expected = {expected}\n");
         }
+        if fleet.duties > 0 {
+            let duties: Vec<String> = (0..fleet.duties).map(|n| format!("d-{n}")).collect();
+            let voters: Vec<String> = fleet.voters.iter().map(SocketAddr::to_string).collect();
+            text += &format!("duties = {duties:?}\nlease = \"{}\"\nvoters = {voters:?}\n", fleet.lease);
+        }
     }
     for class in &scenario.classes {
         let effect = match class.effect {
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -118,6 +118,10 @@
     pub expected: Option<usize>,
     /// How often each is asked whom it sees.
     pub watch: Micros,
+    /// So many duties, each of which one member holds; for how long at a time, and how many of the first members vote.
+    pub duties: usize,
+    pub lease: Micros,
+    pub voters: usize,
 }
 
 impl Default for Fleet {
@@ -130,6 +134,9 @@
             members: None,
             expected: None,
             watch: Micros::from_millis(500),
+            duties: 0,
+            lease: Micros::from_millis(1500),
+            voters: 5,
         }
     }
 }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -350,6 +350,13 @@
             run.variant, run.seed, f.gone_s, f.gone_most_s, f.false_deaths, f.agree_s, f.shares_most, f.proxy_cpu_ms,
             f.proxy_wakeups
         );
+        if f.duties > 0 {
+            out += &format!(
+                "duties, {} {}: {} held, {} changes of holder, held twice {} times, a killed one's held again after \
+                 {:.1} s at the most\n",
+                run.variant, run.seed, f.duties, f.duties_changed, f.duties_twice, f.duties_gap_s
+            );
+        }
     }
     out
 }
--- a/crates/lab/src/facts.rs
+++ b/crates/lab/src/facts.rs
@@ -7,7 +7,7 @@
 use crate::figures::FleetFigures;
 use crate::record::{Record, What};
 use crate::scenario::{Scenario, Tier};
-use crate::views;
+use crate::{tenures, views};
 
 /// While a backend is newly dead, its proxies may still be finding out.
 pub const FINDING_OUT: Micros = Micros::from_millis(6000);
@@ -316,6 +316,7 @@
     (f.proxy_cpu_ms, f.proxy_wakeups) = (cpu_ms / count, woken / count);
     (f.proxy_mib, f.proxy_descriptors) = (cost.0 / count, cost.1);
     views::fill(records, (start, end), &mut f);
+    tenures::fill(records, end, &mut f);
     let gathered = gather(records, scenario, start);
     (f.moved, f.moved_calm) = gathered.moved();
     f.backend_spread = gathered.backend_spread();
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -69,6 +69,12 @@
     pub agree_s: f64,
     /// The most that all proxies' parts came to, with views that were old enough.
     pub shares_most: f64,
+    /// Duties that were held; times that they changed hands, and that two must have held one at once.
+    pub duties: u64,
+    pub duties_changed: u64,
+    pub duties_twice: u64,
+    /// Until a killed holder's duty was held again, s; the longest.
+    pub duties_gap_s: f64,
     /// After the end of a fault, s until service was back at 0.98 of what it was before any; the longest.
     pub back_s: f64,
     /// Of a proxy, as the mean of all: processor time in ms a second, times that it woke a second, and memory of its own in
@@ -115,6 +121,10 @@
     ("false_deaths", |f| f.fleet.false_deaths as f64),
     ("agree_s", |f| f.fleet.agree_s),
     ("shares_most", |f| f.fleet.shares_most),
+    ("duties", |f| f.fleet.duties as f64),
+    ("duties_changed", |f| f.fleet.duties_changed as f64),
+    ("duties_twice", |f| f.fleet.duties_twice as f64),
+    ("duties_gap_s", |f| f.fleet.duties_gap_s),
     ("back_s", |f| f.fleet.back_s),
     ("proxy_cpu_ms", |f| f.fleet.proxy_cpu_ms),
     ("proxy_wakeups", |f| f.fleet.proxy_wakeups),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod report;
 pub mod scenario;
 pub mod source;
+pub mod tenures;
 pub mod timeline;
 pub mod views;
 pub mod watch;
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -167,6 +167,13 @@
         dead: Vec<String>,
         counted: u64,
     },
+    /// A proxy says that it holds a duty; the answer took so long, in microseconds.
+    Duty {
+        proxy: String,
+        duty: String,
+        term: u64,
+        took: i64,
+    },
     /// A tier's way between proxies ran so late itself that the run tells nothing.
     Void {
         text: String,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -291,6 +291,11 @@
             // Some that all know, as staff write them down.
             seeds: (0..SEEDS).map(|seed| self.address(t, 'w', seed)).collect(),
             expected: fleet.expected,
+            duties: fleet.duties,
+            lease: fleet.lease,
+            voters: (0..fleet.voters.min(self.scenario.tiers[t].proxies))
+                .map(|voter| self.address(t, 'w', voter))
+                .collect(),
         });
         let peers = if talks { (0..balancers).map(peer).collect() } else { Vec::new() };
         let told = Told {
