--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -19,6 +19,8 @@
 const MOVE: Span = Span::from_millis(500); // between two duties that are given to those who come before
 const GIVEN: Span = Span::from_millis(60_000); // until one that came back is given away again
 const LOOKED_AT: f64 = 64.0; // members for which each looks once a lease; more look seldomer
+const TOGETHER: f64 = 0.125; // of a lease, in which voters' answers come if they do
+const TURN: f64 = 0.125; // of a lease, between two that want what is free
 const RANKS: usize = 4; // beyond that, all wait as long for a duty that is free
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -297,6 +299,7 @@
                 duty.acting = None;
             }
         }
+        self.abandon(out);
         self.give_way(out);
         let may = now.since(self.began) >= lease.scaled(1.02) && !self.kept_out && !self.leaving;
         let wanted: Vec<u64> = self
@@ -323,6 +326,22 @@
         self.look(out);
     }
 
+    /// Gives back what only some voters have granted, so that the one whose turn comes first gets all.
+    fn abandon(&mut self, out: &mut Vec<Action>) {
+        let (now, lease) = (self.now, self.plan.lease);
+        let mut back = Vec::new();
+        for (key, duty) in &mut self.duties {
+            if let Some(term) = duty.tenure.abandon(now, lease.scaled(TOGETHER)) {
+                let jitter = f64::from(self.rng.rand_float()) * TURN;
+                duty.next = now + lease.scaled(TURN * duty.rank.min(RANKS) as f64 + jitter);
+                back.push((*key, term));
+            }
+        }
+        for duties in back.chunks(ASKED_MOST) {
+            self.ask_all(Letter::Release { duties: duties.to_vec() }, out);
+        }
+    }
+
     fn question(&self, duties: Vec<(u64, u64)>) -> Letter {
         Letter::Ask {
             seq: self.seq,
@@ -475,12 +494,7 @@
             return;
         }
         duty.tenure.refused(answer.term);
-        let turn = lease.scaled(0.125 * duty.rank.min(RANKS) as f64);
-        let hopeless = duty.tenure.hopeless(now, seq, voter, &self.electorate);
-        if let Some(term) = hopeless {
-            duty.next = now + turn + jitter;
-            return self.ask_all(Letter::Release { duties: vec![(answer.duty, term)] }, out);
-        }
+        let turn = lease.scaled(TURN * duty.rank.min(RANKS) as f64);
         let left = Span::from_millis(answer.left_ms.into());
         let held = !answer.holder.is_empty();
         if held {
--- a/crates/fleet/src/leases.rs
+++ b/crates/fleet/src/leases.rs
@@ -171,7 +171,6 @@
     seq: u32,
     at: Time,
     granted: BTreeSet<SocketAddr>,
-    refused: BTreeSet<SocketAddr>,
 }
 
 /// What the one that wants a duty knows of it.
@@ -212,7 +211,7 @@
             self.until = None;
             self.term = self.term.max(self.highest).max(clock) + 1;
         }
-        self.asked = Some(Asked { seq, at: now, granted: BTreeSet::new(), refused: BTreeSet::new() });
+        self.asked = Some(Asked { seq, at: now, granted: BTreeSet::new() });
         self.term
     }
 
@@ -246,20 +245,14 @@
         self.highest = self.highest.max(term);
     }
 
-    /// A voter has refused the question of this number. Where no majority can come of it any more, the term that is to be given
-    /// back: guards against two that have half of the voters each, and wait for each other's grants to end.
-    pub fn hopeless(&mut self, now: Time, seq: u32, voter: SocketAddr, voters: &Electorate) -> Option<u64> {
+    /// Some voters have granted the last question, and for so long no majority has come of it: the term that is to be given
+    /// back. Guards against two that have half of the voters each, and wait for each other's grants to end.
+    pub fn abandon(&mut self, now: Time, after: Span) -> Option<u64> {
         if self.term(now).is_some() {
             return None;
         }
-        let asked = self.asked.as_mut().filter(|asked| asked.seq == seq)?;
-        asked.refused.insert(voter);
-        let open: BTreeSet<SocketAddr> = voters.voters().difference(&asked.refused).copied().collect();
-        if voters.carried(&open) || asked.granted.is_empty() {
-            return None;
-        }
-        self.asked = None;
-        Some(self.term)
+        let stale = |asked: &mut Asked| now.since(asked.at) >= after && !asked.granted.is_empty();
+        self.asked.take_if(stale).map(|_| self.term)
     }
 
     /// Acts no more, and says under which term it did.
