--- a/crates/command/tests/members.rs
+++ b/crates/command/tests/members.rs
@@ -179,6 +179,22 @@
             "tier.peers: the members of a [fleet] find each other",
         ),
         (good.replace("expected", "expcted"), "unknown field `expcted`"),
+        (
+            good.replace("expected = 24", "duties = [\"a\", \"a\"]"),
+            "13: fleet.duties: \"a\": wanted each once",
+        ),
+        (
+            good.replace("expected = 24", "duties = [\"a\"]\nlease = \"10ms\""),
+            "14: fleet.lease: \"10ms\": wanted a span from 200ms to 60s",
+        ),
+        (
+            good.replace("expected = 24", "duties = [\"a\"]\nvoters = [\"b\"]"),
+            "14: fleet.voters: \"b\": wanted an address and a port",
+        ),
+        (
+            good.replace("expected = 24", "voters_before = [\"127.0.0.1:1\"]"),
+            "13: fleet.voters_before: wanted voters beside it",
+        ),
     ];
     for (text, wanted) in cases {
         let (code, said) = check(&text);
--- a/crates/fleet/tests/wire.rs
+++ b/crates/fleet/tests/wire.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
+use sparlug_fleet::duties::{Letter, ANSWERED_MOST, ASKED_MOST};
+use sparlug_fleet::leases::Answer;
 use sparlug_fleet::wire::{decode, encode, pieces, Bad, Body, Entry, Message, State, MOST, VERSION};
 
 fn entry() -> impl Strategy<Value = Entry> {
@@ -23,12 +25,27 @@
     )
 }
 
+fn letter() -> impl Strategy<Value = Letter> {
+    let pairs = || prop::collection::vec((any::<u64>(), any::<u64>()), 0..=ASKED_MOST);
+    let answer = (any::<u64>(), any::<bool>(), any::<u64>(), "[a-z]{0,64}", any::<u32>())
+        .prop_map(|(duty, granted, term, holder, left_ms)| Answer { duty, granted, term, holder, left_ms });
+    prop_oneof![
+        (any::<u32>(), any::<u32>(), prop::collection::vec(any::<u32>(), 0..=2), pairs())
+            .prop_map(|(seq, lease_ms, marks, duties)| Letter::Ask { seq, lease_ms, marks, duties }),
+        (any::<u32>(), prop::collection::vec(answer, 0..=ANSWERED_MOST))
+            .prop_map(|(seq, answers)| Letter::Answer { seq, answers }),
+        pairs().prop_map(|duties| Letter::Release { duties }),
+        prop::collection::vec(any::<u64>(), 0..=ASKED_MOST).prop_map(|duties| Letter::Free { duties }),
+    ]
+}
+
 fn body() -> impl Strategy<Value = Body> {
     prop_oneof![
         (any::<u32>(), "[a-z]{1,64}").prop_map(|(seq, to)| Body::Ping { seq, to }),
         any::<u32>().prop_map(|seq| Body::Ack { seq }),
         any::<u32>().prop_map(|seq| Body::Nack { seq }),
         Just(Body::Gossip),
+        letter().prop_map(Body::Duty),
         (any::<bool>(), prop::collection::vec(entry(), 0..4))
             .prop_map(|(ask, entries)| Body::Table { ask, entries }),
         prop::collection::vec(any::<u8>(), 0..256).prop_map(|bytes| Body::Word { bytes }),
