--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -353,8 +353,8 @@
         if f.duties > 0 {
             out += &format!(
                 "duties, {} {}: {} held, {} changes of holder, held twice {} times, a killed one's held again after \
-                 {:.1} s at the most\n",
-                run.variant, run.seed, f.duties, f.duties_changed, f.duties_twice, f.duties_gap_s
+                 {:.1} s at the most, a leaving one's after {:.2} s\n",
+                run.variant, run.seed, f.duties, f.duties_changed, f.duties_twice, f.duties_gap_s, f.duties_left_s
             );
         }
     }
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -75,6 +75,8 @@
     pub duties_twice: u64,
     /// Until a killed holder's duty was held again, s; the longest.
     pub duties_gap_s: f64,
+    /// The same of one that was told to go: it gives back.
+    pub duties_left_s: f64,
     /// After the end of a fault, s until service was back at 0.98 of what it was before any; the longest.
     pub back_s: f64,
     /// Of a proxy, as the mean of all: processor time in ms a second, times that it woke a second, and memory of its own in
@@ -125,6 +127,7 @@
     ("duties_changed", |f| f.fleet.duties_changed as f64),
     ("duties_twice", |f| f.fleet.duties_twice as f64),
     ("duties_gap_s", |f| f.fleet.duties_gap_s),
+    ("duties_left_s", |f| f.fleet.duties_left_s),
     ("back_s", |f| f.fleet.back_s),
     ("proxy_cpu_ms", |f| f.fleet.proxy_cpu_ms),
     ("proxy_wakeups", |f| f.fleet.proxy_wakeups),
--- a/crates/lab/src/tenures.rs
+++ b/crates/lab/src/tenures.rs
@@ -37,31 +37,35 @@
 
 pub fn fill(records: &[Record], end: At, f: &mut FleetFigures) {
     let mut duties: BTreeMap<&str, Vec<Held>> = BTreeMap::new();
-    let mut kills: Vec<(At, &str)> = Vec::new();
+    let mut ends: Vec<(At, &str, bool)> = Vec::new();
     for record in records {
         match &record.what {
             What::Duty { proxy, duty, term, took } => {
                 let (asked, answered) = (record.t - Micros(*took), record.t);
                 duties.entry(duty).or_default().push(Held { asked, answered, proxy, term: *term });
             }
-            What::ProxyDown { proxy, how } if how == "kill" => kills.push((record.t, proxy)),
+            What::ProxyDown { proxy, how } if how == "kill" || how == "term" => {
+                ends.push((record.t, proxy, how == "kill"));
+            }
             _ => {}
         }
     }
-    let mut gaps: Vec<Micros> = Vec::new();
+    let (mut gaps, mut left): (Vec<Micros>, Vec<Micros>) = Default::default();
     for held in duties.values_mut() {
         held.sort_by_key(|one| one.answered);
         f.duties_twice += twice(held);
         f.duties_changed += held.windows(2).filter(|two| two[0].proxy != two[1].proxy).count() as u64;
-        for (at, proxy) in &kills {
+        for (at, proxy, killed) in &ends {
             let (before, after) = held.split_at(held.partition_point(|one| one.answered <= *at));
             if before.last().is_some_and(|one| one.proxy == *proxy) {
+                let gaps = if *killed { &mut gaps } else { &mut left };
                 gaps.push(after.first().map_or(end, |one| one.answered).since(*at));
             }
         }
     }
     f.duties = duties.len() as u64;
-    f.duties_gap_s = gaps.into_iter().max().map_or(0.0, Micros::secs);
+    let most = |gaps: Vec<Micros>| gaps.into_iter().max().map_or(0.0, Micros::secs);
+    (f.duties_gap_s, f.duties_left_s) = (most(gaps), most(left));
 }
 
 #[cfg(test)]
