Keep a voter's highest term when it begins anew in place; one hash, no unused parts

Found on reading the change again: after an upgrade a voter forgot what it had granted and its floor stayed the clock at its start, so a term of an asker whose clock is ahead could be granted again to another: never two at once (it keeps silent for a lease), but fencing by terms would not tell the two apart. The floor takes the highest term along now. Test: a_voter_that_begins_anew_in_place_keeps_silent_for_a_lease_and_grants_no_term_again. Behaviour is otherwise as it was: ordinal and the duties' hash share FNV-1a, a check without a caller and a second bound on the number of duties are out, and the list of calls stands in a constant so that the file is formatted again.

--- a/crates/fleet/src/duties.rs
+++ b/crates/fleet/src/duties.rs
@@ -14,8 +14,6 @@
 /// Duties in one letter, and answers: so that it fits into a datagram whatever their holders' names.
 pub const ASKED_MOST: usize = 32;
 pub const ANSWERED_MOST: usize = 10;
-/// Duties that one proxy takes part in, at the most.
-pub const DUTIES_MOST: usize = 1024;
 const MOVE: Span = Span::from_millis(500); // between two duties that are given to those who come before
 const GIVEN: Span = Span::from_millis(60_000); // until one that came back is given away again
 const LOOKED_AT: f64 = 64.0; // members for which each looks once a lease; more look seldomer
@@ -164,11 +162,15 @@
     pub counts: Counts,
 }
 
-/// FNV-1a of 64 bits, its bits mixed once more (the finaliser of splitmix64).
-fn hash(words: &[&str]) -> u64 {
+/// FNV-1a of 64 bits.
+pub fn fnv(bytes: impl Iterator<Item = u8>) -> u64 {
     let step = |sum: u64, byte: u8| (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    let bytes = words.iter().flat_map(|word| word.bytes().chain([0]));
-    let mut sum = bytes.fold(0xcbf2_9ce4_8422_2325, step);
+    bytes.fold(0xcbf2_9ce4_8422_2325, step)
+}
+
+/// A number for words in this order: FNV-1a, its bits mixed once more (the finaliser of splitmix64).
+fn hash(words: &[&str]) -> u64 {
+    let mut sum = fnv(words.iter().flat_map(|word| word.bytes().chain([0])));
     for (shift, factor) in [(30, 0xbf58_476d_1ce4_e5b9), (27, 0x94d0_49bb_1331_11eb_u64)] {
         sum = (sum ^ (sum >> shift)).wrapping_mul(factor);
     }
@@ -180,9 +182,8 @@
         let electorate = Electorate::new(&plan.voters);
         let votes = electorate.voters().contains(&plan.address);
         let voter = votes.then(|| Voter::new(now, plan.lease, None));
-        let named = plan.duties.iter().take(DUTIES_MOST);
         let duty = |name: &String| Duty { name: name.clone(), ..Duty::default() };
-        let duties = named.map(|name| (hash(&[name]), duty(name))).collect();
+        let duties = plan.duties.iter().map(|name| (hash(&[name]), duty(name))).collect();
         let mut rng = Rand32::new(plan.seed);
         let (marks, seq) = (electorate.marks(), rng.rand_u32());
         Duties {
--- a/crates/fleet/src/leases.rs
+++ b/crates/fleet/src/leases.rs
@@ -68,9 +68,11 @@
         Voter { lease, silent_until: now + silence, floor, granted: BTreeMap::new() }
     }
 
-    /// Another process may have voted in its place until now: it begins anew.
+    /// Another process may have voted in its place until now: it begins anew, and grants no term that may have been granted.
     pub fn hush(&mut self, now: Time) {
-        (self.silent_until, self.granted) = (now + self.lease, BTreeMap::new());
+        let highest = self.granted.values().map(|held| held.term).fold(self.floor, u64::max);
+        *self = Voter::new(now, self.lease, None);
+        self.floor = self.floor.max(highest);
     }
 
     /// When something of its memory ends, by its clock.
@@ -79,10 +81,6 @@
         grants.chain([self.silent_until]).collect()
     }
 
-    pub fn is_silent(&self, now: Time) -> bool {
-        now < self.silent_until
-    }
-
     /// One asks for a duty under a term, or looks who has it, with the term 0.
     pub fn ask(
         &mut self,
--- a/crates/fleet/tests/leases.rs
+++ b/crates/fleet/tests/leases.rs
@@ -391,3 +391,14 @@
     let marks = |electorate: &Electorate| electorate.marks();
     assert!(marks(&joint).contains(&marks(&old)[0]) && !marks(&new).contains(&marks(&old)[0]));
 }
+
+#[test]
+fn a_voter_that_begins_anew_in_place_keeps_silent_for_a_lease_and_grants_no_term_again() {
+    let mut voter = Voter::new(local(0, 1000), LEASE, None);
+    let high = 5_000_000; // far above its clock
+    assert!(voter.ask(local(100_000, 1000), DUTY, high, (1, "a"), LEASE).unwrap().granted);
+    voter.hush(local(110_000, 1000));
+    assert_eq!(voter.ask(local(209_000, 1000), DUTY, high + 1, (2, "b"), LEASE), None);
+    assert!(!voter.ask(local(210_000, 1000), DUTY, high, (2, "b"), LEASE).unwrap().granted);
+    assert!(voter.ask(local(210_000, 1000), DUTY, high + 1, (2, "b"), LEASE).unwrap().granted);
+}
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -52,8 +52,7 @@
 
 /// A number for a name that stays the same whoever comes and goes. (FNV-1a, 64 bits, the lowest left out.)
 pub fn ordinal(name: &str) -> usize {
-    let step = |sum: u64, byte: u8| (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-    (name.bytes().fold(0xcbf2_9ce4_8422_2325, step) >> 1) as usize
+    (duties::fnv(name.bytes()) >> 1) as usize
 }
 
 impl Fleet {
--- a/crates/proxy/src/management.rs
+++ b/crates/proxy/src/management.rs
@@ -120,17 +120,15 @@
     }
 }
 
+/// What may be asked for, as one is told whose method is none of them.
+const CALLS: &str = "GET /ready, GET /metrics, GET /fleet, PUT /backends/disable/ID or enable, \
+                     PUT /fleet/duties/pause/NAME or resume\n";
+
 /// What a call asks for, once it is whole; or the answer that it gets for being none.
 fn parse(bytes: &[u8]) -> Result<Option<Call>, Refusal> {
-    let refusal = |bad: Bad| {
-        match bad {
-        Bad::Method => (
-            405,
-            "Allow: GET, PUT\r\n",
-            "GET /ready, GET /metrics, GET /fleet, PUT /backends/disable/ID or enable, PUT /fleet/duties/pause/NAME or resume\n",
-        ),
+    let refusal = |bad: Bad| match bad {
+        Bad::Method => (405, "Allow: GET, PUT\r\n", CALLS),
         bad => (bad.status(), "", "no HTTP/1.1 call that can be read\n"),
-    }
     };
     let Some(mut head) = http::request_head(bytes, OPERATORS_METHODS).map_err(refusal)? else {
         return Ok(None);
