Give a list's service 2 s to answer, so that calls given up don't keep it busy

Cause: discovery.rs gave every answer 0.3 s, and a whole list is asked for without a wait; a list's service takes 0.2 s and more a call, in turn, given up or not. Ruled out: the outage before (all had the list again by 11.3 s), the pauses alone, the new address. Change: 2 s where lists are asked for; the pause after a lost call is 1.5 s at the most, so that both fit into 6 s. The test fails without the mend: 'the call is given up: Ok(0)'.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -13,7 +13,11 @@
 use crate::shared::{Due, Note, Owner, Shared};
 
 const WAIT: Span = Span::from_millis(1_000); // how long a call may wait for something newer, about
-const GRACE: Span = Span::from_millis(300); // for an answer, beyond the time it may wait
+const GRACE: Span = Span::from_millis(300); // for an agent's answer, beyond the time it may wait
+/// For that of a list's service, which takes the calls of all proxies in their turn. Guards against a service that
+/// is busy with calls that were given up. A call that was lost, a pause and the next one fit into 6 s, after which
+/// what it has counts as told: at the most 1.25 s, 2 s and 1.5 s, which leaves 1.25 s for the answer.
+const SERVICE_GRACE: Span = Span::from_millis(2_000);
 const PACE: Span = Span::from_millis(100); // between calls that bring nothing, or fail, and do not wait either
 const LIST_MOST: usize = 4 * 1024 * 1024;
 
@@ -125,7 +129,8 @@
         let host = address;
         let call = format!("GET /v1/endpoints{} HTTP/1.1\r\nHost: {host}\r\n\r\n", query.unwrap_or_default());
         io.deadlines.call_off(self.deadline.take());
-        self.deadline = Some(io.deadlines.set(io.now + wait + GRACE, Due::List));
+        let grace = if self.pushed { GRACE } else { SERVICE_GRACE };
+        self.deadline = Some(io.deadlines.set(io.now + wait + grace, Due::List));
         if let Some(link) = &mut self.link {
             link.queue(call.as_bytes());
         }
--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use helper::{accept, answer, ask, backend, message, refusing, request, write, Proxy};
+use helper::{accept, answer, ask, backend, message, refusing, request, settings, write, Proxy};
 
 /// More than any grace for a drain, and far less than a pause that doubles comes to in these tests.
 const GRACE: Duration = Duration::from_millis(1500);
@@ -118,3 +118,34 @@
         agent.try_clone().unwrap()
     });
 }
+
+/// Where lists are asked for, one service takes the calls of all proxies in their turn. Guards against calls that are
+/// given up before their turn has come, each of which holds up the next: a service that is busy then answers nobody.
+#[test]
+fn a_list_service_that_is_busy_gets_one_call_and_time_to_answer_it() {
+    let backends = Backends::new();
+    let asked = settings(5000, "").replace(r#""discovery":"pushed""#, r#""discovery":"on_request""#);
+    let proxy = Proxy::start_with(&[&backends.listeners[0], &backends.listeners[1]], 1024, &asked);
+    let service = backend();
+    proxy.move_to(&service);
+    let mut call = accept(&service);
+    assert!(
+        message(&mut call).starts_with("GET /v1/endpoints HTTP"),
+        "a new service is asked for the whole list"
+    );
+    // It is busy for so long: the call has to stay open, and no second one may come.
+    call.set_read_timeout(Some(Duration::from_millis(1200))).unwrap();
+    let given_up = call.read(&mut [0]).map_err(|e| e.kind());
+    assert!(given_up.is_err(), "the call is given up: {given_up:?}");
+    service.set_nonblocking(true).unwrap();
+    assert!(service.accept().is_err(), "a second call, while the first is out");
+    service.set_nonblocking(false).unwrap();
+    call.set_read_timeout(Some(Duration::from_secs(9))).unwrap();
+    write(&mut call, &backends.drain());
+    // The next call shows that the list was taken in.
+    assert!(message(&mut call).starts_with("GET /v1/endpoints?index=5&"));
+    let from = Instant::now();
+    (0..20).for_each(|_| assert!(proxy.ask(&request("GET", "/read", "4")).ends_with("fine")));
+    assert_eq!(backends.got(0, from), 0, "requests to a backend that drains");
+    assert_eq!(backends.got(1, from), 20);
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -419,7 +419,7 @@
             Event::Listed { whole, listings } => self.list(whole, &listings),
             Event::ListFailed => {
                 self.list_failures += 1;
-                let wait = (1 << self.list_failures.min(3)) as f32 * (0.5 + self.rng.rand_float());
+                let wait = (1 << self.list_failures.min(2)) as f32 * (0.5 + self.rng.rand_float());
                 out.push(Action::Log(format!("list lost, failure {}, asking again", self.list_failures)));
                 out.push(Action::Timer { after: BEAT.scaled(wait.into()), mark: MARK_WATCH });
             }
