See a client's close before anything else in a turn, also behind unread bytes

Seen in review: run() took events in the kernel's order, so an answer and a close in one turn sent the gone client's request on; a close behind more than 16 KiB of piped requests was never read (go_on knows an end only from a read), so its attempt ran to the deadline and the row went out one by one; a dial went on where cancelling is not allowed. Ruled out: second copies (none are sent); the gap between the last look and the write is within one turn. Change: closed clients are handled right after operators, by readiness; one wait takes all descriptors; a client is read once more before an attempt; what is not written ends with its client everywhere, as never sent.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -82,6 +82,8 @@
     standing: Option<(usize, Time)>,
     /// A request has begun to come, or none has come yet: the deadline is for that.
     begun: bool,
+    /// It has closed its side; what is still to be read from it is of no use.
+    hung_up: bool,
 }
 
 /// What a class of exchange is called, how long its callers wait at the most, and the method that it bears.
@@ -283,6 +285,7 @@
                 counted,
                 standing,
                 begun: true,
+                hung_up: false,
             })
         });
         if let Some(slot) = slot {
@@ -315,6 +318,18 @@
         }
     }
 
+    /// Whether the connection is still there.
+    pub fn has(&self, slot: ClientSlot) -> bool {
+        self.clients.get(slot).is_some()
+    }
+
+    /// The client has closed its side, perhaps behind bytes that were not read yet.
+    pub fn hung_up(&mut self, slot: ClientSlot) {
+        if let Some(client) = self.clients.get_mut(slot) {
+            client.hung_up = true;
+        }
+    }
+
     /// Something can be read or written, or the connection has ended.
     pub fn event(&mut self, slot: ClientSlot, io: &mut Shared) {
         self.go_on(slot, io);
@@ -336,7 +351,8 @@
                 io.deadlines.set(io.now, Due::Read(slot));
             }
         }
-        if broken || client.link.ended && client.state != State::Reading {
+        // Guards against a row of requests, more than is read at once, hiding that nobody waits for them.
+        if broken || (client.link.ended || client.hung_up) && client.state != State::Reading {
             return self.close(slot, io);
         }
         match client.state {
@@ -389,7 +405,7 @@
             Ok(Some((head, message, whole))) => {
                 io.deadlines.call_off(client.deadline.take());
                 (client.used, client.begun, client.upload) = (io.now, false, None);
-                if client.link.ended {
+                if client.link.ended || client.hung_up {
                     return self.close(slot, io);
                 }
                 if !whole {
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -77,7 +77,7 @@
     }
 }
 
-const OWN_SOCKETS: usize = 16; // for the log, the loop, signals, the listener and discovery
+pub const OWN_SOCKETS: usize = 16; // for the log, the loop, signals, the listener and discovery
 const OPERATORS_SOCKETS: usize = CALLS_MOST + 4; // where operators may call, for them and a handover besides
 const OWN_MB: usize = 6; // for the program itself
 const LEAST: usize = 6; // connections on either side, and messages, to serve at all
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -24,8 +24,8 @@
     Garbled,
     /// The time for the forward was up, and `written` tells whether the backend may have it.
     OutOfTime { written: bool },
-    /// The decisions called the forward off.
-    CalledOff,
+    /// The decisions called the forward off, or its client left; `written` tells whether the backend may have it.
+    CalledOff { written: bool },
     /// The list said, before anything was written, that the backend takes nothing new.
     Withdrawn,
     /// No descriptor was left for a connection.
@@ -48,9 +48,12 @@
             Ending::KeptBroke { written: true } => Outcome::Lost,
             Ending::BrokeAfter | Ending::CutShort | Ending::Garbled => Outcome::Broken,
             Ending::OutOfTime { written: true } => Outcome::TimedOut,
-            Ending::CalledOff => Outcome::Cancelled,
+            Ending::CalledOff { written: true } => Outcome::Cancelled,
             // What was still being written when its own time was up says nothing of the backend.
-            Ending::NoRoom | Ending::Idle | Ending::OutOfTime { written: false } => Outcome::NotSent,
+            Ending::NoRoom
+            | Ending::Idle
+            | Ending::OutOfTime { written: false }
+            | Ending::CalledOff { written: false } => Outcome::NotSent,
         }
     }
 }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -406,7 +406,7 @@
         let over = head.body.is_over() || head.body.lasts_to_end() && ended && !conn.link.broken;
         if over {
             let ending = Ending::Answered { status: head.status, not_started: false };
-            let keep = !head.close && matches!(conn.stage, Stage::Busy { written: true });
+            let keep = !head.close && conn.is_written();
             (conn.head, conn.words) = (None, 0);
             conn.finish(ending, Load::default(), None, io);
             self.rest(slot, ending, keep, io);
@@ -469,7 +469,15 @@
     }
 
     pub fn cancel(&mut self, slot: ConnSlot, io: &mut Shared) {
-        self.close(slot, Ending::CalledOff, io);
+        let written = self.conns.get(slot).is_some_and(Conn::is_written);
+        self.close(slot, Ending::CalledOff { written }, io);
+    }
+
+    /// Calls off what has not been written to its last byte, and so has not begun.
+    pub fn call_off_unwritten(&mut self, slot: ConnSlot, io: &mut Shared) {
+        if self.conns.get(slot).is_some_and(|conn| !conn.is_written()) {
+            self.cancel(slot, io);
+        }
     }
 
     pub fn close_idle(&mut self, backend: BackendId, io: &mut Shared) {
@@ -505,7 +513,7 @@
                 return self.close(slot, Ending::CutShort, io);
             }
         }
-        let written = matches!(conn.stage, Stage::Busy { written: true });
+        let written = conn.is_written();
         if conn.job.is_some() {
             self.close(slot, Ending::OutOfTime { written }, io);
         }
@@ -544,6 +552,10 @@
 }
 
 impl Conn {
+    fn is_written(&self) -> bool {
+        matches!(self.stage, Stage::Busy { written: true })
+    }
+
     /// Whether nothing has come, not even the end.
     fn quiet(&mut self) -> bool {
         self.link.fill(1).is_ok() && !self.link.ended && self.link.input.is_empty()
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -16,7 +16,7 @@
 use sparlug::time::{Span, Time};
 
 use crate::clients::{Clients, Tariffs};
-use crate::config::{Budgets, Config, Fixed, Source};
+use crate::config::{Budgets, Config, Fixed, Source, OWN_SOCKETS};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, DeadlineId, Deadlines};
 use crate::discovery::Discovery;
@@ -34,7 +34,6 @@
 };
 use crate::slots::Slots;
 
-const EVENTS: usize = 256;
 const OVERSLEPT: Span = Span::from_millis(3); // more than the timer's own coarseness
 const BACKLOG: i32 = 1024; // connections that may wait to be accepted
 const ACCEPT_ON: Span = Span::from_millis(600); // how long new connections are taken after the word to go
@@ -247,7 +246,8 @@
 
     /// Serves until it is told to go and all is answered.
     pub fn run(mut self) -> io::Result<()> {
-        let mut events = Events::with_capacity(EVENTS);
+        // All descriptors at once: guards against one's end waiting in the kernel behind a flood of others.
+        let mut events = Events::with_capacity(self.budgets[0].both + OWN_SOCKETS);
         while !self.done() {
             let before = self.clock.now();
             let wait = self.io.deadlines.wait(before);
@@ -267,11 +267,7 @@
                 false => self.polled,
             };
             self.polled = self.io.now;
-            // Operators first: guards against a call of theirs waiting behind a flood of callers.
-            let owners = || events.iter().map(|event| Owner::of(event.token()));
-            let (operators, others): (Vec<_>, Vec<_>) =
-                owners().partition(|owner| matches!(owner, Owner::Management | Owner::Call(_)));
-            for owner in operators.into_iter().chain(others) {
+            for owner in self.in_order(&events) {
                 self.event(owner);
                 self.pump();
             }
@@ -286,6 +282,25 @@
         Ok(())
     }
 
+    /// Operators first: guards against a call of theirs waiting behind a flood of callers. Then the callers that are
+    /// gone: guards against a place that falls free in the same turn going to a request that nobody waits for.
+    fn in_order(&mut self, events: &Events) -> Vec<Owner> {
+        let [mut first, mut gone, mut rest] = [Vec::new(), Vec::new(), Vec::new()];
+        for event in events {
+            match Owner::of(event.token()) {
+                owner @ (Owner::Management | Owner::Call(_)) => first.push(owner),
+                owner @ Owner::Client(slot) if event.is_read_closed() => {
+                    self.clients.hung_up(slot);
+                    gone.push(owner);
+                }
+                owner => rest.push(owner),
+            }
+        }
+        first.extend(gone);
+        first.extend(rest);
+        first
+    }
+
     fn event(&mut self, owner: Owner) {
         self.io.now = self.clock.now();
         match owner {
@@ -614,8 +629,14 @@
     }
 
     fn forward(&mut self, exchange: ExchangeId, backend: BackendId, time_out: Span) {
+        // Guards against sending on what nobody waits for: the client's end may be here, and not be read.
+        if let Some(client) = self.held.get(HeldSlot::from_number(exchange.0)).and_then(|held| held.client) {
+            self.clients.event(client, &mut self.io);
+        }
+        let clients = &self.clients;
         let spent = |held: &Held| held.upload.as_ref().is_some_and(|upload| upload.spent);
-        let open = |held: &&mut Held| held.client.is_some() && !spent(held);
+        let waits = |held: &Held| held.client.is_some_and(|client| clients.has(client));
+        let open = |held: &&mut Held| waits(held) && !spent(held);
         let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)).filter(open) else {
             // Every forward has an end, also one for an exchange that is over.
             let (purpose, ending) = (Purpose::Forward(exchange, ForwardNo(u16::MAX)), Ending::NoRoom);
@@ -656,10 +677,13 @@
     fn left(&mut self, exchange: ExchangeId) {
         // The decisions know no more of what has begun to be answered.
         let began = self.held.get(HeldSlot::from_number(exchange.0)).is_some_and(|held| held.began.is_some());
-        let out = self.out(exchange).filter(|_| began);
+        let out = self.out(exchange);
         self.finish(exchange);
-        if let Some(slot) = out {
-            self.pool.cancel(slot, &mut self.io);
+        match out {
+            Some(slot) if began => self.pool.cancel(slot, &mut self.io),
+            // Also where nothing that runs may be called off: nothing runs yet.
+            Some(slot) => self.pool.call_off_unwritten(slot, &mut self.io),
+            None => {}
         }
         self.decide(Event::Left(exchange));
     }
@@ -767,7 +791,7 @@
     fn streamed(&mut self, exchange: ExchangeId, backend: BackendId, ending: Ending) {
         let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
         held.forwards.iter_mut().for_each(|out| *out = None);
-        let broke = !matches!(ending, Ending::Answered { .. } | Ending::CalledOff);
+        let broke = !matches!(ending, Ending::Answered { .. } | Ending::CalledOff { .. });
         if let (true, Some(client)) = (broke, held.client) {
             let id = held.request.head.id.as_deref();
             tracing::debug!(id, host = self.pool.host(backend), ?ending, "answer broke off");
--- /dev/null
+++ b/crates/proxy/tests/closing.rs
@@ -0,0 +1,159 @@
+//! Clients that close their connections: from then on nothing begins that only they wait for.
+
+mod helper;
+
+use std::io::Read;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::time::Duration;
+
+use helper::{
+    accept, answer, backend, close, counted, message, request, settings, unreachable, write, Proxy,
+};
+
+/// Longer than any test waits, so that nothing ends by its time alone.
+const LONG: &str = "60";
+
+fn long() -> String {
+    settings(40_000, "")
+}
+
+fn kept(method: &str, path: &str) -> String {
+    request(method, path, LONG).replace("Connection: close\r\n", "")
+}
+
+fn id(text: &str) -> &str {
+    text.lines().find_map(|line| line.strip_prefix("Request-Id: ")).unwrap_or_default()
+}
+
+/// Asks for something without waiting for the answer.
+fn asks(proxy: &Proxy, text: &str) -> TcpStream {
+    let mut client = proxy.connect();
+    write(&mut client, text);
+    client
+}
+
+/// Requests up to the limit, each on its way at the backend, so that what comes next waits.
+fn busy(proxy: &Proxy, backend: &TcpListener) -> Vec<(TcpStream, TcpStream)> {
+    let mut out = Vec::new();
+    for _ in 0..4 {
+        let client = asks(proxy, &kept("GET", "/read"));
+        let mut conn = accept(backend);
+        message(&mut conn);
+        out.push((client, conn));
+    }
+    out
+}
+
+/// Which of these requests the backend gets next, on a kept connection or a new one.
+fn next_at(conn: &mut TcpStream) -> String {
+    id(&message(conn)).to_string()
+}
+
+/// A place falls free and the client that would get it closes, both while the loop stands still, so that it finds
+/// both in one turn, the free place first. `more` is what the client has sent behind its request.
+fn a_close_and_a_free_place_in_one_turn(more: &str) {
+    let backend = backend();
+    let proxy = Proxy::start_with(&[&backend], 1024, &long());
+    let mut out = busy(&proxy, &backend);
+    let (gone, stays) = (kept("GET", "/read"), kept("GET", "/read"));
+    let leaver = asks(&proxy, &(gone.clone() + more));
+    while counted(&proxy, "taken") < 5 {}
+    let waiter = asks(&proxy, &stays);
+    while counted(&proxy, "taken") < 6 {}
+    assert_eq!(counted(&proxy, "forwards"), 4, "both wait");
+    proxy.hold();
+    let (_client, conn) = &mut out[0];
+    write(conn, &answer("200 OK", "", "fine"));
+    close(leaver);
+    proxy.go_on();
+    assert_eq!(next_at(conn), id(&stays), "the next is the one whose client waits");
+    assert_eq!((counted(&proxy, "left"), counted(&proxy, "forwards")), (1, 5));
+    drop(waiter);
+}
+
+#[test]
+fn a_close_is_seen_before_the_place_that_falls_free_in_the_same_turn() {
+    a_close_and_a_free_place_in_one_turn("");
+}
+
+#[test]
+fn a_close_behind_half_a_request_is_seen_first() {
+    a_close_and_a_free_place_in_one_turn("GET /read HTTP/1.1\r\nHost: api");
+}
+
+#[test]
+fn a_close_behind_piped_requests_is_seen_first_and_none_of_them_goes_on() {
+    a_close_and_a_free_place_in_one_turn(&kept("GET", "/read").repeat(3));
+}
+
+#[test]
+fn a_close_behind_more_than_is_read_at_once_is_seen_first() {
+    a_close_and_a_free_place_in_one_turn(&kept("GET", "/read").repeat(400));
+}
+
+/// Guards against a row of requests, longer than what is read ahead, in which the end of its client goes unseen.
+#[test]
+fn a_close_behind_a_long_row_of_requests_ends_the_attempt_that_is_out() {
+    let backend = backend();
+    let proxy = Proxy::start_with(&[&backend], 1024, &long());
+    let client = asks(&proxy, &kept("GET", "/read"));
+    let mut conn = accept(&backend);
+    message(&mut conn);
+    let mut row = client.try_clone().unwrap();
+    write(&mut row, &kept("GET", "/read").repeat(400));
+    close(client);
+    drop(row);
+    assert_eq!(conn.read(&mut [0]).unwrap(), 0, "the attempt is called off");
+    assert_eq!(
+        (counted(&proxy, "taken"), counted(&proxy, "forwards")),
+        (1, 1),
+        "and nothing of the row goes on"
+    );
+}
+
+/// The same of a client that shuts its side of the connection only.
+#[test]
+fn a_client_that_shuts_its_side_behind_a_long_row_is_gone() {
+    let backend = backend();
+    let proxy = Proxy::start_with(&[&backend], 1024, &long());
+    let mut client = asks(&proxy, &kept("GET", "/read"));
+    let mut conn = accept(&backend);
+    message(&mut conn);
+    write(&mut client, &kept("GET", "/read").repeat(400));
+    client.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(conn.read(&mut [0]).unwrap(), 0, "the attempt is called off");
+    assert_eq!(counted(&proxy, "taken"), 1);
+}
+
+/// A dial ends with the client, also at a deployment where nothing that runs may be called off.
+#[test]
+fn a_dial_under_way_is_called_off_with_its_client() {
+    for cancelling in ["true", "false"] {
+        let (backend, _full) = unreachable();
+        let long = settings(40_000, "").replace("\"dialTimeoutMs\":1000", "\"dialTimeoutMs\":50000");
+        let long = long.replace("\"cancelling\":true", &format!("\"cancelling\":{cancelling}"));
+        let proxy = Proxy::start_with(&[&backend], 1024, &long);
+        let client = asks(&proxy, &kept("POST", "/write"));
+        while counted(&proxy, "dialled") < 1 {}
+        close(client);
+        while counted(&proxy, "left") < 1 {}
+        assert_eq!(counted(&proxy, "ended_not_sent"), 1, "with cancelling {cancelling}");
+    }
+}
+
+/// What runs goes on where it may not be called off.
+#[test]
+fn what_runs_is_left_alone_where_nothing_may_be_called_off() {
+    let backend = backend();
+    let long = long().replace("\"cancelling\":true", "\"cancelling\":false");
+    let proxy = Proxy::start_with(&[&backend], 1024, &long);
+    let client = asks(&proxy, &kept("POST", "/write"));
+    let mut conn = accept(&backend);
+    message(&mut conn);
+    close(client);
+    while counted(&proxy, "left") < 1 {}
+    conn.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+    assert!(conn.read(&mut [0]).is_err(), "the connection stays");
+    write(&mut conn, &answer("200 OK", "", "fine"));
+    while counted(&proxy, "ended_honoured") < 1 {}
+}
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -172,6 +172,17 @@
         assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
     }
 
+    /// Holds its loop still, so that what comes until it goes on is there in one turn.
+    pub fn hold(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.id());
+        while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {}
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     /// Waits for its end and tells its exit code.
     pub fn end(mut self) -> Option<i32> {
         self.child.wait().unwrap().code()
@@ -221,6 +232,31 @@
     listener
 }
 
+/// Fills the backlog of a listener that accepts nothing, so that no further connection comes up before some of these
+/// are accepted.
+pub fn fill(backend: &TcpListener) -> Vec<TcpStream> {
+    let to = backend.local_addr().unwrap();
+    let dial = |_| TcpStream::connect_timeout(&to, Duration::from_millis(100)).ok();
+    let full: Vec<_> = (0..5000).map_while(dial).collect();
+    assert!(full.len() < 5000);
+    full
+}
+
+/// A listener that lets no connection come up.
+pub fn unreachable() -> (TcpListener, Vec<TcpStream>) {
+    let backend = backend();
+    let full = fill(&backend);
+    (backend, full)
+}
+
+/// Counters as they stand now.
+pub fn counted(proxy: &Proxy, name: &str) -> u64 {
+    proxy.signal("-USR1");
+    let line = proxy.logged("counters=");
+    let found = line.split([' ', '"']).find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+    found.and_then(|count| count.parse().ok()).unwrap_or_else(|| panic!("{name} in {line}"))
+}
+
 /// One that refuses all connections. It keeps its port: guards against another test's listener getting it.
 pub fn refusing() -> TcpListener {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
@@ -228,6 +264,12 @@
     socket.into()
 }
 
+/// Closes a connection here and now. Guards against a copy of it that lives on in a child of another test for the
+/// moment between its fork and its exec.
+pub fn close(stream: TcpStream) {
+    stream.shutdown(std::net::Shutdown::Both).unwrap();
+}
+
 pub fn accept(listener: &TcpListener) -> TcpStream {
     patient(listener.accept().unwrap().0)
 }
--- a/crates/proxy/tests/parts.rs
+++ b/crates/proxy/tests/parts.rs
@@ -78,6 +78,7 @@
         Ending::NeverUp,
         Ending::BrokeBefore,
         Ending::OutOfTime { written: false },
+        Ending::CalledOff { written: false },
         Ending::Withdrawn,
         Ending::KeptBroke { written: false },
         Ending::NoRoom,
@@ -90,7 +91,7 @@
         Ending::KeptBroke { written: true },
         Ending::Garbled,
         Ending::OutOfTime { written: true },
-        Ending::CalledOff,
+        Ending::CalledOff { written: true },
         answered(503, false),
         answered(504, false),
         answered(500, true),
@@ -102,8 +103,13 @@
     assert!(perhaps.iter().all(ran));
     assert_eq!(answered(200, false).outcome(), Outcome::Honoured);
     // Guards against backends left out for what a client, the list or the proxy itself is the cause of.
-    let ours = [Ending::Withdrawn, Ending::NoRoom, Ending::OutOfTime { written: false }, Ending::CalledOff];
-    assert!(ours.iter().chain(&[answered(400, false)]).all(|ending| ending.outcome().judges_nobody()));
+    let called_off = [true, false].map(|written| Ending::CalledOff { written });
+    let ours = [Ending::Withdrawn, Ending::NoRoom, Ending::OutOfTime { written: false }];
+    assert!(ours
+        .iter()
+        .chain(&called_off)
+        .chain(&[answered(400, false)])
+        .all(|ending| ending.outcome().judges_nobody()));
     let theirs =
         [Ending::Refused, Ending::NeverUp, Ending::Garbled, answered(500, false), answered(429, false)];
     assert!(!theirs.iter().any(|ending| ending.outcome().judges_nobody()));
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -7,7 +7,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use helper::{accept, answer, backend, message, new_path, refusing, request, run, settings, write, Proxy};
+use helper::{
+    accept, answer, backend, message, new_path, refusing, request, run, settings, unreachable, write, Proxy,
+};
 
 /// What a stub backend sends back, or `None` if it just closes.
 fn once(listener: &TcpListener, reply: Option<&str>) -> String {
@@ -313,16 +315,6 @@
     assert_eq!(conn.read(&mut [0; 9]).unwrap(), 0, "what is given up is closed");
 }
 
-/// A listener that accepts nothing, with its backlog filled, lets no further connection come up.
-fn unreachable() -> (TcpListener, Vec<TcpStream>) {
-    let backend = backend();
-    let to = backend.local_addr().unwrap();
-    let dial = |_| TcpStream::connect_timeout(&to, Duration::from_millis(100)).ok();
-    let full: Vec<_> = (0..5000).map_while(dial).collect();
-    assert!(full.len() < 5000);
-    (backend, full)
-}
-
 /// Guards against a lost backend costing the exchanges that are sent there their whole time.
 #[test]
 fn what_goes_to_a_backend_that_is_lost_goes_on_to_another_in_time() {
