Write no repeat after its window, and tell what is left when an attempt is written

Seen in review: open() compares a repeat's window when it decides, but the pool writes whenever the connection comes up, up to 1.5 s later on zone+brink: with a window of 0.8 s and a connection that came up after 1 s the backend got it twice. The head with Request-Timeout was written before the dial: 14.996 s told 0.505 s after a request with 15 s came. Ruled out: kept connections (written in the same turn); refusals after the window (the rule allows them for the group 'all'). Change: Action::Forward bears the time by which it has to begin; a dial that reaches it ends as TooLate, never sent; the time told is put in when the connection is up.

--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -28,6 +28,8 @@
     CalledOff { written: bool },
     /// The list said, before anything was written, that the backend takes nothing new.
     Withdrawn,
+    /// It was not up before the forward might no longer begin.
+    TooLate,
     /// No descriptor was left for a connection.
     NoRoom,
     /// The connection stood idle: for long enough, until the backend closed it, or until its place was
@@ -51,6 +53,7 @@
             Ending::CalledOff { written: true } => Outcome::Cancelled,
             // What was still being written when its own time was up says nothing of the backend.
             Ending::NoRoom
+            | Ending::TooLate
             | Ending::Idle
             | Ending::OutOfTime { written: false }
             | Ending::CalledOff { written: false } => Outcome::NotSent,
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -155,18 +155,24 @@
 }
 
 impl RequestHead {
-    /// The request as it goes on: as it came, but with the time that is left now.
-    pub fn forwarded(&self, message: &[u8], left: Span) -> Vec<u8> {
+    /// The request as it goes on: as it came, but with the time that is left now. Also where that time stands.
+    pub fn forwarded(&self, message: &[u8], left: Span) -> (Vec<u8>, Range<usize>) {
         let mut out = Vec::with_capacity(message.len() + 32);
         kept(&message[..self.length], &self.left_out, &mut out);
-        // Rounded up: a time of nothing would be no time at all.
-        let left = (left.ms() * 10.0).ceil().max(1.0) / 10_000.0;
-        out.extend_from_slice(format!("Request-Timeout: {left:.4}\r\n\r\n").as_bytes());
+        out.extend_from_slice(b"Request-Timeout: ");
+        let (start, left) = (out.len(), time_left(left));
+        out.extend_from_slice(left.as_bytes());
+        out.extend_from_slice(b"\r\n\r\n");
         out.extend_from_slice(&message[self.length..]);
-        out
+        (out, start..start + left.len())
     }
 }
 
+/// A time as a request bears it, rounded up: a time of nothing would be no time at all.
+pub fn time_left(left: Span) -> String {
+    format!("{:.4}", (left.ms() * 10.0).ceil().max(1.0) / 10_000.0)
+}
+
 /// What an answer's head tells.
 #[derive(Clone, Debug)]
 pub struct AnswerHead {
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::io::{ErrorKind, Read, Result, Write};
 use std::net::{Shutdown, SocketAddr};
+use std::ops::Range;
 
 use mio::event::Source;
 use mio::net::TcpStream;
@@ -85,6 +86,13 @@
         self.output.extend_from_slice(bytes);
     }
 
+    /// Puts other bytes in the place of some that are to be written, unless writing has begun.
+    pub fn rewrite(&mut self, place: Range<usize>, bytes: &[u8]) {
+        if self.written == 0 && place.end <= self.output.len() {
+            self.output.splice(place, bytes.iter().copied());
+        }
+    }
+
     /// Writes what can be written now, and tells whether that was all.
     pub fn flush(&mut self) -> Result<bool> {
         while self.written < self.output.len() {
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use sparlug::event::{Condition, Listing, Load};
 use sparlug::id::BackendId;
@@ -64,6 +65,10 @@
     kept: bool,
     /// Its answer is passed on as it comes.
     streams: bool,
+    /// Of a message that waits for the connection to come up: where it tells the time that is left, and until when that
+    /// is, and when it may no longer begin.
+    told: Option<(Range<usize>, Time)>,
+    by: Option<Time>,
     /// For the stage: when it must be up, when its answer goes on, or how long it may stand idle.
     deadline: Option<DeadlineId>,
     used: Time,
@@ -85,6 +90,10 @@
     pub whole: bool,
     /// It may run again, should it get lost.
     pub again: bool,
+    /// Where the time stands that it tells, which is what is left when it is written.
+    pub told: Option<Range<usize>>,
+    /// It may not begin from then on.
+    pub by: Option<Time>,
 }
 
 pub struct Pool {
@@ -187,7 +196,7 @@
         if found.is_some() {
             io.counters.reused += 1;
         }
-        let slot = match found.map_or_else(|| self.dial(backend, io), Ok) {
+        let slot = match found.map_or_else(|| self.dial(backend, message.by, io), Ok) {
             Ok(slot) => slot,
             Err(ending) => {
                 let done =
@@ -200,6 +209,7 @@
         let deadline = io.deadlines.set(until, Due::Forward(slot));
         conn.job = Some(Job { purpose, sent: io.now, deadline, whole: message.whole });
         conn.used = io.now;
+        conn.told = message.told.map(|place| (place, until));
         conn.link.queue(message.bytes);
         self.go_on(slot, io);
         Some(slot)
@@ -223,7 +233,7 @@
         }
     }
 
-    fn dial(&mut self, backend: BackendId, io: &mut Shared) -> Result<ConnSlot, Ending> {
+    fn dial(&mut self, backend: BackendId, by: Option<Time>, io: &mut Shared) -> Result<ConnSlot, Ending> {
         let Some(Place { life, dialled, .. }) = self.places.get(&backend) else {
             return Err(Ending::Withdrawn);
         };
@@ -233,14 +243,29 @@
             let oldest = self.standing.first().map(|(_, slot)| *slot);
             self.close(oldest.ok_or(Ending::NoRoom)?, Ending::Idle, io);
         }
-        let (mut failed, until) = (Ending::NoRoom, io.now + patience);
+        let until = by.map_or(io.now + patience, |by| by.min(io.now + patience));
+        let mut failed = Ending::NoRoom;
         let slot = self.conns.insert_with(|slot| {
             let link = Link::dial(life.dial, &io.registry, Owner::Conn(slot).token());
             let link = link.map_err(|e| failed = refusal(&e)).ok()?;
             let deadline = Some(io.deadlines.set(until, Due::Dial(slot)));
             let (stage, job, head, words, used) = (Stage::Dialling, None, None, 0, io.now);
-            let (kept, streams) = (false, false);
-            Some(Conn { link, backend, life, stage, job, head, words, kept, streams, deadline, used })
+            let (kept, streams, told) = (false, false, None);
+            Some(Conn {
+                link,
+                backend,
+                life,
+                stage,
+                job,
+                head,
+                words,
+                kept,
+                streams,
+                told,
+                by,
+                deadline,
+                used,
+            })
         });
         let slot = slot.ok_or(failed)?;
         self.places.entry(backend).and_modify(|place| place.conns += 1);
@@ -257,8 +282,15 @@
                 Ok(false) => return,
                 Err(e) => return self.close(slot, refusal(&e), io),
                 Ok(true) => {
+                    if conn.by.is_some_and(|by| io.now >= by) {
+                        return self.close(slot, Ending::TooLate, io);
+                    }
                     io.deadlines.call_off(conn.deadline.take());
                     conn.stage = Stage::Busy { written: false };
+                    // Guards against telling the backend a time of which dialling has used up a part.
+                    if let Some((place, until)) = conn.told.take() {
+                        conn.link.rewrite(place, http::time_left(until.since(io.now)).as_bytes());
+                    }
                     if let Some(place) = self.places.get_mut(&conn.backend) {
                         self.patience.came_up(&mut place.dialled, io.now.since(conn.used));
                     }
@@ -486,7 +518,9 @@
     }
 
     pub fn dial_late(&mut self, slot: ConnSlot, io: &mut Shared) {
-        self.close(slot, Ending::NeverUp, io);
+        let by = self.conns.get(slot).and_then(|conn| conn.by);
+        let over = by.is_some_and(|by| io.now >= by);
+        self.close(slot, if over { Ending::TooLate } else { Ending::NeverUp }, io);
     }
 
     pub fn idle_over(&mut self, slot: ConnSlot, io: &mut Shared) {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -557,7 +557,9 @@
     fn carry_out(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
-                Action::Forward { exchange, backend, time_out } => self.forward(exchange, backend, time_out),
+                Action::Forward { exchange, backend, time_out, by } => {
+                    self.forward(exchange, backend, time_out, by);
+                }
                 Action::TurnBack { exchange, backoff } => {
                     self.io.counters.turned_back += 1;
                     self.answer(exchange, 503, backoff);
@@ -628,7 +630,7 @@
         self.decide(Event::Taken(Exchange { id, tariff, tenant, key, cut_off, cost, whole }));
     }
 
-    fn forward(&mut self, exchange: ExchangeId, backend: BackendId, time_out: Span) {
+    fn forward(&mut self, exchange: ExchangeId, backend: BackendId, time_out: Span, by: Option<Time>) {
         // Guards against sending on what nobody waits for: the client's end may be here, and not be read.
         if let Some(client) = self.held.get(HeldSlot::from_number(exchange.0)).and_then(|held| held.client) {
             self.clients.event(client, &mut self.io);
@@ -657,11 +659,11 @@
             whole = upload.over && end == request.message.len();
             left = if upload.over { time_out } else { request.waits };
         }
-        let bytes = request.head.forwarded(&request.message[..end], left);
+        let (bytes, place) = request.head.forwarded(&request.message[..end], left);
         let (purpose, until) = (Purpose::Forward(exchange, number), self.io.now + time_out);
         // A further forward goes on a new connection too: it may be an idle one that cost it the last.
         let again = held.request.head.method == "GET" && number.0 == 0;
-        let message = Message { bytes: &bytes, whole, again };
+        let message = Message { bytes: &bytes, whole, again, told: whole.then_some(place), by };
         let slot = self.pool.send(backend, purpose, message, until, &mut self.io);
         held.forwards[usize::from(number.0)] = slot;
         if !whole {
@@ -807,7 +809,7 @@
         let host = self.pool.address(backend).map(|dial| dial.to_string()).unwrap_or_default();
         let message = format!("GET {} HTTP/1.1\r\nHost: {host}\r\n\r\n", self.check_path);
         let until = self.io.now + self.pool.dial_time();
-        let message = Message { bytes: message.as_bytes(), whole: true, again: true };
+        let message = Message { bytes: message.as_bytes(), whole: true, again: true, told: None, by: None };
         self.pool.send(backend, Purpose::Check, message, until, &mut self.io);
     }
 
--- a/crates/proxy/tests/framing.rs
+++ b/crates/proxy/tests/framing.rs
@@ -24,13 +24,13 @@
 #[test]
 fn what_goes_on_keeps_its_bytes_and_carries_the_time_left() {
     let head = request_head(REQUEST.as_bytes(), CALLERS_METHODS).unwrap().unwrap();
-    let forwarded = head.forwarded(REQUEST.as_bytes(), Span::from_ms(123.45));
+    let (forwarded, _) = head.forwarded(REQUEST.as_bytes(), Span::from_ms(123.45));
     let expected =
         "POST /write/7?x=1 HTTP/1.1\r\nHost: api.internal\r\nrequest-id: 9b1f\r\nX-Odd:  a\tb \r\n\
         Content-Length: 3\r\nRequest-Timeout: 0.1235\r\n\r\nabc";
     assert_eq!(String::from_utf8(forwarded).unwrap(), expected);
     // Guards against a time of 0, which a backend may take for no time-out or for a bad one.
-    let forwarded = head.forwarded(REQUEST.as_bytes(), Span::ZERO);
+    let (forwarded, _) = head.forwarded(REQUEST.as_bytes(), Span::ZERO);
     assert!(String::from_utf8(forwarded).unwrap().contains("Request-Timeout: 0.0001\r\n"));
 }
 
--- a/crates/proxy/tests/parts.rs
+++ b/crates/proxy/tests/parts.rs
@@ -82,6 +82,7 @@
         Ending::Withdrawn,
         Ending::KeptBroke { written: false },
         Ending::NoRoom,
+        Ending::TooLate,
         answered(503, true),
         answered(504, true),
     ];
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -3,7 +3,7 @@
 mod helper;
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -250,7 +250,7 @@
 
     pub fn add(&mut self, instance: u16, action: &Action) {
         match action {
-            Action::Forward { exchange, backend, time_out } => {
+            Action::Forward { exchange, backend, time_out, .. } => {
                 let record = self.begin(50, instance);
                 record.extend(wire_id(exchange).to_le_bytes());
                 put_backend(record, *backend);
--- a/src/event.rs
+++ b/src/event.rs
@@ -182,6 +182,8 @@
         exchange: ExchangeId,
         backend: BackendId,
         time_out: Span,
+        /// It may not begin from then on: its repeats are dropped no longer.
+        by: Option<Time>,
     },
     TurnBack {
         exchange: ExchangeId,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -583,8 +583,7 @@
             }
             self.desk.leave_lines(id);
             self.desk.asking.push(id);
-            let wait = self.desk.held[&id].tariff.goal.scaled(PATIENCE);
-            let now = self.now;
+            let (now, wait) = (self.now, self.desk.held[&id].tariff.goal.scaled(PATIENCE));
             self.desk.held.entry(id).and_modify(|held| held.asked = Some((two, now, now + wait)));
             out.extend(two.map(|backend| Action::Check { backend }));
             out.push(Action::Timer { after: wait, mark: MARK_ASKED });
@@ -622,8 +621,8 @@
         let may = |b: &Backend| match (held.tariff.effect, held.ran) {
             (Effect::Reissuable, _) | (_, None) => true,
             (Effect::AtMostOnce, Some(_)) => false,
-            (Effect::Numbered { group, window }, Some((at, since))) => {
-                self.now < since + window && at.shares(&b.listing, group)
+            (Effect::Numbered { group, .. }, Some((at, _))) => {
+                held.repeats_until() > Some(self.now) && at.shares(&b.listing, group)
             }
         };
         move |backend: BackendId| {
@@ -687,7 +686,8 @@
             PURSE_SHARE.min(PURSE_MOST - self.desk.purse) * f64::from(u8::from(held.sent == 0));
         held.out = Some((self.backends[&backend].listing, self.now));
         held.sent += 1;
-        out.push(Action::Forward { exchange: id, backend, time_out: held.due.since(self.now) });
+        let by = held.repeats_until();
+        out.push(Action::Forward { exchange: id, backend, time_out: held.due.since(self.now), by });
         if held.whole {
             self.tell(backend, BackendNote::Sent);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 
 use crate::event::{BackendNote, Condition, Event, Listing, Load, TierNote};
 use crate::id::{BackendId, ExchangeId, TenantId, ZoneId};
-use crate::settings::{Settings, Tariff};
+use crate::settings::{Effect, Settings, Tariff};
 use crate::stats::{Keys, Mean, Tally, Trend, Window};
 use crate::time::Time;
 use crate::word::{Word, OLDEST};
@@ -224,6 +224,16 @@
     }
 }
 
+impl Held {
+    /// Until when its repeats are dropped, if it may have run and they are.
+    pub fn repeats_until(&self) -> Option<Time> {
+        match (self.tariff.effect, self.ran) {
+            (Effect::Numbered { window, .. }, Some((_, since))) => Some(since + window),
+            _ => None,
+        }
+    }
+}
+
 impl Desk {
     /// With a purse, and shares of what tenants may ask: those of the first tier's clients; below it they have been
     /// dealt with.
