Read whose request it is, so that tenants' shares hold in the proxy

Seen: taken() gave every request the settings' first tenant, so where tenants have shares all of them drew on that one's (tenants.rs on the program before: 'left: loud, right: mild'). Change: the header is looked up among the settings' tenants; who names none of them has no share.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use mio::net::{TcpListener, TcpStream};
-use sparlug::id::ExchangeId;
+use sparlug::id::{ExchangeId, TenantId};
 use sparlug::time::{Span, Time};
 
 use crate::body::{Body, LONGEST};
@@ -86,11 +86,13 @@
     hung_up: bool,
 }
 
-/// What a class of exchange is called, how long its callers wait at the most, and the method that it bears.
+/// What a class of exchange is called, how long its callers wait at the most, and the method that it bears; and what
+/// those are called on whose behalf it comes.
 pub struct Tariffs {
     pub names: Vec<String>,
     pub cut_offs: Vec<Span>,
     pub methods: Vec<&'static str>,
+    pub tenants: Vec<String>,
 }
 
 pub struct Clients {
@@ -471,6 +473,8 @@
         if let Some(client) = self.clients.get_mut(slot) {
             client.open = Some(tariff as u16);
         }
+        let named = |name: &String| Some(name.as_str()) == head.tenant.as_deref();
+        let tenant = self.tariffs.tenants.iter().position(named).map(|place| TenantId(place as u32));
         let longest = self.tariffs.cut_offs[tariff];
         let waits = head.time_out.as_deref().map_or(Some(longest), seconds);
         // Guards against one client's request passing for that of another, whose id it bears.
@@ -490,7 +494,8 @@
         }
         // The client counts from when it sent, which may have been while the loop was busy.
         let (tariff, cut_off) = (tariff as u16, io.since + waits);
-        let request = Request { head, message, tariff, waits, cut_off, whole };
+        let tenant = tenant.unwrap_or(TenantId::NONE);
+        let request = Request { head, message, tariff, tenant, waits, cut_off, whole };
         io.notes.push_back(Note::Taken(slot, request));
     }
 
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -86,6 +86,8 @@
     /// The path without its query.
     pub path: String,
     pub tariff: Option<String>,
+    /// On whose behalf it comes, where tenants have shares.
+    pub tenant: Option<String>,
     /// What the request is about, in short; requests with one key belong together.
     pub key: Option<u64>,
     /// How long the client waits, as it was written.
@@ -115,7 +117,8 @@
     // Guards against a head that a backend reads in another way: bare line feeds, or a field twice.
     let bare = bytes[..length].windows(2).any(|two| two[1] == b'\n' && two[0] != b'\r');
     let twice = |name: &&str| request.headers.iter().filter(|header| is(header, name)).count() > 1;
-    if bare || ["Host", "Request-Id", "Request-Class", "Request-Timeout", "Request-Key"].iter().any(twice) {
+    let once = ["Host", "Request-Id", "Request-Class", "Request-Timeout", "Request-Key", "Tenant"];
+    if bare || once.iter().any(twice) {
         return Err(Bad::Malformed);
     }
     let target = request.path.filter(|target| target.starts_with('/')).ok_or(Bad::Malformed)?;
@@ -134,6 +137,7 @@
         id: value("Request-Id").filter(|id| !id.is_empty()).map(str::to_string),
         path: target.split('?').next().unwrap_or_default().to_string(),
         tariff: value("Request-Class").map(str::to_string),
+        tenant: value("Tenant").map(str::to_string),
         key: value("Request-Key")
             .or(value("Request-Info").and_then(key_of))
             .filter(|key| !key.is_empty())
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -10,7 +10,7 @@
 use signal_hook_mio::v1_0::Signals;
 use socket2::{Domain, Socket, Type};
 use sparlug::event::{Action, Ended, Event, Exchange, Listing, Outcome};
-use sparlug::id::{BackendId, ExchangeId, ForwardNo, TariffId, TenantId};
+use sparlug::id::{BackendId, ExchangeId, ForwardNo, TariffId};
 use sparlug::policy::Balancer;
 use sparlug::settings::Effect;
 use sparlug::time::{Span, Time};
@@ -181,7 +181,8 @@
         let longest = cut_offs.iter().copied().max().unwrap_or_default();
         let method = |effect| if effect == Effect::Reissuable { "GET" } else { "POST" };
         let methods = setup.settings.tariffs.iter().map(|tariff| method(tariff.effect)).collect();
-        let tariffs = Tariffs { names: setup.tariff_names, cut_offs, methods };
+        let (names, tenants) = (setup.tariff_names, setup.tenant_names);
+        let tariffs = Tariffs { names, cut_offs, methods, tenants };
         let clients = Clients::new(Some(listener), joined, tariffs, now_budgets);
         let pool = Pool::new(now_budgets, setup.dial, setup.idle);
         // Versions are an agent's own; of two lists of one agent the newer one counts.
@@ -605,7 +606,7 @@
     fn taken(&mut self, client: ClientSlot, request: Request) {
         self.io.counters.taken += 1;
         let (tariff, cut_off, whole) = (TariffId(request.tariff), request.cut_off, request.whole);
-        let (tenant, key, cost) = (TenantId(0), request.head.key, None);
+        let (tenant, key, cost) = (request.tenant, request.head.key, None);
         // Guards against large requests filling the memory while they wait.
         let bytes = request.message.len();
         let room = bytes + self.held_bytes <= self.clients.budgets.bytes;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -5,7 +5,7 @@
 
 use mio::{Registry, Token};
 use sparlug::event::Load;
-use sparlug::id::{BackendId, ExchangeId, ForwardNo, TimerMark};
+use sparlug::id::{BackendId, ExchangeId, ForwardNo, TenantId, TimerMark};
 use sparlug::time::{Span, Time};
 
 use crate::counters::Counters;
@@ -103,6 +103,7 @@
     pub head: RequestHead,
     pub message: Vec<u8>,
     pub tariff: u16,
+    pub tenant: TenantId,
     /// How long the client waits from its last byte on, and until when if that has come.
     pub waits: Span,
     pub cut_off: Time,
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -24,8 +24,9 @@
 pub struct Setup {
     pub settings: Settings,
     pub columns: Columns,
-    /// In the order of the settings' tariffs and zones.
+    /// In the order of the settings' tariffs, tenants and zones.
     pub tariff_names: Vec<String>,
+    pub tenant_names: Vec<String>,
     pub zone_names: Vec<String>,
     /// Where the proxies of the tier hear each other, by their numbers.
     pub peers: Vec<SocketAddr>,
@@ -130,6 +131,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Tenant {
+    #[serde(default)]
+    name: String,
     allowance_per_s: f64,
 }
 
@@ -236,6 +239,7 @@
     let answers = matches!(setup.report.how, How::Answers);
     let asked = answers && setup.allowed.probes && columns.held.or(columns.waiting).is_some();
     let tariff_names = setup.tariffs.iter().map(|tariff| tariff.name.clone()).collect();
+    let tenant_names = setup.tenants.iter().map(|tenant| tenant.name.clone()).collect();
     let (dial, idle) = (setup.allowed.dial_timeout_ms, setup.allowed.conn_idle_ms);
     let tariffs = setup.tariffs.into_iter().map(SetupTariff::decode).collect::<Result<_, _>>();
     let settings = Settings {
@@ -269,5 +273,5 @@
     if !peers.is_empty() && peers.len() != settings.instances {
         return Err(format!("settings: {} peerAddresses for {} balancers", peers.len(), settings.instances));
     }
-    Ok(Setup { settings, columns, tariff_names, zone_names, peers, fleet: None, dial, idle })
+    Ok(Setup { settings, columns, tariff_names, tenant_names, zone_names, peers, fleet: None, dial, idle })
 }
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -547,6 +547,7 @@
         settings,
         columns,
         tariff_names: read.tariff.into_keys().collect(),
+        tenant_names: Vec::new(),
         zone_names: zones,
         peers,
         fleet,
--- a/src/id.rs
+++ b/src/id.rs
@@ -28,6 +28,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TenantId(pub u32);
 
+impl TenantId {
+    /// None of those that the settings name.
+    pub const NONE: TenantId = TenantId(u32::MAX);
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub u16);
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -508,6 +508,17 @@
     assert_eq!((own(0), own(1)), (vec![8.0], vec![]));
 }
 
+#[test]
+fn who_names_no_tenant_has_no_share_and_without_tenants_there_are_no_shares() {
+    let desk = |allowances| {
+        let settings = Settings { allowances, ..Settings::for_tariffs(Vec::new()) };
+        Balancer::new(settings, 1, START, &mut Vec::new()).desk
+    };
+    let (mut shared, mut free) = (desk(vec![8.0]), desk(Vec::new()));
+    assert!(!shared.goes_beyond(TenantId(0)) && shared.goes_beyond(TenantId::NONE));
+    assert!(!free.goes_beyond(TenantId::NONE));
+}
+
 /// A balancer that asks the two it drew, with exchange 1 waiting for their reports.
 fn asking() -> Balancer {
     let mut b = balancer(Effect::Reissuable, 2);
--- a/src/state.rs
+++ b/src/state.rs
@@ -258,10 +258,12 @@
     /// Counts an exchange against its tenant's share; whether it lies beyond it.
     pub fn goes_beyond(&mut self, tenant: TenantId) -> bool {
         let share = self.shares.get_mut(tenant.0 as usize);
-        share.is_some_and(|share| {
+        let beyond = share.map(|share| {
             *share -= 1.0;
             *share < 0.0
-        })
+        });
+        // Guards against a flood that escapes its share under a name that nobody has.
+        beyond.unwrap_or(!self.shares.is_empty())
     }
 
     /// A line for the log, where it is another state than before.
