--- a/crates/proxy/tests/closing.rs
+++ b/crates/proxy/tests/closing.rs
@@ -44,11 +44,6 @@
     out
 }
 
-/// Which of these requests the backend gets next, on a kept connection or a new one.
-fn next_at(conn: &mut TcpStream) -> String {
-    id(&message(conn)).to_string()
-}
-
 /// A place falls free and the client that would get it closes, both while the loop stands still, so that it finds
 /// both in one turn, the free place first. `more` is what the client has sent behind its request.
 fn a_close_and_a_free_place_in_one_turn(more: &str) {
@@ -63,10 +58,11 @@
     assert_eq!(counted(&proxy, "forwards"), 4, "both wait");
     proxy.hold();
     let (_client, conn) = &mut out[0];
-    write(conn, &answer("200 OK", "", "fine"));
+    write(conn, &answer("200 OK", "Connection: close\r\n", "fine"));
     close(leaver);
     proxy.go_on();
-    assert_eq!(next_at(conn), id(&stays), "the next is the one whose client waits");
+    let mut next = accept(&backend);
+    assert_eq!(id(&message(&mut next)), id(&stays), "the next is the one whose client waits");
     assert_eq!((counted(&proxy, "left"), counted(&proxy, "forwards")), (1, 5));
     drop(waiter);
 }
--- a/crates/proxy/tests/tenants.rs
+++ b/crates/proxy/tests/tenants.rs
@@ -35,9 +35,8 @@
     let _second = asks(&proxy, &of(waits));
     while counted(&proxy, "taken") < 6 {}
     assert_eq!(counted(&proxy, "forwards"), 4, "two wait");
-    let conn = &mut out[0].1;
-    write(conn, &answer("200 OK", "", "fine"));
-    let text = message(conn);
+    write(&mut out[0].1, &answer("200 OK", "Connection: close\r\n", "fine"));
+    let text = message(&mut accept(&backend));
     text.lines().find_map(|line| line.strip_prefix("Tenant: ")).unwrap().to_string()
 }
 
