--- a/crates/proxy/tests/closing.rs
+++ b/crates/proxy/tests/closing.rs
@@ -87,6 +87,29 @@
     a_close_and_a_free_place_in_one_turn(&kept("GET", "/read").repeat(400));
 }
 
+/// Guards against a close that waits in the kernel behind more events than are taken at once.
+#[test]
+fn a_close_behind_a_flood_of_events_is_seen_first() {
+    let backend = backend();
+    let proxy = Proxy::start_with(&[&backend], 1024, &long());
+    let mut out = busy(&proxy, &backend);
+    let (gone, stays) = (kept("GET", "/read"), kept("GET", "/read"));
+    let leaver = asks(&proxy, &gone);
+    while counted(&proxy, "taken") < 5 {}
+    let _waiter = asks(&proxy, &stays);
+    let mut crowd: Vec<_> = (0..300).map(|_| asks(&proxy, "GET /ready HTTP/1.1\r\n\r\n")).collect();
+    crowd.iter_mut().for_each(|client| drop(message(client)));
+    while counted(&proxy, "taken") < 6 {}
+    proxy.hold();
+    write(&mut out[0].1, &answer("200 OK", "Connection: close\r\n", "fine"));
+    crowd.iter_mut().for_each(|client| write(client, "GET /ready HTTP/1.1\r\n\r\n"));
+    close(leaver);
+    proxy.go_on();
+    let mut next = accept(&backend);
+    assert_eq!(id(&message(&mut next)), id(&stays), "the next is the one whose client waits");
+    assert_eq!((counted(&proxy, "left"), counted(&proxy, "forwards")), (1, 5));
+}
+
 /// Guards against a row of requests, longer than what is read ahead, in which the end of its client goes unseen.
 #[test]
 fn a_close_behind_a_long_row_of_requests_ends_the_attempt_that_is_out() {
--- a/crates/proxy/tests/leaving.rs
+++ b/crates/proxy/tests/leaving.rs
@@ -140,3 +140,27 @@
     // SIGKILL may come as soon as the longest deadline (2 s here) and 0.7 s after SIGTERM.
     assert!(start.elapsed() < Duration::from_millis(2000 + 700), "{:?}", start.elapsed());
 }
+
+/// What waits for a place when the signal comes gets one, or its answer in time.
+#[test]
+fn what_is_still_queued_is_served() {
+    let backend = backend();
+    let proxy = Proxy::start_with(&[&backend], 1024, &settings(20_000, ""));
+    let mut out: Vec<_> = (0..4).map(|_| owed(&proxy, &backend)).collect();
+    let mut queued = proxy.connect();
+    write(&mut queued, &kept("POST", "/write"));
+    while counted(&proxy, "taken") < 5 {}
+    assert_eq!(counted(&proxy, "forwards"), 4, "it waits");
+    proxy.signal("-TERM");
+    proxy.logged("signal");
+    write(&mut out[0].1, &answer("200 OK", "Connection: close\r\n", "fine"));
+    let mut conn = accept(&backend);
+    message(&mut conn);
+    for conn in out.iter_mut().skip(1).map(|(_, conn)| conn).chain([&mut conn]) {
+        write(conn, &answer("200 OK", "", "fine"));
+    }
+    for client in out.iter_mut().map(|(client, _)| client).chain([&mut queued]) {
+        let text = message(client);
+        assert!(text.contains("Connection: close") && text.ends_with("fine"), "{text}");
+    }
+}
