Rename tariffs to classes, the field's word

Mechanical: code, comments and tests; the platform's 'tariffs' and the native configuration's [tariff.NAME] stay as they are. Builds with all targets; the suite runs at the end of the renames.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -2,9 +2,9 @@
 
 use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
 use sparlug::event::{Action, Condition, Ended, Event, Exchange, Listing, Load, Outcome};
-use sparlug::id::{BackendId, ExchangeId, ForwardNo, PodId, TariffId, TenantId, ZoneId};
+use sparlug::id::{BackendId, ClassId, ExchangeId, ForwardNo, PodId, TenantId, ZoneId};
 use sparlug::policy::Balancer;
-use sparlug::settings::{Effect, Settings, Tariff};
+use sparlug::settings::{Class, Effect, Settings};
 use sparlug::time::{Span, Time};
 
 fn listing(n: u32) -> Listing {
@@ -22,10 +22,10 @@
 /// A balancer before so many backends that holds so many exchanges, and the time by then. What it turns back for
 /// want of room it does not hold, so it is offered more until it holds enough.
 fn balancer(backends: u32, held: usize) -> (Balancer, Time) {
-    let tariff = |effect| Tariff::new(Span::from_millis(210), Span::from_millis(530), effect);
-    let tariffs = vec![tariff(Effect::Reissuable), tariff(Effect::AtMostOnce)];
+    let class = |effect| Class::new(Span::from_millis(210), Span::from_millis(530), effect);
+    let classes = vec![class(Effect::Reissuable), class(Effect::AtMostOnce)];
     let (start, mut actions) = (Time::from_ms(1000.0), Vec::new());
-    let mut balancer = Balancer::new(Settings::for_tariffs(tariffs), 7, start, &mut actions);
+    let mut balancer = Balancer::new(Settings::for_classes(classes), 7, start, &mut actions);
     let timers = std::mem::take(&mut actions);
     let listings = (0..backends).map(listing).collect();
     balancer.handle(start, Event::Listed { whole: true, listings }, &mut actions);
@@ -49,10 +49,10 @@
 }
 
 fn take(balancer: &mut Balancer, now: Time, id: u32, actions: &mut Vec<Action>) {
-    let (tariff, cut_off) = (TariffId((id % 2) as u16), now + Span::from_millis(530));
+    let (class, cut_off) = (ClassId((id % 2) as u16), now + Span::from_millis(530));
     let exchange = Exchange {
         id: ExchangeId(id.into()),
-        tariff,
+        class,
         tenant: TenantId(0),
         key: None,
         cut_off,
--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -53,14 +53,14 @@
 
 pub fn check(file: &Path) -> Result<(), Failed> {
     let config = Config::read(&Source::File(file.to_path_buf())).map_err(Failed::unusable)?;
-    let tariffs = config.setup.tariff_names.join(", ");
+    let classes = config.setup.class_names.join(", ");
     let list = match (config.discovery, &config.known) {
         (Some(agent), _) => format!("backends from the agent at {agent}"),
         (None, known) => format!("{} backends listed", known.as_ref().map_or(0, |list| list.entries.len())),
     };
     let operators = config.management.map(|at| format!(", operators call {at}")).unwrap_or_default();
     println!(
-        "{}: usable; {} listens on {}{operators}, {list}, tariffs {tariffs}",
+        "{}: usable; {} listens on {}{operators}, {list}, tariffs {classes}",
         file.display(),
         config.name,
         config.listen
--- a/crates/lab/src/configuration.rs
+++ b/crates/lab/src/configuration.rs
@@ -99,7 +99,7 @@
 
 pub fn platform(scenario: &Scenario, tier: usize, n: usize, told: &Told) -> String {
     let t = &scenario.tiers[tier];
-    let tariffs = scenario.classes.iter().map(|class| {
+    let classes = scenario.classes.iter().map(|class| {
         let effect = match class.effect {
             Effect::Reissuable => "pure",
             Effect::Numbered => "token",
@@ -125,7 +125,7 @@
         "known": known,
         "settings": {
             "tier": tier, "balancers": told.balancers, "ordinal": n, "roundMs": 1.0,
-            "discovery": "pushed", "tariffs": tariffs.collect::<Vec<_>>(),
+            "discovery": "pushed", "tariffs": classes.collect::<Vec<_>>(),
             "zones": (0..t.zones).map(zone).collect::<Vec<_>>(), "locality": n % t.zones,
             "report": { "how": if t.reports { "answers" } else { "none" }, "columns": columns },
             "peerAddresses": told.peers,
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -88,7 +88,7 @@
 
 /// What a class of exchange is called, how long its callers wait at the most, and the method that it bears; and what
 /// those are called on whose behalf it comes.
-pub struct Tariffs {
+pub struct Classes {
     pub names: Vec<String>,
     pub cut_offs: Vec<Span>,
     pub methods: Vec<&'static str>,
@@ -107,7 +107,7 @@
     unread: usize,
     /// Of all requests that were taken and are not answered.
     ids: BTreeSet<String>,
-    tariffs: Tariffs,
+    classes: Classes,
     pub budgets: Budgets,
     /// Connections may be waiting to be accepted.
     waiting: bool,
@@ -120,7 +120,7 @@
 
 impl Clients {
     /// `joined` tells that another process accepts at the same listener.
-    pub fn new(listener: Option<TcpListener>, joined: bool, tariffs: Tariffs, budgets: Budgets) -> Clients {
+    pub fn new(listener: Option<TcpListener>, joined: bool, classes: Classes, budgets: Budgets) -> Clients {
         let (clients, leavers, unread, ids, waiting, again, full, ready, leaving) = Default::default();
         Clients {
             listener,
@@ -129,7 +129,7 @@
             leavers,
             unread,
             ids,
-            tariffs,
+            classes,
             budgets,
             waiting,
             again,
@@ -159,7 +159,7 @@
     }
 
     pub fn names(&self) -> &[String] {
-        &self.tariffs.names
+        &self.classes.names
     }
 
     pub fn address(&self) -> Option<SocketAddr> {
@@ -464,18 +464,18 @@
             return self.reply(slot, if ready { 200 } else { 503 }, close, io);
         }
         let first = head.path[1..].split('/').next().unwrap_or_default();
-        let place = |name: &str| self.tariffs.names.iter().position(|tariff| tariff == name);
-        let tariff = place(first).filter(|_| head.tariff.as_deref().is_none_or(|named| named == first));
-        let Some(tariff) = tariff else {
+        let place = |name: &str| self.classes.names.iter().position(|class| class == name);
+        let class = place(first).filter(|_| head.class.as_deref().is_none_or(|named| named == first));
+        let Some(class) = class else {
             io.counters.bad_input += 1;
             return self.reply(slot, 404, true, io);
         };
         if let Some(client) = self.clients.get_mut(slot) {
-            client.open = Some(tariff as u16);
+            client.open = Some(class as u16);
         }
         let named = |name: &String| Some(name.as_str()) == head.tenant.as_deref();
-        let tenant = self.tariffs.tenants.iter().position(named).map(|place| TenantId(place as u32));
-        let longest = self.tariffs.cut_offs[tariff];
+        let tenant = self.classes.tenants.iter().position(named).map(|place| TenantId(place as u32));
+        let longest = self.classes.cut_offs[class];
         let waits = head.time_out.as_deref().map_or(Some(longest), seconds);
         // Guards against one client's request passing for that of another, whose id it bears.
         let id = head.id.clone().filter(|id| !self.ids.contains(id));
@@ -483,7 +483,7 @@
             io.counters.bad_input += 1;
             return self.reply(slot, 400, true, io);
         };
-        if head.method != self.tariffs.methods[tariff] {
+        if head.method != self.classes.methods[class] {
             io.counters.bad_input += 1;
             return self.reply(slot, 405, true, io);
         }
@@ -493,9 +493,9 @@
             client.id = Some(id);
         }
         // The client counts from when it sent, which may have been while the loop was busy.
-        let (tariff, cut_off) = (tariff as u16, io.since + waits);
+        let (class, cut_off) = (class as u16, io.since + waits);
         let tenant = tenant.unwrap_or(TenantId::NONE);
-        let request = Request { head, message, tariff, tenant, waits, cut_off, whole };
+        let request = Request { head, message, class, tenant, waits, cut_off, whole };
         io.notes.push_back(Note::Taken(slot, request));
     }
 
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -85,7 +85,7 @@
     pub id: Option<String>,
     /// The path without its query.
     pub path: String,
-    pub tariff: Option<String>,
+    pub class: Option<String>,
     /// On whose behalf it comes, where tenants have shares.
     pub tenant: Option<String>,
     /// What the request is about, in short; requests with one key belong together.
@@ -136,7 +136,7 @@
         method,
         id: value("Request-Id").filter(|id| !id.is_empty()).map(str::to_string),
         path: target.split('?').next().unwrap_or_default().to_string(),
-        tariff: value("Request-Class").map(str::to_string),
+        class: value("Request-Class").map(str::to_string),
         tenant: value("Tenant").map(str::to_string),
         key: value("Request-Key")
             .or(value("Request-Info").and_then(key_of))
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -10,12 +10,12 @@
 use signal_hook_mio::v1_0::Signals;
 use socket2::{Domain, Socket, Type};
 use sparlug::event::{Action, Ended, Event, Exchange, Listing, Outcome};
-use sparlug::id::{BackendId, ExchangeId, ForwardNo, TariffId};
+use sparlug::id::{BackendId, ClassId, ExchangeId, ForwardNo};
 use sparlug::policy::Balancer;
 use sparlug::settings::Effect;
 use sparlug::time::{Span, Time};
 
-use crate::clients::{Clients, Tariffs};
+use crate::clients::{Classes, Clients};
 use crate::config::{Budgets, Config, Fixed, Source, OWN_SOCKETS};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, DeadlineId, Deadlines};
@@ -177,13 +177,13 @@
             setup.settings.ordinal = fleet::ordinal(&config.name);
         }
         let ordinal = setup.settings.ordinal;
-        let cut_offs: Vec<_> = setup.settings.tariffs.iter().map(|tariff| tariff.cut_off).collect();
+        let cut_offs: Vec<_> = setup.settings.classes.iter().map(|class| class.cut_off).collect();
         let longest = cut_offs.iter().copied().max().unwrap_or_default();
         let method = |effect| if effect == Effect::Reissuable { "GET" } else { "POST" };
-        let methods = setup.settings.tariffs.iter().map(|tariff| method(tariff.effect)).collect();
-        let (names, tenants) = (setup.tariff_names, setup.tenant_names);
-        let tariffs = Tariffs { names, cut_offs, methods, tenants };
-        let clients = Clients::new(Some(listener), joined, tariffs, now_budgets);
+        let methods = setup.settings.classes.iter().map(|class| method(class.effect)).collect();
+        let (names, tenants) = (setup.class_names, setup.tenant_names);
+        let classes = Classes { names, cut_offs, methods, tenants };
+        let clients = Clients::new(Some(listener), joined, classes, now_budgets);
         let pool = Pool::new(now_budgets, setup.dial, setup.idle);
         // Versions are an agent's own; of two lists of one agent the newer one counts.
         let handed = state.list.filter(|_| state.agent == config.discovery).map(Handed::list);
@@ -605,7 +605,7 @@
 
     fn taken(&mut self, client: ClientSlot, request: Request) {
         self.io.counters.taken += 1;
-        let (tariff, cut_off, whole) = (TariffId(request.tariff), request.cut_off, request.whole);
+        let (class, cut_off, whole) = (ClassId(request.class), request.cut_off, request.whole);
         let (tenant, key, cost) = (request.tenant, request.head.key, None);
         // Guards against large requests filling the memory while they wait.
         let bytes = request.message.len();
@@ -628,7 +628,7 @@
         self.io.streams += usize::from(!whole);
         let id = ExchangeId(slot.number());
         self.clients.holds(client, id);
-        self.decide(Event::Taken(Exchange { id, tariff, tenant, key, cut_off, cost, whole }));
+        self.decide(Event::Taken(Exchange { id, class, tenant, key, cut_off, cost, whole }));
     }
 
     fn forward(&mut self, exchange: ExchangeId, backend: BackendId, time_out: Span, by: Option<Time>) {
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -102,7 +102,7 @@
 pub struct Request {
     pub head: RequestHead,
     pub message: Vec<u8>,
-    pub tariff: u16,
+    pub class: u16,
     pub tenant: TenantId,
     /// How long the client waits from its last byte on, and until when if that has come.
     pub waits: Span,
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -24,17 +24,17 @@
     path: PathBuf,
 }
 
-/// The settings of a tier with a reissuable and an at-most-once tariff, and goals of `goal` ms.
+/// The settings of a tier with a reissuable and an at-most-once class, and goals of `goal` ms.
 pub fn settings(goal: u32, more: &str) -> String {
-    let tariff = |name: &str, effect: &str| {
+    let class = |name: &str, effect: &str| {
         format!(
             r#"{{"name":"{name}","latencyGoalMs":{goal},"cutOffMs":{},"value":1,"effect":"{effect}"}}"#,
             goal * 2
         )
     };
-    let tariffs = [tariff("read", "pure"), tariff("write", "side_effect")].join(",");
+    let classes = [class("read", "pure"), class("write", "side_effect")].join(",");
     format!(
-        r#"{{"tier":0,"balancers":1,"roundMs":1.0,"discovery":"pushed","tariffs":[{tariffs}],
+        r#"{{"tier":0,"balancers":1,"roundMs":1.0,"discovery":"pushed","tariffs":[{classes}],
         "zones":["a"],"report":{{"how":"answers","columns":["busy_reqs","pending"]}},
         "allowed":{{"maxForwards":2,"cancelling":true,"retryAfter":true,"maxRetryAfterMs":500,
         "dialTimeoutMs":1000{more}}},
--- a/crates/proxy/tests/parts.rs
+++ b/crates/proxy/tests/parts.rs
@@ -98,7 +98,7 @@
         answered(500, true),
         answered(404, false),
     ];
-    let usual = Settings::for_tariffs(Vec::new());
+    let usual = Settings::for_classes(Vec::new());
     let ran = |ending: &Ending| ending.outcome().may_have_run(&usual);
     assert!(!never.iter().any(ran));
     assert!(perhaps.iter().all(ran));
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use sparlug::event::Load;
 use sparlug::id::ZoneId;
-use sparlug::settings::{Cold, Effect, Group, Settings, Tariff};
+use sparlug::settings::{Class, Cold, Effect, Group, Settings};
 use sparlug::time::Span;
 
 /// Where in a load report the figures stand that the decisions read.
@@ -24,8 +24,8 @@
 pub struct Setup {
     pub settings: Settings,
     pub columns: Columns,
-    /// In the order of the settings' tariffs, tenants and zones.
-    pub tariff_names: Vec<String>,
+    /// In the order of the settings' classes, tenants and zones.
+    pub class_names: Vec<String>,
     pub tenant_names: Vec<String>,
     pub zone_names: Vec<String>,
     /// Where the proxies of the tier hear each other, by their numbers.
@@ -62,7 +62,8 @@
     locality: u16,
     round_ms: f64,
     discovery: Discovery,
-    tariffs: Vec<SetupTariff>,
+    #[serde(rename = "tariffs")]
+    classes: Vec<SetupClass>,
     #[serde(default)]
     tenants: Vec<Tenant>,
     #[serde(default = "one")]
@@ -97,7 +98,7 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct SetupTariff {
+struct SetupClass {
     #[serde(default)]
     name: String,
     latency_goal_ms: f64,
@@ -207,8 +208,8 @@
     60_000.0
 }
 
-impl SetupTariff {
-    fn decode(self) -> Result<Tariff, String> {
+impl SetupClass {
+    fn decode(self) -> Result<Class, String> {
         let effect = match self.effect {
             SetupEffect::Pure => Effect::Reissuable,
             SetupEffect::SideEffect => Effect::AtMostOnce,
@@ -221,7 +222,7 @@
                 window: Span::from_ms(self.window_ms.ok_or("a tariff with effect token lacks windowMs")?),
             },
         };
-        Ok(Tariff {
+        Ok(Class {
             goal: Span::from_ms(self.latency_goal_ms),
             goal_stretch: self.aim_stretch,
             cut_off: Span::from_ms(self.cut_off_ms),
@@ -238,10 +239,10 @@
     let columns = Columns { held: place("busy_reqs"), waiting: place("pending") };
     let answers = matches!(setup.report.how, How::Answers);
     let asked = answers && setup.allowed.probes && columns.held.or(columns.waiting).is_some();
-    let tariff_names = setup.tariffs.iter().map(|tariff| tariff.name.clone()).collect();
+    let class_names = setup.classes.iter().map(|class| class.name.clone()).collect();
     let tenant_names = setup.tenants.iter().map(|tenant| tenant.name.clone()).collect();
     let (dial, idle) = (setup.allowed.dial_timeout_ms, setup.allowed.conn_idle_ms);
-    let tariffs = setup.tariffs.into_iter().map(SetupTariff::decode).collect::<Result<_, _>>();
+    let classes = setup.classes.into_iter().map(SetupClass::decode).collect::<Result<_, _>>();
     let settings = Settings {
         tier: setup.tier,
         instances: setup.balancers.max(1),
@@ -250,7 +251,7 @@
         crossing_priced: setup.penalties.cross_zone > 0.0,
         report_price: asked.then_some(setup.penalties.probe),
         round: Span::from_ms(setup.round_ms),
-        tariffs: tariffs.map_err(|e| format!("settings: {e}"))?,
+        classes: classes.map_err(|e| format!("settings: {e}"))?,
         allowances: setup.tenants.iter().map(|tenant| tenant.allowance_per_s).collect(),
         beyond_share: setup.beyond_share_value,
         list_on_request: matches!(setup.discovery, Discovery::OnRequest),
@@ -273,5 +274,5 @@
     if !peers.is_empty() && peers.len() != settings.instances {
         return Err(format!("settings: {} peerAddresses for {} balancers", peers.len(), settings.instances));
     }
-    Ok(Setup { settings, columns, tariff_names, tenant_names, zone_names, peers, fleet: None, dial, idle })
+    Ok(Setup { settings, columns, class_names, tenant_names, zone_names, peers, fleet: None, dial, idle })
 }
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -7,7 +7,7 @@
 
 use serde::Deserialize;
 use sparlug::id::ZoneId;
-use sparlug::settings::{Cold, Effect, Group, Settings, Tariff};
+use sparlug::settings::{Class, Cold, Effect, Group, Settings};
 use sparlug::time::Span;
 use toml::Spanned;
 
@@ -80,7 +80,8 @@
     fleet: Option<Spanned<FleetText>>,
     backends: Backends,
     answers: Answers,
-    tariff: BTreeMap<String, Spanned<TariffText>>,
+    #[serde(rename = "tariff")]
+    class: BTreeMap<String, Spanned<ClassText>>,
 }
 
 #[derive(Default, Deserialize)]
@@ -157,7 +158,7 @@
 
 #[derive(Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-struct TariffText {
+struct ClassText {
     goal: Option<Spanned<String>>,
     cut_off: Option<Spanned<String>>,
     value: Option<Spanned<f64>>,
@@ -309,7 +310,7 @@
         peers
     }
 
-    fn tariff(&mut self, name: &str, found: &Spanned<TariffText>) -> Tariff {
+    fn class(&mut self, name: &str, found: &Spanned<ClassText>) -> Class {
         let (at, t) = (found.span().start, found.get_ref());
         let field = |field: &str| format!("tariff.{name}.{field}");
         for (wanted, there) in [("goal", t.goal.is_some()), ("cut_off", t.cut_off.is_some())] {
@@ -361,7 +362,7 @@
         };
         let value = self.number(&field("value"), &t.value, (0.0, 1e9), 1.0);
         let late_value = self.number(&field("late_value"), &t.late_value, (0.0, 1.0), 0.0);
-        Tariff { value, late_value, ..Tariff::new(goal, cut_off, effect) }
+        Class { value, late_value, ..Class::new(goal, cut_off, effect) }
     }
 
     fn backend(&mut self, found: &Spanned<BackendText>, zones: &[String]) -> Option<Backend> {
@@ -500,18 +501,18 @@
     let retry_after = &read.answers.longest_retry_after;
     let max_backoff = retry_after.is_some().then(|| c.span("answers.longest_retry_after", retry_after, "1s"));
 
-    if read.tariff.is_empty() && parsed {
+    if read.class.is_empty() && parsed {
         c.fault(0, "tariff: missing; wanted at least one [tariff.NAME]");
     }
-    if let Some((name, tariff)) =
-        read.tariff.iter().find(|(name, _)| name.is_empty() || name.contains(['/', ' ', '?']))
+    if let Some((name, class)) =
+        read.class.iter().find(|(name, _)| name.is_empty() || name.contains(['/', ' ', '?']))
     {
         c.fault(
-            tariff.span().start,
+            class.span().start,
             format!("tariff.{name:?}: wanted a word, as it is the first part of the path"),
         );
     }
-    let tariffs: Vec<Tariff> = read.tariff.iter().map(|(name, tariff)| c.tariff(name, tariff)).collect();
+    let classes: Vec<Class> = read.class.iter().map(|(name, class)| c.class(name, class)).collect();
     let (reports, probes) = (b.reports.unwrap_or(true), b.probes.unwrap_or(true));
     let management = read.management.as_ref();
     let management =
@@ -529,7 +530,7 @@
         crossing_priced: tier.crossing_priced,
         report_price: (reports && probes).then_some(0.0),
         round: Span::from_millis(1),
-        tariffs,
+        classes,
         allowances: Vec::new(),
         beyond_share: 1.0,
         list_on_request: false,
@@ -546,7 +547,7 @@
     let setup = Setup {
         settings,
         columns,
-        tariff_names: read.tariff.into_keys().collect(),
+        class_names: read.class.into_keys().collect(),
         tenant_names: Vec::new(),
         zone_names: zones,
         peers,
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -16,7 +16,7 @@
 struct Instance {
     balancer: Balancer,
     columns: Columns,
-    tariffs: usize,
+    classes: usize,
 }
 
 #[derive(Default)]
@@ -35,10 +35,10 @@
         let ran = match record {
             Record::Start { seed, setup } => {
                 let sparlug_setup::Setup { settings, columns, .. } = sparlug_setup::decode(setup)?;
-                let tariffs = settings.tariffs.len();
+                let classes = settings.classes.len();
                 let start = AssertUnwindSafe(|| Balancer::new(settings, seed, now, actions));
                 catch_unwind(start).map(|balancer| {
-                    self.instances.insert(number, Instance { balancer, columns, tariffs });
+                    self.instances.insert(number, Instance { balancer, columns, classes });
                 })
             }
             Record::Stop => {
@@ -48,9 +48,9 @@
             Record::Event(event) => match self.instances.get_mut(&number) {
                 None => return Ok(()),
                 Some(instance) => {
-                    if let Event::Taken(Exchange { tariff, .. }) = event {
-                        if usize::from(tariff.0) >= instance.tariffs {
-                            return Err(format!("class {} is not among the settings' tariffs", tariff.0));
+                    if let Event::Taken(Exchange { class, .. }) = event {
+                        if usize::from(class.0) >= instance.classes {
+                            return Err(format!("class {} is not among the settings' tariffs", class.0));
                         }
                     }
                     catch_unwind(AssertUnwindSafe(|| instance.balancer.handle(now, event, actions)))
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's frames and records, to and from the decisions' own words.
 
 use sparlug::event::{Action, Condition, Ended, Event, Exchange, Listing, Load, Outcome};
-use sparlug::id::{BackendId, ExchangeId, ForwardNo, PeerId, PodId, TariffId, TenantId, TimerMark, ZoneId};
+use sparlug::id::{BackendId, ClassId, ExchangeId, ForwardNo, PeerId, PodId, TenantId, TimerMark, ZoneId};
 use sparlug::time::{Span, Time};
 
 use sparlug_setup::Columns;
@@ -192,12 +192,12 @@
             tables.listed(form, number, at)?
         }
         30 => {
-            let (id, tariff, tenant) = (ExchangeId(r.u32()?.into()), TariffId(r.u16()?), TenantId(r.u32()?));
+            let (id, class, tenant) = (ExchangeId(r.u32()?.into()), ClassId(r.u16()?), TenantId(r.u32()?));
             let key = Some(r.u64()?).filter(|key| *key != 0);
             let cut_off = Time::from_ms(r.f64()?);
             let cost = r.span()?;
             let cost = (r.u16()? & COST_VALID != 0).then_some(cost);
-            Event::Taken(Exchange { id, tariff, tenant, key, cut_off, cost, whole: true })
+            Event::Taken(Exchange { id, class, tenant, key, cut_off, cost, whole: true })
         }
         40 => {
             let (exchange, _forward, backend) = (ExchangeId(r.u32()?.into()), r.u16()?, r.backend()?);
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,6 +1,6 @@
 //! What an instance hears and what it may do.
 
-use crate::id::{BackendId, ExchangeId, ForwardNo, PeerId, PodId, TariffId, TenantId, TimerMark, ZoneId};
+use crate::id::{BackendId, ClassId, ExchangeId, ForwardNo, PeerId, PodId, TenantId, TimerMark, ZoneId};
 use crate::settings::{Group, Settings};
 use crate::time::{Span, Time};
 use crate::word::Word;
@@ -68,7 +68,7 @@
 }
 
 impl Listing {
-    /// Whether it drops repeats of what the other has run, for a tariff with this group.
+    /// Whether it drops repeats of what the other has run, for a class with this group.
     pub fn shares(&self, other: &Listing, group: Group) -> bool {
         match group {
             Group::All => true,
@@ -89,7 +89,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Exchange {
     pub id: ExchangeId,
-    pub tariff: TariffId,
+    pub class: ClassId,
     pub tenant: TenantId,
     /// What it is about; exchanges with one key belong together.
     pub key: Option<u64>,
--- a/src/id.rs
+++ b/src/id.rs
@@ -20,9 +20,9 @@
     }
 }
 
-/// A place in the settings' list of tariffs.
+/// A place in the settings' list of classes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct TariffId(pub u16);
+pub struct ClassId(pub u16);
 
 /// A place in the settings' list of tenants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,13 +4,13 @@
 //!
 //! ```
 //! use sparlug::event::{Action, Condition, Event, Exchange, Listing};
-//! use sparlug::id::{BackendId, ExchangeId, PodId, TariffId, TenantId, ZoneId};
+//! use sparlug::id::{BackendId, ExchangeId, PodId, ClassId, TenantId, ZoneId};
 //! use sparlug::policy::Balancer;
-//! use sparlug::settings::{Effect, Settings, Tariff};
+//! use sparlug::settings::{Effect, Settings, Class};
 //! use sparlug::time::{Span, Time};
 //!
-//! let tariff = Tariff::new(Span::from_ms(200.0), Span::from_ms(500.0), Effect::Reissuable);
-//! let settings = Settings::for_tariffs(vec![tariff]);
+//! let class = Class::new(Span::from_ms(200.0), Span::from_ms(500.0), Effect::Reissuable);
+//! let settings = Settings::for_classes(vec![class]);
 //! let (start, mut actions) = (Time::from_ms(1000.0), Vec::new());
 //! let mut balancer = Balancer::new(settings, 7, start, &mut actions);
 //! let backend = BackendId { address: [10, 0, 0, 1], port: 80 };
@@ -25,7 +25,7 @@
 //! balancer.handle(start, Event::Listed { whole: true, listings: vec![listing] }, &mut actions);
 //! let exchange = Exchange {
 //!     id: ExchangeId(1),
-//!     tariff: TariffId(0),
+//!     class: ClassId(0),
 //!     tenant: TenantId(0),
 //!     key: None,
 //!     cut_off: start + Span::from_ms(500.0),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -465,8 +465,8 @@
     }
 
     fn whole(&mut self, id: ExchangeId, cut_off: Time, out: &mut Vec<Action>) {
-        let Some(tariff) = self.desk.held.get(&id).map(|held| held.tariff) else { return };
-        let (goal, due) = self.settings.times(&tariff, self.now, cut_off, None);
+        let Some(class) = self.desk.held.get(&id).map(|held| held.class) else { return };
+        let (goal, due) = self.settings.times(&class, self.now, cut_off, None);
         self.stand_in(id, due, out);
         self.count(id);
         let Some(held) = self.desk.held.get_mut(&id) else { return };
@@ -487,12 +487,12 @@
 
     fn taken(&mut self, exchange: Exchange, out: &mut Vec<Action>) {
         let id = exchange.id;
-        let tariff = self.settings.tariffs[usize::from(exchange.tariff.0)];
-        let (goal, due) = self.settings.times(&tariff, self.now, exchange.cut_off, exchange.cost);
+        let class = self.settings.classes[usize::from(exchange.class.0)];
+        let (goal, due) = self.settings.times(&class, self.now, exchange.cut_off, exchange.cost);
         let beyond_share = self.desk.goes_beyond(exchange.tenant);
         self.desk.met = true;
         self.stand_in(id, due, out);
-        let held = Held::new(tariff, self.now, goal, due, beyond_share);
+        let held = Held::new(class, self.now, goal, due, beyond_share);
         let key = exchange.key.filter(|_| self.settings.remembers).inspect(|key| self.desk.keys.add(*key));
         self.desk.held.insert(id, Held { whole: exchange.whole, key, ..held });
         self.desk.first.push(id);
@@ -507,7 +507,7 @@
     fn ended(&mut self, e: Ended, out: &mut Vec<Action>) {
         self.count(e.exchange);
         let held = self.desk.held.get(&e.exchange);
-        let sample = held.and_then(|held| e.sample(held.tariff.goal));
+        let sample = held.and_then(|held| e.sample(held.class.goal));
         self.tell(e.backend, BackendNote::Ended(e, sample));
         if e.answered {
             self.desk.held.remove(&e.exchange);
@@ -516,7 +516,7 @@
         let ran = e.outcome.may_have_run(&self.settings);
         held.ran = held.ran.or(held.out.filter(|_| ran));
         (held.out, held.last) = (None, Some(e.backend));
-        let allowed = held.ran.is_none() || held.tariff.effect != Effect::AtMostOnce;
+        let allowed = held.ran.is_none() || held.class.effect != Effect::AtMostOnce;
         let cost = f64::from(u8::from(ran));
         let more = held.sent < self.settings.max_forwards && e.outcome != Outcome::NotSent && !e.spent;
         if allowed && more && self.desk.purse >= cost {
@@ -537,10 +537,10 @@
         Some(held)
     }
 
-    /// The final answer, at once: a turn-back where the tariff allows it, else a forfeit.
+    /// The final answer, at once: a turn-back where the class allows it, else a forfeit.
     fn give_up(&mut self, id: ExchangeId, out: &mut Vec<Action>) {
         let Some(held) = self.release(id, out) else { return };
-        let harmless = match held.tariff.effect {
+        let harmless = match held.class.effect {
             Effect::Reissuable | Effect::Numbered { group: Group::All, .. } => true,
             Effect::Numbered { .. } | Effect::AtMostOnce => held.ran.is_none() && held.out.is_none(),
         };
@@ -549,7 +549,7 @@
         }
         let took = Span::from_ms(self.tier.took.or(0.0));
         let soon = took.scaled(0.5 + f64::from(self.rng.rand_float()));
-        let soon = if self.now + took < held.goal { soon } else { held.tariff.cut_off };
+        let soon = if self.now + took < held.goal { soon } else { held.class.cut_off };
         let backoff = self.settings.max_backoff.map(|most| soon.min(most));
         out.push(Action::TurnBack { exchange: id, backoff });
     }
@@ -561,7 +561,7 @@
         let none = all_barred(&self.backends, &self.barred);
         let late = |id: &&ExchangeId| {
             let held = &self.desk.held[id];
-            let need = needs[usize::from(held.sent > 0 && held.tariff.effect == Effect::AtMostOnce)];
+            let need = needs[usize::from(held.sent > 0 && held.class.effect == Effect::AtMostOnce)];
             none || self.now + need.min(held.goal.since(held.arrived).scaled(0.9)) >= held.goal
         };
         for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
@@ -583,7 +583,7 @@
             }
             self.desk.leave_lines(id);
             self.desk.asking.push(id);
-            let (now, wait) = (self.now, self.desk.held[&id].tariff.goal.scaled(PATIENCE));
+            let (now, wait) = (self.now, self.desk.held[&id].class.goal.scaled(PATIENCE));
             self.desk.held.entry(id).and_modify(|held| held.asked = Some((two, now, now + wait)));
             out.extend(two.map(|backend| Action::Check { backend }));
             out.push(Action::Timer { after: wait, mark: MARK_ASKED });
@@ -618,7 +618,7 @@
     fn open(&self, id: ExchangeId, not: Option<BackendId>) -> impl Fn(BackendId) -> bool + '_ {
         let held = &self.desk.held[&id];
         // Guards against an effect that happens twice.
-        let may = |b: &Backend| match (held.tariff.effect, held.ran) {
+        let may = |b: &Backend| match (held.class.effect, held.ran) {
             (Effect::Reissuable, _) | (_, None) => true,
             (Effect::AtMostOnce, Some(_)) => false,
             (Effect::Numbered { group, .. }, Some((at, _))) => {
@@ -649,7 +649,7 @@
     fn two(&mut self, id: ExchangeId, near: bool) -> Option<[BackendId; 2]> {
         let (mut rng, held) = (self.rng, &self.desk.held[&id]);
         // Only the few repeats that must stay in a group look through the whole list.
-        let grouped = held.ran.is_some() && held.tariff.effect != Effect::Reissuable;
+        let grouped = held.ran.is_some() && held.class.effect != Effect::Reissuable;
         let (one, other, moved) = if let Some(key) = held.key {
             let homes = SPREAD * self.tier.ready_and_out.0 * self.desk.keys.share(key);
             self.roster.draw_homes(&mut rng, key, homes, held.last, self.open(id, None))?
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::event::Load;
-use crate::id::{PodId, TariffId, TenantId, ZoneId};
-use crate::settings::{Cold, Tariff};
+use crate::id::{ClassId, PodId, TenantId, ZoneId};
+use crate::settings::{Class, Cold};
 use crate::word::Word;
 
 const START: Time = Time::ORIGIN;
@@ -19,13 +19,13 @@
     Listing { backend: id(n), zone, pod, condition: Condition::Ready, started: None, size: 1.0 }
 }
 
-fn tariff(effect: Effect) -> Tariff {
-    Tariff::new(ms(200), ms(500), effect)
+fn class(effect: Effect) -> Class {
+    Class::new(ms(200), ms(500), effect)
 }
 
-/// A balancer with this tariff and `backends` ready backends, its limit known.
+/// A balancer with this class and `backends` ready backends, its limit known.
 fn balancer(effect: Effect, backends: u8) -> Balancer {
-    let mut balancer = Balancer::new(Settings::for_tariffs(vec![tariff(effect)]), 1, START, &mut Vec::new());
+    let mut balancer = Balancer::new(Settings::for_classes(vec![class(effect)]), 1, START, &mut Vec::new());
     for n in 0..backends {
         balancer.backends.insert(id(n), Backend { listing: listing(n), heard: START, ..Backend::default() });
     }
@@ -36,15 +36,15 @@
 }
 
 fn exchange(n: u32) -> Exchange {
-    let (tariff, tenant) = (TariffId(0), TenantId(0));
+    let (class, tenant) = (ClassId(0), TenantId(0));
     let (id, key, cut_off) = (ExchangeId(n.into()), None, START + ms(500));
-    Exchange { id, tariff, tenant, key, cut_off, cost: None, whole: true }
+    Exchange { id, class, tenant, key, cut_off, cost: None, whole: true }
 }
 
 fn held(effect: Effect) -> Held {
     let (goal, due) = (START + ms(200), START + ms(200));
-    let (arrived, tariff) = (START, tariff(effect));
-    Held::new(tariff, arrived, goal, due, false)
+    let (arrived, class) = (START, class(effect));
+    Held::new(class, arrived, goal, due, false)
 }
 
 /// An exchange that has been forwarded once, to backend 0.
@@ -502,7 +502,7 @@
 #[test]
 fn shares_are_those_of_the_first_tier() {
     let own = |tier| {
-        let settings = Settings { tier, allowances: vec![8.0], ..Settings::for_tariffs(Vec::new()) };
+        let settings = Settings { tier, allowances: vec![8.0], ..Settings::for_classes(Vec::new()) };
         Balancer::new(settings, 1, START, &mut Vec::new()).desk.shares
     };
     assert_eq!((own(0), own(1)), (vec![8.0], vec![]));
@@ -511,7 +511,7 @@
 #[test]
 fn who_names_no_tenant_has_no_share_and_without_tenants_there_are_no_shares() {
     let desk = |allowances| {
-        let settings = Settings { allowances, ..Settings::for_tariffs(Vec::new()) };
+        let settings = Settings { allowances, ..Settings::for_classes(Vec::new()) };
         Balancer::new(settings, 1, START, &mut Vec::new()).desk
     };
     let (mut shared, mut free) = (desk(vec![8.0]), desk(Vec::new()));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,7 +19,7 @@
     pub report_price: Option<f64>,
     /// The shortest time between two batches of events.
     pub round: Span,
-    pub tariffs: Vec<Tariff>,
+    pub classes: Vec<Class>,
     /// Exchanges a second that each tenant may ask of all instances together.
     pub allowances: Vec<f64>,
     /// What an exchange beyond its tenant's share is worth, as a part of its value.
@@ -51,7 +51,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-pub struct Tariff {
+pub struct Class {
     pub goal: Span,
     /// The latency goal grows by this multiple of the exchange's own work.
     pub goal_stretch: f64,
@@ -85,24 +85,24 @@
     }
 }
 
-impl Tariff {
-    pub fn new(goal: Span, cut_off: Span, effect: Effect) -> Tariff {
-        Tariff { goal, goal_stretch: 0.0, cut_off, value: 1.0, late_value: 0.0, effect }
+impl Class {
+    pub fn new(goal: Span, cut_off: Span, effect: Effect) -> Class {
+        Class { goal, goal_stretch: 0.0, cut_off, value: 1.0, late_value: 0.0, effect }
     }
 }
 
 impl Settings {
     /// When an answer to what came whole `now` is late, and when the final answer is given.
-    pub fn times(&self, tariff: &Tariff, now: Time, cut_off: Time, cost: Option<Span>) -> (Time, Time) {
+    pub fn times(&self, class: &Class, now: Time, cut_off: Time, cost: Option<Span>) -> (Time, Time) {
         // Room for the time between two batches, and for the answer's way back.
         let margin = self.round.scaled(2.0) + Span::from_millis(2);
-        let (last, stretch) = (cut_off - margin, cost.unwrap_or_default().scaled(tariff.goal_stretch));
-        let goal = last.min(now + tariff.cut_off.min(tariff.goal + stretch) - margin);
-        (goal, if tariff.late_value > 0.0 { last } else { goal })
+        let (last, stretch) = (cut_off - margin, cost.unwrap_or_default().scaled(class.goal_stretch));
+        let goal = last.min(now + class.cut_off.min(class.goal + stretch) - margin);
+        (goal, if class.late_value > 0.0 { last } else { goal })
     }
 
     /// One instance in one zone, told of every change of the list, with no tenants.
-    pub fn for_tariffs(tariffs: Vec<Tariff>) -> Settings {
+    pub fn for_classes(classes: Vec<Class>) -> Settings {
         Settings {
             tier: 0,
             instances: 1,
@@ -111,7 +111,7 @@
             crossing_priced: false,
             report_price: None,
             round: Span::from_millis(1),
-            tariffs,
+            classes,
             allowances: Vec::new(),
             beyond_share: 1.0,
             list_on_request: false,
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 
 use crate::event::{BackendNote, Condition, Event, Listing, Load, TierNote};
 use crate::id::{BackendId, ExchangeId, TenantId, ZoneId};
-use crate::settings::{Effect, Settings, Tariff};
+use crate::settings::{Class, Effect, Settings};
 use crate::stats::{Keys, Mean, Tally, Trend, Window};
 use crate::time::Time;
 use crate::word::{Word, OLDEST};
@@ -162,7 +162,7 @@
 /// An exchange that was taken and not yet answered.
 #[derive(Clone, Debug)]
 pub struct Held {
-    pub tariff: Tariff,
+    pub class: Class,
     pub arrived: Time,
     /// An answer after this is late.
     pub goal: Time,
@@ -206,9 +206,9 @@
 }
 
 impl Held {
-    pub fn new(tariff: Tariff, arrived: Time, goal: Time, due: Time, beyond_share: bool) -> Held {
+    pub fn new(class: Class, arrived: Time, goal: Time, due: Time, beyond_share: bool) -> Held {
         Held {
-            tariff,
+            class,
             arrived,
             goal,
             due,
@@ -227,7 +227,7 @@
 impl Held {
     /// Until when its repeats are dropped, if it may have run and they are.
     pub fn repeats_until(&self) -> Option<Time> {
-        match (self.tariff.effect, self.ran) {
+        match (self.class.effect, self.ran) {
             (Effect::Numbered { window, .. }, Some((_, since))) => Some(since + window),
             _ => None,
         }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -7,9 +7,9 @@
 
 use oorandom::Rand32;
 use sparlug::event::{Action, Condition, Ended, Event, Exchange, Listing, Load, Outcome};
-use sparlug::id::{BackendId, ExchangeId, ForwardNo, PodId, TariffId, TenantId, TimerMark, ZoneId};
+use sparlug::id::{BackendId, ClassId, ExchangeId, ForwardNo, PodId, TenantId, TimerMark, ZoneId};
 use sparlug::policy::Balancer;
-use sparlug::settings::{Cold, Effect, Settings, Tariff};
+use sparlug::settings::{Class, Cold, Effect, Settings};
 use sparlug::time::{Span, Time};
 
 const BACKENDS: u8 = 12;
@@ -103,8 +103,8 @@
     }
 
     fn start(&mut self, number: usize, count: usize, turn: u32) -> (u32, Balancer) {
-        let tariff = Tariff::new(Span::from_millis(600), Span::from_millis(1_500), Effect::Reissuable);
-        let usual = Settings::for_tariffs(vec![tariff]);
+        let class = Class::new(Span::from_millis(600), Span::from_millis(1_500), Effect::Reissuable);
+        let usual = Settings::for_classes(vec![class]);
         let settings = Settings { instances: count, ordinal: number, cold: COLD, max_forwards: 4, ..usual };
         let (mut out, now, seed) = (Vec::new(), self.time(), u64::from(self.rng.rand_u32()));
         let mut balancer = Balancer::new(settings, seed, now, &mut out);
@@ -171,8 +171,8 @@
                 let place = self.chance().powi(2) * self.instances.len() as f64;
                 self.came += 1;
                 let (id, cut_off) = (ExchangeId(self.came), self.time() + Span::from_millis(1_500));
-                let (tariff, tenant, key, cost) = (TariffId(0), TenantId(0), None, None);
-                let exchange = Exchange { id, tariff, tenant, key, cut_off, cost, whole: true };
+                let (class, tenant, key, cost) = (ClassId(0), TenantId(0), None, None);
+                let exchange = Exchange { id, class, tenant, key, cut_off, cost, whole: true };
                 self.tell(place as usize, Event::Taken(exchange));
             }
             Due::Timer(number, turn, mark) if self.instances[number].0 == turn => {
