--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,8 +1,8 @@
-//! What a decision costs, by how many backends are listed and how many exchanges are held.
+//! What a decision costs, by how many backends are listed and how many requests are held.
 
 use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
-use sparlug::event::{Action, Condition, Ended, Event, Exchange, Listing, Load, Outcome};
-use sparlug::id::{BackendId, ClassId, ExchangeId, ForwardNo, PodId, TenantId, ZoneId};
+use sparlug::event::{Action, Condition, Ended, Event, Listing, Load, Outcome, Request};
+use sparlug::id::{BackendId, ClassId, ForwardNo, PodId, RequestId, TenantId, ZoneId};
 use sparlug::policy::Balancer;
 use sparlug::settings::{Class, Effect, Settings};
 use sparlug::time::{Span, Time};
@@ -19,7 +19,7 @@
     }
 }
 
-/// A balancer before so many backends that holds so many exchanges, and the time by then. What it turns back for
+/// A balancer before so many backends that holds so many requests, and the time by then. What it turns back for
 /// want of room it does not hold, so it is offered more until it holds enough.
 fn balancer(backends: u32, held: usize) -> (Balancer, Time) {
     let class = |effect| Class::new(Span::from_millis(210), Span::from_millis(530), effect);
@@ -50,8 +50,8 @@
 
 fn take(balancer: &mut Balancer, now: Time, id: u32, actions: &mut Vec<Action>) {
     let (class, cut_off) = (ClassId((id % 2) as u16), now + Span::from_millis(530));
-    let exchange = Exchange {
-        id: ExchangeId(id.into()),
+    let request = Request {
+        id: RequestId(id.into()),
         class,
         tenant: TenantId(0),
         key: None,
@@ -59,18 +59,18 @@
         cost: None,
         whole: true,
     };
-    balancer.handle(now, Event::Taken(exchange), actions);
+    balancer.handle(now, Event::Taken(request), actions);
 }
 
-/// One exchange from its taking to its answer.
-fn exchange(balancer: &mut Balancer, now: Time, id: u32, actions: &mut Vec<Action>) {
+/// One request from its taking to its answer.
+fn request(balancer: &mut Balancer, now: Time, id: u32, actions: &mut Vec<Action>) {
     take(balancer, now, id, actions);
     let forwards = std::mem::take(actions);
     for action in forwards {
-        let Action::Forward { exchange, backend, .. } = action else { continue };
+        let Action::Forward { request, backend, .. } = action else { continue };
         let (outcome, took, load) = (Outcome::Honoured, Span::from_millis(20), Load::default());
         let (forward, answered) = (ForwardNo(0), true);
-        let ended = Ended { exchange, forward, backend, outcome, answered, spent: false, took, load };
+        let ended = Ended { request, forward, backend, outcome, answered, spent: false, took, load };
         balancer.handle(now, Event::Ended(ended), actions);
     }
     actions.clear();
@@ -83,7 +83,7 @@
             let ((mut balancer, now), mut actions, mut id) = (balancer(backends, 0), Vec::new(), 1_000_000);
             b.iter(|| {
                 id += 1;
-                exchange(&mut balancer, now, id, &mut actions);
+                request(&mut balancer, now, id, &mut actions);
             });
         });
     }
--- a/crates/lab/src/backend.rs
+++ b/crates/lab/src/backend.rs
@@ -1,4 +1,4 @@
-//! A stand-in backend: cores, a queue, service times drawn by exchange, a cold start that warms, falling over
+//! A stand-in backend: cores, a queue, service times drawn by request, a cold start that warms, falling over
 //! when it is pushed, draining, calls to the next tier, and the faults that it is told to have.
 
 use std::collections::{BTreeMap, VecDeque};
@@ -179,7 +179,7 @@
         (tier.cold_share + (1.0 - tier.cold_share) * age).min(1.0)
     }
 
-    /// Whether a fault of a kind hits this exchange, and by how much.
+    /// Whether a fault of a kind hits this request, and by how much.
     fn hit(&self, kind: FaultKind, id: &str) -> Option<f64> {
         let trouble = self.troubles.values().find(|trouble| trouble.kind == kind)?;
         if trouble.nth.is_some_and(|nth| !self.seen.is_multiple_of(nth.max(1))) {
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -55,7 +55,7 @@
     /// The core that its proxies are pinned to.
     pub pin: Option<usize>,
     pub cores: usize,
-    /// Mean time that an exchange of work 1 takes on one core, and how it is spread.
+    /// Mean time that a request of work 1 takes on one core, and how it is spread.
     pub service: Micros,
     pub distribution: Distribution,
     pub cv: f64,
@@ -73,7 +73,7 @@
     pub fall_window: Micros,
     /// Answers bear load reports.
     pub reports: bool,
-    /// Calls to the next tier for each exchange, one after another: least and most.
+    /// Calls to the next tier for each request, one after another: least and most.
     pub calls: [u32; 2],
     pub idle: Micros,
     pub dial: Micros,
@@ -152,7 +152,7 @@
         ((self.cores as f64 * self.size(n)).round() as usize).max(1)
     }
 
-    /// Exchanges of work 1 that a backend of so many cores can do in the window in which it may fall over, `age` after it
+    /// Requests of work 1 that a backend of so many cores can do in the window in which it may fall over, `age` after it
     /// started cold.
     pub fn bearable(&self, cores: usize, age: Micros) -> f64 {
         let warmed = age.secs() / self.cold_ramp.secs().max(1e-6);
@@ -281,7 +281,7 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Load {
-    /// Exchanges a second that callers mean to send, whatever becomes of them (an open loop).
+    /// Requests a second that callers mean to send, whatever becomes of them (an open loop).
     #[serde(default)]
     pub rate: f64,
     /// Instead, so many callers that each send the next when the last is over (a closed loop).
@@ -329,7 +329,7 @@
     /// The part of them that waits as long as `Retry-After` says.
     pub honour: f64,
     pub marks: bool,
-    /// Connections are kept for the next exchange.
+    /// Connections are kept for the next request.
     pub keep: bool,
     /// The part that leaves before its time, and after which part of the cut-off.
     pub impatient: f64,
--- a/crates/lab/src/fault.rs
+++ b/crates/lab/src/fault.rs
@@ -40,10 +40,10 @@
     /// On top of a delay, up to this.
     #[serde(default, skip_serializing_if = "Micros::is_zero")]
     pub jitter: Micros,
-    /// The part of the exchanges, or of the datagrams, that it hits; all without it.
+    /// The part of the requests, or of the datagrams, that it hits; all without it.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub chance: Option<f64>,
-    /// Hits only each n-th exchange.
+    /// Hits only each n-th request.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub nth: Option<u64>,
     /// Returns at another address.
--- a/crates/lab/src/ledger.rs
+++ b/crates/lab/src/ledger.rs
@@ -19,7 +19,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
-    /// Each taken exchange has one final answer before its cut-off, and nothing after.
+    /// Each taken request has one final answer before its cut-off, and nothing after.
     OneAnswer,
     /// What may run only once runs once, and never after it was turned back.
     OneEffect,
@@ -48,7 +48,7 @@
 #[derive(Clone, Debug)]
 pub struct Breach {
     pub rule: Rule,
-    /// The exchange, if it is about one.
+    /// The request, if it is about one.
     pub id: Option<String>,
     pub at: At,
     pub text: String,
@@ -57,9 +57,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Verdict {
     pub breaches: Vec<Breach>,
-    /// Exchanges that were judged.
+    /// Requests that were judged.
     pub taken: usize,
-    /// Exchanges with no answer for which a kill or a cut of the plan answers.
+    /// Requests with no answer for which a kill or a cut of the plan answers.
     pub excused: usize,
     /// Requests that crossed the close of a kept connection.
     pub crossed: usize,
@@ -78,7 +78,7 @@
 }
 
 #[derive(Default)]
-struct Exchange {
+struct Request {
     class: String,
     to: String,
     sent: At,
@@ -97,7 +97,7 @@
 
 #[derive(Default)]
 struct Book {
-    exchanges: BTreeMap<String, Exchange>,
+    requests: BTreeMap<String, Request>,
     begun: BTreeMap<String, Vec<(At, String)>>,
     arrived: BTreeMap<String, Vec<(At, String)>>,
     offered: BTreeMap<String, Vec<At>>,
@@ -132,8 +132,8 @@
         book
     }
 
-    fn exchange(&mut self, id: &str) -> &mut Exchange {
-        self.exchanges.entry(id.to_string()).or_default()
+    fn request(&mut self, id: &str) -> &mut Request {
+        self.requests.entry(id.to_string()).or_default()
     }
 
     fn enter(&mut self, record: &Record) {
@@ -142,30 +142,30 @@
         self.end = self.end.max(t);
         match what {
             What::Sent { id, class, to, cut_off, .. } => {
-                let e = self.exchange(id);
+                let e = self.request(id);
                 (e.class, e.to, e.sent, e.cut_off, e.taken) = (class.clone(), to.clone(), t, *cut_off, true);
             }
             What::Called { id, to, cut_off, .. } => {
                 let (class, part) = (id.clone(), part.clone());
-                let e = self.exchange(id);
+                let e = self.request(id);
                 (e.class, e.to, e.sent, e.cut_off) = (class, to.clone(), t, *cut_off);
                 (e.caller, e.taken) = (Some(part), true);
             }
-            What::Answered { id, status, .. } => self.exchange(id).answers.push((t, *status)),
+            What::Answered { id, status, .. } => self.request(id).answers.push((t, *status)),
             What::CallEnded { id, status: 0 } => {
-                self.exchange(id).lost = Some((t, "a call's end".to_string()))
+                self.request(id).lost = Some((t, "a call's end".to_string()))
             }
-            What::CallEnded { id, status } => self.exchange(id).answers.push((t, *status)),
-            What::Lost { id, how } => self.exchange(id).lost = Some((t, how.clone())),
-            What::GaveUp { id, own } => self.exchange(id).gave_up = Some((t, *own)),
-            What::Unasked { id, .. } if !id.is_empty() => self.exchange(id).unasked = true,
+            What::CallEnded { id, status } => self.request(id).answers.push((t, *status)),
+            What::Lost { id, how } => self.request(id).lost = Some((t, how.clone())),
+            What::GaveUp { id, own } => self.request(id).gave_up = Some((t, *own)),
+            What::Unasked { id, .. } if !id.is_empty() => self.request(id).unasked = true,
             What::Unasked { .. } => {
-                // On a kept connection after its last answer: of no exchange any more, but never allowed.
-                let e = self.exchange(&format!("unasked at {}", t.0));
+                // On a kept connection after its last answer: of no request any more, but never allowed.
+                let e = self.request(&format!("unasked at {}", t.0));
                 (e.unasked, e.sent) = (true, t);
             }
-            What::SentAgain { id } => self.exchange(id).taken = false,
-            What::NotTaken { id, .. } => self.exchange(id).taken = false,
+            What::SentAgain { id } => self.request(id).taken = false,
+            What::NotTaken { id, .. } => self.request(id).taken = false,
             What::Began { id } => self.begun.entry(id.clone()).or_default().push((t, part.clone())),
             What::Arrived { id, first, .. } => {
                 self.arrived.entry(id.clone()).or_default().push((*first, part.clone()));
@@ -223,7 +223,7 @@
     }
 
     /// Whether the plan itself took away the way to an answer, or the time for it.
-    fn excused(&self, e: &Exchange, until: At) -> bool {
+    fn excused(&self, e: &Request, until: At) -> bool {
         let over = |spans: &Spans, name: &str, skip: &[&str]| {
             let spans = spans.get(name).into_iter().flatten();
             spans
@@ -252,7 +252,7 @@
         }
     }
     let slack = ALLOWANCE + verdict.late;
-    for (id, e) in &book.exchanges {
+    for (id, e) in &book.requests {
         one_answer(&book, id, e, slack, &mut verdict);
         one_effect(&book, id, e, scenario, slack, &mut verdict);
         drains(&book, id, e, scenario, slack, &mut verdict);
@@ -274,7 +274,7 @@
     verdict
 }
 
-fn one_answer(book: &Book, id: &str, e: &Exchange, slack: Micros, verdict: &mut Verdict) {
+fn one_answer(book: &Book, id: &str, e: &Request, slack: Micros, verdict: &mut Verdict) {
     let mut breach = |at, text: String| {
         let id = Some(id.to_string());
         verdict.breaches.push(Breach { rule: Rule::OneAnswer, id, at, text });
@@ -323,20 +323,13 @@
     }
 }
 
-/// Whether the exchange that made this call was given up by its own caller.
+/// Whether the request that made this call was given up by its own caller.
 fn parent_dropped(book: &Book, id: &str) -> bool {
     let parent = id.rsplitn(3, '.').last().unwrap_or_default();
     book.dropped.contains(parent)
 }
 
-fn one_effect(
-    book: &Book,
-    id: &str,
-    e: &Exchange,
-    scenario: &Scenario,
-    slack: Micros,
-    verdict: &mut Verdict,
-) {
+fn one_effect(book: &Book, id: &str, e: &Request, scenario: &Scenario, slack: Micros, verdict: &mut Verdict) {
     let Some(begun) = book.begun.get(id) else { return };
     let Some(class) = scenario.class(&class_of(book, id, e)) else { return };
     if class.effect == Effect::Reissuable {
@@ -387,18 +380,18 @@
         }
 }
 
-/// A call bears the class of the exchange that it serves.
-fn class_of(book: &Book, id: &str, e: &Exchange) -> String {
+/// A call bears the class of the request that it serves.
+fn class_of(book: &Book, id: &str, e: &Request) -> String {
     match e.caller {
         None => e.class.clone(),
         Some(_) => {
             let first = id.split('.').next().unwrap_or(id);
-            book.exchanges.get(first).map(|e| e.class.clone()).unwrap_or_default()
+            book.requests.get(first).map(|e| e.class.clone()).unwrap_or_default()
         }
     }
 }
 
-fn drains(book: &Book, id: &str, e: &Exchange, scenario: &Scenario, slack: Micros, verdict: &mut Verdict) {
+fn drains(book: &Book, id: &str, e: &Request, scenario: &Scenario, slack: Micros, verdict: &mut Verdict) {
     for (first, host) in book.arrived.get(id).into_iter().flatten() {
         let Some(told) = book.told.get(&(e.to.clone(), host.clone())) else { continue };
         let grace = scenario.tiers.iter().find(|tier| host.split('/').next() == Some(&tier.name));
@@ -430,7 +423,7 @@
     verdict.breaches.push(Breach { rule: Rule::Cold, id: None, at, text });
 }
 
-/// All that was seen of an exchange and of its calls, a line each, with what else went on meanwhile.
+/// All that was seen of a request and of its calls, a line each, with what else went on meanwhile.
 pub fn timeline(records: &[Record], id: &str, start: At, logs: &[(String, String)]) -> Vec<String> {
     let below = format!("{id}.");
     let about =
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -12,7 +12,7 @@
 /// More than a closed loop takes in a second.
 const CLOSED_MOST: usize = 80_000;
 
-/// One exchange that a caller means to have.
+/// One request that a caller means to have.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Intent {
     /// From the start of the load.
@@ -90,7 +90,7 @@
     times.into_iter().map(intent).collect()
 }
 
-/// A generator of its own for one exchange at one backend, the same in every run.
+/// A generator of its own for one request at one backend, the same in every run.
 pub fn rng_of(seed: u64, id: &str, salt: u64) -> ChaCha8Rng {
     ChaCha8Rng::seed_from_u64(mix(seed ^ salt, id))
 }
@@ -101,7 +101,7 @@
     text.bytes().fold(seed ^ 0xcbf2_9ce4_8422_2325, step)
 }
 
-/// How long an exchange of work 1 takes on an unhurried core.
+/// How long a request of work 1 takes on an unhurried core.
 pub fn service(tier: &Tier, rng: &mut ChaCha8Rng) -> Micros {
     let mean = tier.service.0 as f64;
     let drawn = match tier.distribution {
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -209,7 +209,7 @@
 }
 
 impl What {
-    /// The exchange that it speaks of.
+    /// The request that it speaks of.
     pub fn id(&self) -> Option<&str> {
         use What::*;
         match self {
--- a/crates/lab/tests/ledger.rs
+++ b/crates/lab/tests/ledger.rs
@@ -275,7 +275,7 @@
 }
 
 #[test]
-fn a_timeline_holds_all_that_was_seen_of_an_exchange_and_its_calls() {
+fn a_timeline_holds_all_that_was_seen_of_a_request_and_its_calls() {
     let call = What::Called { id: "a.b.1".into(), by: "a".into(), to: "core/p-0".into(), cut_off: at(500) };
     let fault = What::Fault { text: "Stall front/s-1".into(), on: true, fault: None, befalls: String::new() };
     let records = [
--- a/crates/lab/tests/parts.rs
+++ b/crates/lab/tests/parts.rs
@@ -187,7 +187,7 @@
 }
 
 #[test]
-fn figures_count_from_when_an_exchange_was_meant_and_bounds_say_what_they_miss() {
+fn figures_count_from_when_a_request_was_meant_and_bounds_say_what_they_miss() {
     let scenario = source(calm()).unwrap().scenario(None, false).unwrap();
     let over = |t, due, honoured| Record {
         t: At(t),
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use mio::net::{TcpListener, TcpStream};
-use sparlug::id::{ExchangeId, TenantId};
+use sparlug::id::{RequestId, TenantId};
 use sparlug::time::{Span, Time};
 
 use crate::body::{Body, LONGEST};
@@ -14,7 +14,7 @@
 use crate::deadlines::DeadlineId;
 use crate::http::{self, Bad, RequestHead, BODY_MOST, CALLERS_METHODS, HEAD_MOST, MESSAGE_MOST};
 use crate::link::Link;
-use crate::shared::{ClientSlot, Due, Note, OfClient, Owner, Request, Shared};
+use crate::shared::{ClientSlot, Due, Incoming, Note, OfClient, Owner, Shared};
 use crate::slots::Slots;
 
 const FIRST_TIME: Span = Span::from_millis(2_300); // for the first request to come whole, from the connecting
@@ -37,11 +37,11 @@
     /// Between requests, or within one that is not whole.
     Reading,
     /// A request was taken and its answer is owed.
-    Waiting(Option<ExchangeId>),
+    Waiting(Option<RequestId>),
     /// An answer is being written.
     Answering { close: bool },
     /// One that is passed on as it comes; `done` once its last byte is here.
-    Streaming { exchange: ExchangeId, close: bool, done: bool },
+    Streaming { request: RequestId, close: bool, done: bool },
     /// The last answer is written; what still comes is thrown away until the client closes.
     Lingering,
 }
@@ -86,7 +86,7 @@
     hung_up: bool,
 }
 
-/// What a class of exchange is called, how long its callers wait at the most, and the method that it bears; and what
+/// What a class of request is called, how long its callers wait at the most, and the method that it bears; and what
 /// those are called on whose behalf it comes.
 pub struct Classes {
     pub names: Vec<String>,
@@ -314,10 +314,9 @@
         }
         io.counters.answered(client.open, GONE);
         io.deadlines.call_off(client.deadline);
-        if let State::Waiting(Some(exchange)) | State::Streaming { exchange, done: false, .. } = client.state
-        {
+        if let State::Waiting(Some(request)) | State::Streaming { request, done: false, .. } = client.state {
             io.counters.left += 1;
-            io.notes.push_back(Note::Left(exchange));
+            io.notes.push_back(Note::Left(request));
         }
         client.link.close(&io.registry);
         if self.waiting {
@@ -365,8 +364,8 @@
         match client.state {
             State::Answering { .. } | State::Streaming { .. } => self.write(slot, io),
             State::Reading => self.read(slot, io),
-            State::Waiting(Some(exchange)) if client.upload.is_some() => {
-                io.notes.push_back(Note::Up(exchange));
+            State::Waiting(Some(request)) if client.upload.is_some() => {
+                io.notes.push_back(Note::Up(request));
             }
             State::Waiting(_) | State::Lingering => {}
         }
@@ -495,14 +494,14 @@
         // The client counts from when it sent, which may have been while the loop was busy.
         let (class, cut_off) = (class as u16, io.since + waits);
         let tenant = tenant.unwrap_or(TenantId::NONE);
-        let request = Request { head, message, class, tenant, waits, cut_off, whole };
-        io.notes.push_back(Note::Taken(slot, request));
+        let incoming = Incoming { head, message, class, tenant, waits, cut_off, whole };
+        io.notes.push_back(Note::Taken(slot, incoming));
     }
 
-    /// The exchange that the client's request has become.
-    pub fn holds(&mut self, slot: ClientSlot, exchange: ExchangeId) {
+    /// The id under which the client's request goes on from here.
+    pub fn holds(&mut self, slot: ClientSlot, request: RequestId) {
         if let Some(client) = self.clients.get_mut(slot) {
-            client.state = State::Waiting(Some(exchange));
+            client.state = State::Waiting(Some(request));
         }
     }
 
@@ -540,14 +539,14 @@
     pub fn begin(
         &mut self,
         slot: ClientSlot,
-        exchange: ExchangeId,
+        request: RequestId,
         bytes: &[u8],
         close: bool,
         io: &mut Shared,
     ) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         io.deadlines.call_off(client.deadline.take());
-        client.state = State::Streaming { exchange, close, done: false };
+        client.state = State::Streaming { request, close, done: false };
         client.deadline = Some(io.deadlines.set(io.now + ANSWER_TIME, Due::Client(slot)));
         self.go_on_with(slot, bytes, false, io);
     }
@@ -605,9 +604,9 @@
             client.used = io.now;
         }
         let close = match client.state {
-            State::Streaming { exchange, done: false, .. } => {
+            State::Streaming { request, done: false, .. } => {
                 if pending <= io.window() / 2 {
-                    io.notes.push_back(Note::Down(exchange));
+                    io.notes.push_back(Note::Down(request));
                 }
                 return;
             }
@@ -668,10 +667,10 @@
             }
         }
         match client.state {
-            State::Waiting(exchange) => {
-                if let (Some(exchange), true) = (exchange, client.upload.is_some()) {
+            State::Waiting(request) => {
+                if let (Some(request), true) = (request, client.upload.is_some()) {
                     io.counters.bad_input += 1;
-                    io.notes.push_back(Note::Left(exchange));
+                    io.notes.push_back(Note::Left(request));
                     self.reply(slot, 408, true, io);
                 }
             }
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -1,4 +1,4 @@
-//! Every way in which a connection to a backend can end, or an exchange on it, and what that means to the
+//! Every way in which a connection to a backend can end, or a request on it, and what that means to the
 //! decisions. Nothing else maps what happened on a socket to an outcome.
 
 use sparlug::event::Outcome;
@@ -15,7 +15,7 @@
     BrokeBefore,
     /// It broke or ended after that, with no answer begun.
     BrokeAfter,
-    /// A connection that was kept from an earlier exchange broke or ended before any answer began; `written` tells
+    /// A connection that was kept from an earlier request broke or ended before any answer began; `written` tells
     /// whether the backend may have the request.
     KeptBroke { written: bool },
     /// It broke or ended within an answer.
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -324,16 +324,16 @@
                 job.sent = if conn.used > job.sent { io.now } else { job.sent };
             }
             match job.purpose {
-                Purpose::Forward(exchange, _) if !whole && conn.link.pending() <= io.window() / 2 => {
-                    io.notes.push_back(Note::Up(exchange));
+                Purpose::Forward(request, _) if !whole && conn.link.pending() <= io.window() / 2 => {
+                    io.notes.push_back(Note::Up(request));
                 }
                 _ => {}
             }
         }
         let written = *written;
         let read = conn.link.fill(if conn.streams { io.window() } else { MESSAGE_MOST });
-        if let (true, Some(Job { purpose: Purpose::Forward(exchange, _), .. })) = (conn.streams, &conn.job) {
-            return io.notes.push_back(Note::Down(*exchange));
+        if let (true, Some(Job { purpose: Purpose::Forward(request, _), .. })) = (conn.streams, &conn.job) {
+            return io.notes.push_back(Note::Down(*request));
         }
         // What was answered counts, also where the connection broke behind it.
         match Conn::answer(conn) {
@@ -401,7 +401,7 @@
     /// The answer is passed on as it comes from here on; its time is up to here.
     fn begin(&mut self, slot: ConnSlot, io: &mut Shared) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
-        let (Some(Job { purpose: Purpose::Forward(exchange, forward), sent, deadline, .. }), Some(head)) =
+        let (Some(Job { purpose: Purpose::Forward(request, forward), sent, deadline, .. }), Some(head)) =
             (&mut conn.job, &conn.head)
         else {
             return self.close(slot, Ending::Garbled, io);
@@ -412,9 +412,9 @@
         (conn.streams, conn.used) = (true, io.now);
         let message = conn.link.used(head.length + head.body.seen());
         let (backend, head, took) = (conn.backend, head.clone(), io.now.since(*sent));
-        let (exchange, forward) = (*exchange, *forward);
-        io.notes.push_back(Note::Began(Begun { backend, exchange, forward, head, message, took }));
-        io.notes.push_back(Note::Down(exchange));
+        let (request, forward) = (*request, *forward);
+        io.notes.push_back(Note::Began(Begun { backend, request, forward, head, message, took }));
+        io.notes.push_back(Note::Down(request));
     }
 
     /// The answer has not come to its end, and its length is unknown: it goes on as it comes.
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -9,8 +9,8 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 use socket2::{Domain, Socket, Type};
-use sparlug::event::{Action, Ended, Event, Exchange, Listing, Outcome};
-use sparlug::id::{BackendId, ClassId, ExchangeId, ForwardNo};
+use sparlug::event::{Action, Ended, Event, Listing, Outcome, Request};
+use sparlug::id::{BackendId, ClassId, ForwardNo, RequestId};
 use sparlug::policy::Balancer;
 use sparlug::settings::Effect;
 use sparlug::time::{Span, Time};
@@ -30,7 +30,8 @@
 use crate::pool::{Message, Pool};
 use crate::said::{self, Call, State, Word};
 use crate::shared::{
-    Begun, CallSlot, ClientSlot, ConnSlot, Done, Due, HeldSlot, Note, OfHeld, Owner, Purpose, Request, Shared,
+    Begun, CallSlot, ClientSlot, ConnSlot, Done, Due, HeldSlot, Incoming, Note, OfHeld, Owner, Purpose,
+    Shared,
 };
 use crate::slots::Slots;
 
@@ -40,11 +41,11 @@
 const COPY_MOST: usize = 512 * 1024; // of a long request, that is held so that it can go again
 const GONE_BY: Span = Span::from_millis(50); // after the longest cut-off from then, nothing is owed any more
 
-/// An exchange until its answer is given and all its forwards have ended.
+/// A request until its answer is given and all its forwards have ended.
 struct Held {
     /// `None` once it has its answer.
     client: Option<ClientSlot>,
-    request: Request,
+    incoming: Incoming,
     /// By number, the connections that carry forwards; `None` for one that has ended.
     forwards: Vec<Option<ConnSlot>>,
     /// `None` while its time has not begun.
@@ -323,7 +324,7 @@
         self.io.now = self.clock.now();
         match due {
             Due::Timer(mark) => self.decide(Event::Timer(mark)),
-            Due::CutOff(exchange) => self.cut_off(exchange),
+            Due::CutOff(request) => self.cut_off(request),
             Due::Client(slot) => self.clients.due(slot, &mut self.io),
             Due::Read(slot) => self.clients.event(slot, &mut self.io),
             Due::Dial(slot) => self.pool.dial_late(slot, &mut self.io),
@@ -464,11 +465,11 @@
     fn pump(&mut self) {
         while let Some(note) = self.io.notes.pop_front() {
             match note {
-                Note::Taken(client, request) => self.taken(client, request),
-                Note::Left(exchange) => self.left(exchange),
+                Note::Taken(client, incoming) => self.taken(client, incoming),
+                Note::Left(request) => self.left(request),
                 Note::Began(begun) => self.began(begun),
-                Note::Up(exchange) => self.up(exchange),
-                Note::Down(exchange) => self.down(exchange),
+                Note::Up(request) => self.up(request),
+                Note::Down(request) => self.down(request),
                 Note::Done(done) => self.ended(done),
                 Note::Listed(list, before) => self.listed(list, before),
                 Note::ListFailed => self.decide(Event::ListFailed),
@@ -558,27 +559,27 @@
     fn carry_out(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
-                Action::Forward { exchange, backend, time_out, by } => {
-                    self.forward(exchange, backend, time_out, by);
+                Action::Forward { request, backend, time_out, by } => {
+                    self.forward(request, backend, time_out, by);
                 }
-                Action::TurnBack { exchange, backoff } => {
+                Action::TurnBack { request, backoff } => {
                     self.io.counters.turned_back += 1;
-                    self.answer(exchange, 503, backoff);
+                    self.answer(request, 503, backoff);
                 }
-                Action::Forfeit { exchange } => {
+                Action::Forfeit { request } => {
                     self.io.counters.forfeited += 1;
-                    self.answer(exchange, 502, None);
+                    self.answer(request, 502, None);
                 }
-                Action::Cancel { exchange, forward } => {
-                    let held = self.held.get(HeldSlot::from_number(exchange.0));
+                Action::Cancel { request, forward } => {
+                    let held = self.held.get(HeldSlot::from_number(request.0));
                     let out = held.and_then(|held| *held.forwards.get(usize::from(forward.0))?);
                     if let Some(slot) = out {
                         self.pool.cancel(slot, &mut self.io);
                     }
                 }
-                Action::TimeOut { exchange, time_out, .. } => {
+                Action::TimeOut { request, time_out, .. } => {
                     let until = self.io.now + time_out;
-                    if let Some(slot) = self.out(exchange) {
+                    if let Some(slot) = self.out(request) {
                         self.pool.set_time(slot, until, &mut self.io);
                     }
                 }
@@ -603,22 +604,22 @@
         }
     }
 
-    fn taken(&mut self, client: ClientSlot, request: Request) {
+    fn taken(&mut self, client: ClientSlot, incoming: Incoming) {
         self.io.counters.taken += 1;
-        let (class, cut_off, whole) = (ClassId(request.class), request.cut_off, request.whole);
-        let (tenant, key, cost) = (request.tenant, request.head.key, None);
+        let (class, cut_off, whole) = (ClassId(incoming.class), incoming.cut_off, incoming.whole);
+        let (tenant, key, cost) = (incoming.tenant, incoming.head.key, None);
         // Guards against large requests filling the memory while they wait.
-        let bytes = request.message.len();
+        let bytes = incoming.message.len();
         let room = bytes + self.held_bytes <= self.clients.budgets.bytes;
         let deadlines = &mut self.io.deadlines;
         let slot = self.held.insert_with(|slot| {
             if !room {
                 return None;
             }
-            let due = Due::CutOff(ExchangeId(slot.number()));
+            let due = Due::CutOff(RequestId(slot.number()));
             let cut_off = whole.then(|| deadlines.set(cut_off, due));
             let upload = (!whole).then_some(Upload { fed: 0, spent: false, over: false });
-            Some(Held { client: Some(client), request, forwards: Vec::new(), cut_off, upload, began: None })
+            Some(Held { client: Some(client), incoming, forwards: Vec::new(), cut_off, upload, began: None })
         });
         let Some(slot) = slot else {
             self.io.counters.turned_back += 1;
@@ -626,79 +627,79 @@
         };
         self.held_bytes += bytes;
         self.io.streams += usize::from(!whole);
-        let id = ExchangeId(slot.number());
+        let id = RequestId(slot.number());
         self.clients.holds(client, id);
-        self.decide(Event::Taken(Exchange { id, class, tenant, key, cut_off, cost, whole }));
+        self.decide(Event::Taken(Request { id, class, tenant, key, cut_off, cost, whole }));
     }
 
-    fn forward(&mut self, exchange: ExchangeId, backend: BackendId, time_out: Span, by: Option<Time>) {
+    fn forward(&mut self, request: RequestId, backend: BackendId, time_out: Span, by: Option<Time>) {
         // Guards against sending on what nobody waits for: the client's end may be here, and not be read.
-        if let Some(client) = self.held.get(HeldSlot::from_number(exchange.0)).and_then(|held| held.client) {
+        if let Some(client) = self.held.get(HeldSlot::from_number(request.0)).and_then(|held| held.client) {
             self.clients.event(client, &mut self.io);
         }
         let clients = &self.clients;
         let spent = |held: &Held| held.upload.as_ref().is_some_and(|upload| upload.spent);
         let waits = |held: &Held| held.client.is_some_and(|client| clients.has(client));
         let open = |held: &&mut Held| waits(held) && !spent(held);
-        let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)).filter(open) else {
-            // Every forward has an end, also one for an exchange that is over.
-            let (purpose, ending) = (Purpose::Forward(exchange, ForwardNo(u16::MAX)), Ending::NoRoom);
+        let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)).filter(open) else {
+            // Every forward has an end, also one for a request that is over.
+            let (purpose, ending) = (Purpose::Forward(request, ForwardNo(u16::MAX)), Ending::NoRoom);
             let (took, load, answer) = Default::default();
             let done = Done { backend, purpose, ending, took, load, answer };
             return self.io.notes.push_back(Note::Done(done));
         };
         self.io.counters.forwards += 1;
-        let id = held.request.head.id.as_deref();
-        tracing::trace!(id, exchange = exchange.0, host = self.pool.host(backend), "forward");
+        let id = held.incoming.head.id.as_deref();
+        tracing::trace!(id, request = request.0, host = self.pool.host(backend), "forward");
         let number = ForwardNo(held.forwards.len() as u16);
         held.forwards.push(None);
-        let (request, window) = (&held.request, self.io.window());
-        let (mut end, mut left, mut whole) = (request.message.len(), time_out, true);
+        let (incoming, window) = (&held.incoming, self.io.window());
+        let (mut end, mut left, mut whole) = (incoming.message.len(), time_out, true);
         if let Some(upload) = &mut held.upload {
-            end = end.min(request.head.length + window);
+            end = end.min(incoming.head.length + window);
             upload.fed = end;
-            whole = upload.over && end == request.message.len();
-            left = if upload.over { time_out } else { request.waits };
+            whole = upload.over && end == incoming.message.len();
+            left = if upload.over { time_out } else { incoming.waits };
         }
-        let (bytes, place) = request.head.forwarded(&request.message[..end], left);
-        let (purpose, until) = (Purpose::Forward(exchange, number), self.io.now + time_out);
+        let (bytes, place) = incoming.head.forwarded(&incoming.message[..end], left);
+        let (purpose, until) = (Purpose::Forward(request, number), self.io.now + time_out);
         // A further forward goes on a new connection too: it may be an idle one that cost it the last.
-        let again = held.request.head.method == "GET" && number.0 == 0;
+        let again = held.incoming.head.method == "GET" && number.0 == 0;
         let message = Message { bytes: &bytes, whole, again, told: whole.then_some(place), by };
         let slot = self.pool.send(backend, purpose, message, until, &mut self.io);
         held.forwards[usize::from(number.0)] = slot;
         if !whole {
-            self.up(exchange);
+            self.up(request);
         }
     }
 
-    /// What carries the last forward of an exchange, if it is out.
-    fn out(&self, exchange: ExchangeId) -> Option<ConnSlot> {
-        *self.held.get(HeldSlot::from_number(exchange.0))?.forwards.last()?
+    /// What carries the last forward of a request, if it is out.
+    fn out(&self, request: RequestId) -> Option<ConnSlot> {
+        *self.held.get(HeldSlot::from_number(request.0))?.forwards.last()?
     }
 
-    fn left(&mut self, exchange: ExchangeId) {
+    fn left(&mut self, request: RequestId) {
         // The decisions know no more of what has begun to be answered.
-        let began = self.held.get(HeldSlot::from_number(exchange.0)).is_some_and(|held| held.began.is_some());
-        let out = self.out(exchange);
-        self.finish(exchange);
+        let began = self.held.get(HeldSlot::from_number(request.0)).is_some_and(|held| held.began.is_some());
+        let out = self.out(request);
+        self.finish(request);
         match out {
             Some(slot) if began => self.pool.cancel(slot, &mut self.io),
             // Also where nothing that runs may be called off: nothing runs yet.
             Some(slot) => self.pool.call_off_unwritten(slot, &mut self.io),
             None => {}
         }
-        self.decide(Event::Left(exchange));
+        self.decide(Event::Left(request));
     }
 
     /// Sends on what has come of a request and has room.
-    fn up(&mut self, exchange: ExchangeId) {
+    fn up(&mut self, request: RequestId) {
         loop {
-            let Some(conn) = self.out(exchange) else { return };
+            let Some(conn) = self.out(request) else { return };
             let room = self.pool.room(conn, &self.io);
-            let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
+            let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)) else { return };
             let (Some(client), Some(upload)) = (held.client, &mut held.upload) else { return };
-            let message = &mut held.request.message;
+            let message = &mut held.incoming.message;
             if room == 0 {
                 return;
             }
@@ -715,7 +716,7 @@
             let (bytes, over) = match self.clients.pull(client, room, &mut self.io) {
                 Ok((bytes, false)) if bytes.is_empty() => return,
                 Ok(pulled) => pulled,
-                Err(bad) => return self.bad_body(exchange, client, bad),
+                Err(bad) => return self.bad_body(request, client, bad),
             };
             upload.over = over;
             let (length, budget) = (bytes.len(), self.clients.budgets.bytes / 2);
@@ -729,51 +730,51 @@
             }
             self.pool.push(conn, &bytes, over, &mut self.io);
             if over {
-                return self.whole(exchange);
+                return self.whole(request);
             }
         }
     }
 
     /// The last byte of a request that is sent on as it comes is here.
-    fn whole(&mut self, exchange: ExchangeId) {
-        let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
-        let cut_off = self.io.since + held.request.waits;
-        held.cut_off = Some(self.io.deadlines.set(cut_off, Due::CutOff(exchange)));
-        self.decide(Event::Whole { exchange, cut_off });
+    fn whole(&mut self, request: RequestId) {
+        let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)) else { return };
+        let cut_off = self.io.since + held.incoming.waits;
+        held.cut_off = Some(self.io.deadlines.set(cut_off, Due::CutOff(request)));
+        self.decide(Event::Whole { request, cut_off });
     }
 
     /// What comes of a request can't be read any further.
-    fn bad_body(&mut self, exchange: ExchangeId, client: ClientSlot, bad: Bad) {
+    fn bad_body(&mut self, request: RequestId, client: ClientSlot, bad: Bad) {
         self.io.counters.bad_input += 1;
         self.clients.reply(client, bad.status(), true, &mut self.io);
-        self.left(exchange);
+        self.left(request);
     }
 
-    /// An answer that is passed on as it comes has begun, with which its exchange is over for the decisions.
+    /// An answer that is passed on as it comes has begun, with which its request is over for the decisions.
     fn began(&mut self, begun: Begun) {
-        let Begun { backend, exchange, forward, head, message, took } = begun;
-        let out = self.out(exchange);
-        let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
+        let Begun { backend, request, forward, head, message, took } = begun;
+        let out = self.out(request);
+        let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)) else { return };
         let Some(client) = held.client else {
             return out.into_iter().for_each(|slot| self.pool.cancel(slot, &mut self.io));
         };
-        let close = held.request.head.close || self.clients.ends(client);
+        let close = held.incoming.head.close || self.clients.ends(client);
         self.io.streams += usize::from(!held.streams());
         self.io.deadlines.call_off(held.cut_off.take());
-        self.clients.begin(client, exchange, &head.begun(&message, close), close, &mut self.io);
+        self.clients.begin(client, request, &head.begun(&message, close), close, &mut self.io);
         let load = head.load;
         held.began = Some(Box::new(head));
         self.io.counters.honoured += 1;
         self.io.counters.ended(Outcome::Honoured);
         let (outcome, answered, spent) = (Outcome::Honoured, true, true);
-        self.decide(Event::Ended(Ended { exchange, forward, backend, outcome, answered, spent, took, load }));
+        self.decide(Event::Ended(Ended { request, forward, backend, outcome, answered, spent, took, load }));
     }
 
     /// Passes on what has come of an answer and has room.
-    fn down(&mut self, exchange: ExchangeId) {
+    fn down(&mut self, request: RequestId) {
         loop {
-            let Some(conn) = self.out(exchange) else { return };
-            let Some(held) = self.held.get(HeldSlot::from_number(exchange.0)) else { return };
+            let Some(conn) = self.out(request) else { return };
+            let Some(held) = self.held.get(HeldSlot::from_number(request.0)) else { return };
             let (Some(client), Some(head)) = (held.client, &held.began) else { return };
             let room = self.clients.room(client, &self.io);
             if room == 0 {
@@ -785,24 +786,24 @@
             }
             self.clients.go_on_with(client, &head.piece(&bytes, over), over, &mut self.io);
             if over {
-                return self.finish(exchange);
+                return self.finish(request);
             }
         }
     }
 
     /// An answer that had begun is over, or has broken off.
-    fn streamed(&mut self, exchange: ExchangeId, backend: BackendId, ending: Ending) {
-        let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
+    fn streamed(&mut self, request: RequestId, backend: BackendId, ending: Ending) {
+        let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)) else { return };
         held.forwards.iter_mut().for_each(|out| *out = None);
         let broke = !matches!(ending, Ending::Answered { .. } | Ending::CalledOff { .. });
         if let (true, Some(client)) = (broke, held.client) {
-            let id = held.request.head.id.as_deref();
+            let id = held.incoming.head.id.as_deref();
             tracing::debug!(id, host = self.pool.host(backend), ?ending, "answer broke off");
             self.clients.cut(client, &mut self.io);
-            self.finish(exchange);
+            self.finish(request);
             self.decide(Event::Broke(backend));
         }
-        self.forget(exchange);
+        self.forget(request);
     }
 
     fn check(&mut self, backend: BackendId) {
@@ -817,88 +818,88 @@
     fn ended(&mut self, done: Done) {
         let outcome = done.ending.outcome();
         let Done { backend, purpose, ending, took, load, answer } = done;
-        let Purpose::Forward(exchange, forward) = purpose else {
+        let Purpose::Forward(request, forward) = purpose else {
             // The answer to a check bears its report as its body.
             let load = answer.map_or(load, |(head, message)| http::load(&head.text(&message)));
             let host = self.pool.host(backend);
             tracing::trace!(host, ?ending, took = took.ms(), held = load.held, "check ended");
             return self.decide(Event::Checked { backend, outcome, took, load });
         };
-        if self.held.get(HeldSlot::from_number(exchange.0)).is_some_and(|held| held.began.is_some()) {
-            return self.streamed(exchange, backend, ending);
+        if self.held.get(HeldSlot::from_number(request.0)).is_some_and(|held| held.began.is_some()) {
+            return self.streamed(request, backend, ending);
         }
         self.io.counters.ended(outcome);
         if outcome != Outcome::Honoured {
             let host = self.pool.host(backend);
-            let held = self.held.get(HeldSlot::from_number(exchange.0));
-            let id = held.and_then(|held| held.request.head.id.as_deref());
-            tracing::debug!(id, exchange = exchange.0, host, ?ending, took = took.ms(), "forward ended");
+            let held = self.held.get(HeldSlot::from_number(request.0));
+            let id = held.and_then(|held| held.incoming.head.id.as_deref());
+            tracing::debug!(id, request = request.0, host, ?ending, took = took.ms(), "forward ended");
         } else {
             let host = self.pool.host(backend);
-            tracing::trace!(exchange = exchange.0, host, took = took.ms(), "forward honoured");
+            tracing::trace!(request = request.0, host, took = took.ms(), "forward honoured");
         }
-        let slot = HeldSlot::from_number(exchange.0);
+        let slot = HeldSlot::from_number(request.0);
         if let Some(held) = self.held.get_mut(slot) {
             if let Some(out) = held.forwards.get_mut(usize::from(forward.0)) {
                 *out = None;
             }
             let last = matches!(outcome, Outcome::Honoured | Outcome::Faulted);
             if let (true, Some(client), Some((head, message))) = (last, held.client, answer) {
-                let close = held.request.head.close || self.clients.ends(client);
+                let close = held.incoming.head.close || self.clients.ends(client);
                 let close = close || outcome == Outcome::Faulted;
                 self.io.counters.honoured += u64::from(outcome == Outcome::Honoured);
                 let bytes = head.passed_on(&message, close);
                 self.clients.answer(client, head.status, &bytes, close, &mut self.io);
-                self.finish(exchange);
+                self.finish(request);
             }
         }
         let answered = self.held.get(slot).is_none_or(|held| held.client.is_none());
         let spent =
             self.held.get(slot).and_then(|held| held.upload.as_ref()).is_some_and(|upload| upload.spent);
-        let ended = Ended { exchange, forward, backend, outcome, answered, spent, took, load };
+        let ended = Ended { request, forward, backend, outcome, answered, spent, took, load };
         self.decide(Event::Ended(ended));
-        self.forget(exchange);
+        self.forget(request);
     }
 
-    /// Gives the proxy's own answer to an exchange, if it has none yet.
-    fn answer(&mut self, exchange: ExchangeId, status: u16, backoff: Option<Span>) {
-        let Some(held) = self.held.get(HeldSlot::from_number(exchange.0)) else { return };
+    /// Gives the proxy's own answer to a request, if it has none yet.
+    fn answer(&mut self, request: RequestId, status: u16, backoff: Option<Span>) {
+        let Some(held) = self.held.get(HeldSlot::from_number(request.0)) else { return };
         let Some(client) = held.client else { return };
-        let id = held.request.head.id.as_deref();
+        let id = held.incoming.head.id.as_deref();
         tracing::debug!(id, status, backoff = backoff.map(Span::ms), "answered without a backend's answer");
-        let close = held.request.head.close || self.clients.ends(client);
+        let close = held.incoming.head.close || self.clients.ends(client);
         let bytes = http::own_answer(status, backoff, close);
         self.clients.answer(client, status, &bytes, close, &mut self.io);
-        self.finish(exchange);
+        self.finish(request);
     }
 
-    /// The exchange is over: it has its answer, or its client is gone.
-    fn finish(&mut self, exchange: ExchangeId) {
-        let Some(held) = self.held.get_mut(HeldSlot::from_number(exchange.0)) else { return };
+    /// The request is over: it has its answer, or its client is gone.
+    fn finish(&mut self, request: RequestId) {
+        let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)) else { return };
         held.client = None;
         self.io.deadlines.call_off(held.cut_off.take());
-        self.forget(exchange);
+        self.forget(request);
     }
 
-    /// Drops the record of an exchange that is over, once no forward is out.
-    fn forget(&mut self, exchange: ExchangeId) {
-        let slot = HeldSlot::from_number(exchange.0);
+    /// Drops the record of a request that is over, once no forward is out.
+    fn forget(&mut self, request: RequestId) {
+        let slot = HeldSlot::from_number(request.0);
         let over = |held: &Held| held.client.is_none() && held.forwards.iter().all(Option::is_none);
         if self.held.get(slot).is_some_and(over) {
             let Some(held) = self.held.remove(slot) else { return };
-            self.held_bytes -= held.request.message.len();
+            self.held_bytes -= held.incoming.message.len();
             self.io.streams -= usize::from(held.streams());
         }
     }
 
-    /// Guards against an exchange that nothing answers: at its cut-off it fails, whatever the decisions say.
-    fn cut_off(&mut self, exchange: ExchangeId) {
-        let held = self.held.get(HeldSlot::from_number(exchange.0));
+    /// Guards against a request that nothing answers: at its cut-off it fails, whatever the decisions say.
+    fn cut_off(&mut self, request: RequestId) {
+        let held = self.held.get(HeldSlot::from_number(request.0));
         if held.is_some_and(|held| held.client.is_some()) {
             self.io.counters.overdue += 1;
-            tracing::warn!(exchange = exchange.0, "nothing was answered by the cut-off");
-            self.answer(exchange, 504, None);
-            self.decide(Event::Left(exchange));
+            tracing::warn!(request = request.0, "nothing was answered by the cut-off");
+            self.answer(request, 504, None);
+            self.decide(Event::Left(request));
         }
     }
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -5,7 +5,7 @@
 
 use mio::{Registry, Token};
 use sparlug::event::Load;
-use sparlug::id::{BackendId, ExchangeId, ForwardNo, TenantId, TimerMark};
+use sparlug::id::{BackendId, ForwardNo, RequestId, TenantId, TimerMark};
 use sparlug::time::{Span, Time};
 
 use crate::counters::Counters;
@@ -27,7 +27,7 @@
 pub type ClientSlot = Slot<OfClient>;
 /// A connection to a backend.
 pub type ConnSlot = Slot<OfConn>;
-/// An exchange until it is answered and all its forwards have ended.
+/// A request until it is answered and all its forwards have ended.
 pub type HeldSlot = Slot<OfHeld>;
 /// A connection that an operator opened.
 pub type CallSlot = Slot<OfCall>;
@@ -44,7 +44,7 @@
     /// Connections from callers.
     pub callers: usize,
     pub notes: VecDeque<Note>,
-    /// Exchanges with bodies that are passed on as they come, and the bytes that those in each direction may hold.
+    /// Requests with bodies that are passed on as they come, and the bytes that those in each direction may hold.
     pub streams: usize,
     pub stream_bytes: usize,
 }
@@ -64,8 +64,8 @@
 pub enum Due {
     /// A timer of the decisions.
     Timer(TimerMark),
-    /// An exchange's cut-off.
-    CutOff(ExchangeId),
+    /// A request's cut-off.
+    CutOff(RequestId),
     /// A client's message that has begun and does not come to its end, or its connection's last moments.
     Client(ClientSlot),
     /// More of a client's bytes are there to be read.
@@ -99,7 +99,7 @@
 
 /// A request as it came, with the few things that were taken out.
 #[derive(Debug)]
-pub struct Request {
+pub struct Incoming {
     pub head: RequestHead,
     pub message: Vec<u8>,
     pub class: u16,
@@ -114,7 +114,7 @@
 /// What a connection to a backend is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
-    Forward(ExchangeId, ForwardNo),
+    Forward(RequestId, ForwardNo),
     Check,
 }
 
@@ -134,7 +134,7 @@
 #[derive(Debug)]
 pub struct Begun {
     pub backend: BackendId,
-    pub exchange: ExchangeId,
+    pub request: RequestId,
     pub forward: ForwardNo,
     pub head: AnswerHead,
     /// The head and what has come of the body.
@@ -144,15 +144,15 @@
 
 #[derive(Debug)]
 pub enum Note {
-    Taken(ClientSlot, Request),
+    Taken(ClientSlot, Incoming),
     /// The client is gone; what it waited for.
-    Left(ExchangeId),
+    Left(RequestId),
     Done(Done),
     Began(Begun),
     /// More of a request's body has come, or can be sent on.
-    Up(ExchangeId),
+    Up(RequestId),
     /// And of an answer's.
-    Down(ExchangeId),
+    Down(RequestId),
     /// A list, and the version that it follows.
     Listed(List, Option<u64>),
     ListFailed,
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -100,7 +100,7 @@
     assert_eq!(status(&proxy.ask(&text.replace("POST /write", "GET /read"))), 400);
     write(&mut conn, &answer("200 OK", "Connection: close\r\n", "fine"));
     assert!(message(&mut open).ends_with("fine"));
-    // Half a request and no more is no exchange.
+    // Half a request and no more is taken for none.
     let mut client = proxy.connect();
     write(&mut client, "POST /write HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
     client.shutdown(Shutdown::Write).unwrap();
@@ -111,7 +111,7 @@
     });
 }
 
-/// One exchange before two backends, of which each sends the reply once; how often a forward came, and the
+/// One request before two backends, of which each sends the reply once; how often a forward came, and the
 /// answer.
 fn two_backends(method: &str, path: &str, reply: Option<&str>) -> (usize, String) {
     let (one, other) = (backend(), backend());
@@ -245,7 +245,7 @@
 }
 
 #[test]
-fn a_refused_connection_costs_an_at_most_once_exchange_nothing() {
+fn a_refused_connection_costs_an_at_most_once_request_nothing() {
     let (gone, alive) = (refusing(), backend());
     let proxy = Proxy::start(&[&gone, &alive]);
     std::thread::scope(|scope| {
@@ -315,7 +315,7 @@
     assert_eq!(conn.read(&mut [0; 9]).unwrap(), 0, "what is given up is closed");
 }
 
-/// Guards against a lost backend costing the exchanges that are sent there their whole time.
+/// Guards against a lost backend costing the requests that are sent there their whole time.
 #[test]
 fn what_goes_to_a_backend_that_is_lost_goes_on_to_another_in_time() {
     let ((lost, _full), there) = (unreachable(), backend());
@@ -326,7 +326,7 @@
     });
     let honoured = || status(&proxy.ask(&request("POST", "/write", "6"))) == 200;
     assert!((0..20).any(|_| honoured()), "one connection has come up");
-    // Until it goes out, every second exchange or so meets the lost one.
+    // Until it goes out, every second request or so meets the lost one.
     assert!((0..20).all(|_| honoured()));
     proxy.signal("-USR1");
     let counters = proxy.logged("counters=");
@@ -512,9 +512,9 @@
     assert!(counters.contains(" lists_failed=3 "), "{counters}");
 }
 
-/// Guards against odd lists, whatever discovery makes of the fleet: each costs a line, and exchanges are honoured.
+/// Guards against odd lists, whatever discovery makes of the fleet: each costs a line, and requests are honoured.
 #[test]
-fn odd_lists_cost_a_line_and_no_exchange() {
+fn odd_lists_cost_a_line_and_no_request() {
     let there = backend();
     let dial = there.local_addr().unwrap();
     let proxy = Proxy::start(&[&there]);
@@ -582,7 +582,7 @@
     }
     proxy.signal("-USR1");
     assert!(proxy.logged("counters=").contains(" checks=2 "));
-    // The exchange comes on one of the two idle connections, and the other stays open. Guards against closing
+    // The request comes on one of the two idle connections, and the other stays open. Guards against closing
     // an idle connection for an event that tells of bytes which were read already.
     let (sent, seen) = std::sync::mpsc::channel();
     for mut conn in conns {
@@ -607,7 +607,7 @@
     // More idle connections than it has room for, and of some only half a request.
     let mut crowd: Vec<_> = (0..90).map(|_| proxy.connect()).collect();
     crowd.iter_mut().step_by(3).for_each(|client| drop(client.write_all(b"GET /read HT")));
-    // More exchanges at once than it can forward or even accept: each is answered all the same.
+    // More requests at once than it can forward or even accept: each is answered all the same.
     let clients: Vec<_> = (0..60).map(|_| proxy.connect()).collect();
     let text = request("GET", "/read", "5");
     for mut client in &clients {
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -7,7 +7,7 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 
-use sparlug::event::{Action, Event, Exchange};
+use sparlug::event::{Action, Event, Request};
 use sparlug::policy::Balancer;
 use sparlug::time::Time;
 use sparlug_setup::Columns;
@@ -48,7 +48,7 @@
             Record::Event(event) => match self.instances.get_mut(&number) {
                 None => return Ok(()),
                 Some(instance) => {
-                    if let Event::Taken(Exchange { class, .. }) = event {
+                    if let Event::Taken(Request { class, .. }) = event {
                         if usize::from(class.0) >= instance.classes {
                             return Err(format!("class {} is not among the settings' tariffs", class.0));
                         }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's frames and records, to and from the decisions' own words.
 
-use sparlug::event::{Action, Condition, Ended, Event, Exchange, Listing, Load, Outcome};
-use sparlug::id::{BackendId, ClassId, ExchangeId, ForwardNo, PeerId, PodId, TenantId, TimerMark, ZoneId};
+use sparlug::event::{Action, Condition, Ended, Event, Listing, Load, Outcome, Request};
+use sparlug::id::{BackendId, ClassId, ForwardNo, PeerId, PodId, RequestId, TenantId, TimerMark, ZoneId};
 use sparlug::time::{Span, Time};
 
 use sparlug_setup::Columns;
@@ -192,23 +192,23 @@
             tables.listed(form, number, at)?
         }
         30 => {
-            let (id, class, tenant) = (ExchangeId(r.u32()?.into()), ClassId(r.u16()?), TenantId(r.u32()?));
+            let (id, class, tenant) = (RequestId(r.u32()?.into()), ClassId(r.u16()?), TenantId(r.u32()?));
             let key = Some(r.u64()?).filter(|key| *key != 0);
             let cut_off = Time::from_ms(r.f64()?);
             let cost = r.span()?;
             let cost = (r.u16()? & COST_VALID != 0).then_some(cost);
-            Event::Taken(Exchange { id, class, tenant, key, cut_off, cost, whole: true })
+            Event::Taken(Request { id, class, tenant, key, cut_off, cost, whole: true })
         }
         40 => {
-            let (exchange, _forward, backend) = (ExchangeId(r.u32()?.into()), r.u16()?, r.backend()?);
-            Event::Began { exchange, backend, took: r.span()? }
+            let (request, _forward, backend) = (RequestId(r.u32()?.into()), r.u16()?, r.backend()?);
+            Event::Began { request, backend, took: r.span()? }
         }
         50 => {
-            let exchange = ExchangeId(r.u32()?.into());
+            let request = RequestId(r.u32()?.into());
             let (outcome, backend, last) = (r.outcome()?, r.backend()?, r.u8()?);
             let (forward, took, load) = (ForwardNo(r.u16()?), r.span()?, r.load(columns(instance))?);
             Event::Ended(Ended {
-                exchange,
+                request,
                 forward,
                 backend,
                 outcome,
@@ -218,7 +218,7 @@
                 load,
             })
         }
-        60 => Event::Left(ExchangeId(r.u32()?.into())),
+        60 => Event::Left(RequestId(r.u32()?.into())),
         70 => Event::Timer(TimerMark(r.u64()?)),
         80 => {
             let (backend, outcome, took) = (r.backend()?, r.outcome()?, r.span()?);
@@ -250,21 +250,21 @@
 
     pub fn add(&mut self, instance: u16, action: &Action) {
         match action {
-            Action::Forward { exchange, backend, time_out, .. } => {
+            Action::Forward { request, backend, time_out, .. } => {
                 let record = self.begin(50, instance);
-                record.extend(wire_id(exchange).to_le_bytes());
+                record.extend(wire_id(request).to_le_bytes());
                 put_backend(record, *backend);
                 record.extend(time_out.ms().to_le_bytes());
             }
-            Action::TurnBack { exchange, backoff } => {
+            Action::TurnBack { request, backoff } => {
                 let record = self.begin(10, instance);
-                record.extend(wire_id(exchange).to_le_bytes());
+                record.extend(wire_id(request).to_le_bytes());
                 record.extend(backoff.unwrap_or_default().ms().to_le_bytes());
             }
-            Action::Forfeit { exchange } => self.begin(20, instance).extend(wire_id(exchange).to_le_bytes()),
-            Action::Cancel { exchange, forward } => {
+            Action::Forfeit { request } => self.begin(20, instance).extend(wire_id(request).to_le_bytes()),
+            Action::Cancel { request, forward } => {
                 let record = self.begin(60, instance);
-                record.extend(wire_id(exchange).to_le_bytes());
+                record.extend(wire_id(request).to_le_bytes());
                 record.extend(forward.0.to_le_bytes());
             }
             Action::Timer { after, mark } => {
@@ -274,7 +274,7 @@
             }
             Action::Check { backend } => put_backend(self.begin(80, instance), *backend),
             Action::CloseIdle { backend } => put_backend(self.begin(120, instance), *backend),
-            // Nobody bars a backend by hand there, and every exchange comes whole.
+            // Nobody bars a backend by hand there, and every request comes whole.
             Action::Withdraw { .. } | Action::TimeOut { .. } => {}
             Action::Tell { to, bytes } => {
                 let record = self.begin(110, instance);
@@ -316,7 +316,7 @@
     record.extend(text);
 }
 
-/// The wire's ids have 32 bits; every exchange got its id from there.
-fn wire_id(exchange: &ExchangeId) -> u32 {
-    exchange.0 as u32
+/// The wire's ids have 32 bits; every request got its id from there.
+fn wire_id(request: &RequestId) -> u32 {
+    request.0 as u32
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,6 +1,6 @@
 //! What an instance hears and what it may do.
 
-use crate::id::{BackendId, ClassId, ExchangeId, ForwardNo, PeerId, PodId, TenantId, TimerMark, ZoneId};
+use crate::id::{BackendId, ClassId, ForwardNo, PeerId, PodId, RequestId, TenantId, TimerMark, ZoneId};
 use crate::settings::{Group, Settings};
 use crate::time::{Span, Time};
 use crate::word::Word;
@@ -14,23 +14,23 @@
     },
     /// A call for the list failed, or the watch on it ended.
     ListFailed,
-    Taken(Exchange),
-    /// The answer of a streamed exchange has begun; the client holds this forward from here on.
+    Taken(Request),
+    /// The answer of a streamed request has begun; the client holds this forward from here on.
     Began {
-        exchange: ExchangeId,
+        request: RequestId,
         backend: BackendId,
         took: Span,
     },
     Ended(Ended),
     /// The last byte of a request that was taken before has come, and its time runs from here.
     Whole {
-        exchange: ExchangeId,
+        request: RequestId,
         cut_off: Time,
     },
-    /// An answer that had begun broke off, after its exchange had ended as honoured.
+    /// An answer that had begun broke off, after its request had ended as honoured.
     Broke(BackendId),
     /// The client no longer waits; no answer is owed.
-    Left(ExchangeId),
+    Left(RequestId),
     Timer(TimerMark),
     Checked {
         backend: BackendId,
@@ -87,11 +87,11 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-pub struct Exchange {
-    pub id: ExchangeId,
+pub struct Request {
+    pub id: RequestId,
     pub class: ClassId,
     pub tenant: TenantId,
-    /// What it is about; exchanges with one key belong together.
+    /// What it is about; requests with one key belong together.
     pub key: Option<u64>,
     /// When the client gives this try up.
     pub cut_off: Time,
@@ -104,11 +104,11 @@
 /// How a forward ended.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
-    pub exchange: ExchangeId,
+    pub request: RequestId,
     pub forward: ForwardNo,
     pub backend: BackendId,
     pub outcome: Outcome,
-    /// The exchange has its final answer, by this outcome or earlier.
+    /// The request has its final answer, by this outcome or earlier.
     pub answered: bool,
     /// Its bytes are no longer held, so that it can't be sent again.
     pub spent: bool,
@@ -148,7 +148,7 @@
     Withdrawn,
     /// A connection that had stood idle broke under it, which says nothing of the backend. It may have run.
     Lost,
-    /// The backend says that the exchange itself can't be used, which no other backend would change.
+    /// The backend says that the request itself can't be used, which no other backend would change.
     Faulted,
 }
 
@@ -159,7 +159,7 @@
         matches!(self, Cancelled | Faulted | Full | Lost | NotSent | Withdrawn)
     }
 
-    /// Whether the exchange may have run, or may run yet. All that asks this asks here.
+    /// Whether the request may have run, or may run yet. All that asks this asks here.
     pub fn may_have_run(self, settings: &Settings) -> bool {
         match self {
             Outcome::ConnectFailed | Outcome::NotSent | Outcome::Withdrawn => false,
@@ -169,7 +169,7 @@
     }
 }
 
-/// A backend's own report of how many exchanges it holds and how many of them wait, if it says so.
+/// A backend's own report of how many requests it holds and how many of them wait, if it says so.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     pub held: Option<f64>,
@@ -179,26 +179,26 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     Forward {
-        exchange: ExchangeId,
+        request: RequestId,
         backend: BackendId,
         time_out: Span,
         /// It may not begin from then on: its repeats are dropped no longer.
         by: Option<Time>,
     },
     TurnBack {
-        exchange: ExchangeId,
+        request: RequestId,
         backoff: Option<Span>,
     },
     Forfeit {
-        exchange: ExchangeId,
+        request: RequestId,
     },
     Cancel {
-        exchange: ExchangeId,
+        request: RequestId,
         forward: ForwardNo,
     },
     /// The forward that is out has so much more time from here.
     TimeOut {
-        exchange: ExchangeId,
+        request: RequestId,
         forward: ForwardNo,
         time_out: Span,
     },
--- a/src/id.rs
+++ b/src/id.rs
@@ -1,9 +1,9 @@
 //! A type of its own for each kind of id.
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ExchangeId(pub u64);
+pub struct RequestId(pub u64);
 
-/// Which forward of an exchange, counted from 0.
+/// Which forward of a request, counted from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ForwardNo(pub u16);
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
-//! sparlug decides, for one caller's proxy, where each exchange goes, when it waits and when it is
+//! sparlug decides, for one caller's proxy, where each request goes, when it waits and when it is
 //! turned back. It does no input or output: a host hands it [`event::Event`]s and carries out the
 //! [`event::Action`]s it returns.
 //!
 //! ```
-//! use sparlug::event::{Action, Condition, Event, Exchange, Listing};
-//! use sparlug::id::{BackendId, ExchangeId, PodId, ClassId, TenantId, ZoneId};
+//! use sparlug::event::{Action, Condition, Event, Request, Listing};
+//! use sparlug::id::{BackendId, RequestId, PodId, ClassId, TenantId, ZoneId};
 //! use sparlug::policy::Balancer;
 //! use sparlug::settings::{Effect, Settings, Class};
 //! use sparlug::time::{Span, Time};
@@ -23,8 +23,8 @@
 //!     size: 1.0,
 //! };
 //! balancer.handle(start, Event::Listed { whole: true, listings: vec![listing] }, &mut actions);
-//! let exchange = Exchange {
-//!     id: ExchangeId(1),
+//! let request = Request {
+//!     id: RequestId(1),
 //!     class: ClassId(0),
 //!     tenant: TenantId(0),
 //!     key: None,
@@ -32,7 +32,7 @@
 //!     cost: None,
 //!     whole: true,
 //! };
-//! balancer.handle(start, Event::Taken(exchange), &mut actions);
+//! balancer.handle(start, Event::Taken(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Forward { backend: b, .. } if *b == backend)));
 //! ```
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,8 +1,8 @@
-//! All decisions of an instance: where an exchange goes, when it waits, when it is turned back.
+//! All decisions of an instance: where a request goes, when it waits, when it is turned back.
 //! Make one [`Balancer`] with the instance's settings, then hand it every event in order; it appends what is
 //! to be done. The ordinary path is the design of `docs/design.md`, which tells what stands beside it.
 //!
-//! Each backend is an actor, and so are the tier's limit and the desk that holds the exchanges. They change
+//! Each backend is an actor, and so are the tier's limit and the desk that holds the requests. They change
 //! each other only by notes, which one loop, in [`Balancer::handle`], hands out; `state.rs` has their memory.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,8 +10,8 @@
 
 use oorandom::Rand32;
 
-use crate::event::{Action, BackendNote, Condition, Ended, Event, Exchange, Listing, Outcome, TierNote};
-use crate::id::{BackendId, ExchangeId, ForwardNo, PeerId, TimerMark};
+use crate::event::{Action, BackendNote, Condition, Ended, Event, Listing, Outcome, Request, TierNote};
+use crate::id::{BackendId, ForwardNo, PeerId, RequestId, TimerMark};
 use crate::roster::Roster;
 use crate::settings::{Effect, Group, Settings};
 use crate::state::{all_barred, census, left_out, words, Backend, Desk, Held, Tier};
@@ -103,7 +103,7 @@
             BackendNote::Ended(ended, sample) => self.ended(&ended, sample, around),
             BackendNote::Checked(outcome, load) => {
                 self.report(load, around.now);
-                // Guards against an exchange being spent to learn of a backend that can't be reached.
+                // Guards against a request being spent to learn of a backend that can't be reached.
                 if outcome == Outcome::ConnectFailed {
                     self.judge(1.0, around);
                     self.put_out("not reached", around);
@@ -315,7 +315,7 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         self.now = now;
         self.desk.inbox.push_back(event);
-        // Empties the inboxes. The desk sends one exchange at a time, so that the next pick knows of it.
+        // Empties the inboxes. The desk sends one request at a time, so that the next pick knows of it.
         loop {
             let (now, settings, tier_inbox) = (self.now, &self.settings, &mut self.tier_inbox);
             let chance = self.rng.rand_float().into();
@@ -396,7 +396,7 @@
     }
 
     /// The same where instances outnumber backends: by what these report, the more so the more is late.
-    fn reported(&mut self, id: ExchangeId) -> f64 {
+    fn reported(&mut self, id: RequestId) -> f64 {
         let weight = (1.0 - 1.0 / self.tier.crowd).max(0.0);
         let Some(two) = (weight > 0.0).then(|| self.pick(id)).flatten() else { return 0.0 };
         let (tier, b) = (&self.tier, &self.backends[&two[0]]);
@@ -405,7 +405,7 @@
         weight * held / tier.limit.max(1.0) * PRESSURE * late
     }
 
-    /// Tells another instance what was seen last, for each exchange once at the most: it has a price.
+    /// Tells another instance what was seen last, for each request once at the most: it has a price.
     fn gossip(&mut self) -> Option<Action> {
         let Settings { instances, ordinal, .. } = self.settings;
         let tells = self.settings.peers && instances > 1 && take(&mut self.desk.met);
@@ -423,10 +423,10 @@
                 out.push(Action::Log(format!("list lost, failure {}, asking again", self.list_failures)));
                 out.push(Action::Timer { after: BEAT.scaled(wait.into()), mark: MARK_WATCH });
             }
-            Event::Taken(exchange) => self.taken(exchange, out),
-            Event::Began { exchange, backend, took } => {
+            Event::Taken(request) => self.taken(request, out),
+            Event::Began { request, backend, took } => {
                 // The client holds a stream that has begun: nothing more is owed for it.
-                self.desk.held.remove(&exchange);
+                self.desk.held.remove(&request);
                 self.tell(backend, BackendNote::Began(took));
             }
             Event::Barred { backend, barred } => self.bar(backend, barred, out),
@@ -435,7 +435,7 @@
                 self.roster = Roster::default();
             }
             Event::Ended(ended) => self.ended(ended, out),
-            Event::Whole { exchange, cut_off } => self.whole(exchange, cut_off, out),
+            Event::Whole { request, cut_off } => self.whole(request, cut_off, out),
             Event::Broke(backend) => self.tell(backend, BackendNote::Broke),
             Event::Left(id) => drop(self.release(id, out)),
             Event::Timer(MARK_BEAT) => self.beat(out),
@@ -449,7 +449,7 @@
                 words.for_each(|word| self.tell(word.backend, BackendNote::Told(word)));
             }
             Event::Timer(mark) => {
-                let id = ExchangeId(mark.0);
+                let id = RequestId(mark.0);
                 let up = |held: &Held| held.due <= self.now && (held.whole || held.out.is_none());
                 if self.desk.held.get(&id).is_some_and(up) {
                     self.give_up(id, out);
@@ -459,12 +459,12 @@
     }
 
     /// Only a stand-in: the forward's own time-out comes a round earlier, and counts as a sample.
-    fn stand_in(&self, id: ExchangeId, due: Time, out: &mut Vec<Action>) {
+    fn stand_in(&self, id: RequestId, due: Time, out: &mut Vec<Action>) {
         let after = due.since(self.now) + self.settings.round;
         out.push(Action::Timer { after, mark: TimerMark(id.0) });
     }
 
-    fn whole(&mut self, id: ExchangeId, cut_off: Time, out: &mut Vec<Action>) {
+    fn whole(&mut self, id: RequestId, cut_off: Time, out: &mut Vec<Action>) {
         let Some(class) = self.desk.held.get(&id).map(|held| held.class) else { return };
         let (goal, due) = self.settings.times(&class, self.now, cut_off, None);
         self.stand_in(id, due, out);
@@ -473,28 +473,28 @@
         (held.goal, held.due, held.whole) = (goal, due, true);
         if held.out.is_some() {
             let (forward, time_out) = (ForwardNo(held.sent - 1), due.since(self.now));
-            out.push(Action::TimeOut { exchange: id, forward, time_out });
+            out.push(Action::TimeOut { request: id, forward, time_out });
         }
     }
 
     /// A forward of what was not whole counts from here, at the latest when it ends.
-    fn count(&mut self, id: ExchangeId) {
+    fn count(&mut self, id: RequestId) {
         let forward = self.desk.held.get(&id).filter(|held| !held.whole).and_then(|held| held.out);
         if let Some((listing, _)) = forward {
             self.tell(listing.backend, BackendNote::Sent);
         }
     }
 
-    fn taken(&mut self, exchange: Exchange, out: &mut Vec<Action>) {
-        let id = exchange.id;
-        let class = self.settings.classes[usize::from(exchange.class.0)];
-        let (goal, due) = self.settings.times(&class, self.now, exchange.cut_off, exchange.cost);
-        let beyond_share = self.desk.goes_beyond(exchange.tenant);
+    fn taken(&mut self, request: Request, out: &mut Vec<Action>) {
+        let id = request.id;
+        let class = self.settings.classes[usize::from(request.class.0)];
+        let (goal, due) = self.settings.times(&class, self.now, request.cut_off, request.cost);
+        let beyond_share = self.desk.goes_beyond(request.tenant);
         self.desk.met = true;
         self.stand_in(id, due, out);
         let held = Held::new(class, self.now, goal, due, beyond_share);
-        let key = exchange.key.filter(|_| self.settings.remembers).inspect(|key| self.desk.keys.add(*key));
-        self.desk.held.insert(id, Held { whole: exchange.whole, key, ..held });
+        let key = request.key.filter(|_| self.settings.remembers).inspect(|key| self.desk.keys.add(*key));
+        self.desk.held.insert(id, Held { whole: request.whole, key, ..held });
         self.desk.first.push(id);
         let chance = (self.load().max(self.reported(id)) - BAND_CHANCE) / (BAND_ALL - BAND_CHANCE);
         if chance > self.rng.rand_float().into() {
@@ -505,14 +505,14 @@
     }
 
     fn ended(&mut self, e: Ended, out: &mut Vec<Action>) {
-        self.count(e.exchange);
-        let held = self.desk.held.get(&e.exchange);
+        self.count(e.request);
+        let held = self.desk.held.get(&e.request);
         let sample = held.and_then(|held| e.sample(held.class.goal));
         self.tell(e.backend, BackendNote::Ended(e, sample));
         if e.answered {
-            self.desk.held.remove(&e.exchange);
+            self.desk.held.remove(&e.request);
         }
-        let Some(held) = self.desk.held.get_mut(&e.exchange) else { return };
+        let Some(held) = self.desk.held.get_mut(&e.request) else { return };
         let ran = e.outcome.may_have_run(&self.settings);
         held.ran = held.ran.or(held.out.filter(|_| ran));
         (held.out, held.last) = (None, Some(e.backend));
@@ -521,45 +521,45 @@
         let more = held.sent < self.settings.max_forwards && e.outcome != Outcome::NotSent && !e.spent;
         if allowed && more && self.desk.purse >= cost {
             self.desk.purse -= cost;
-            self.desk.further.push(e.exchange);
+            self.desk.further.push(e.request);
         } else {
-            self.give_up(e.exchange, out);
+            self.give_up(e.request, out);
         }
     }
 
-    fn release(&mut self, id: ExchangeId, out: &mut Vec<Action>) -> Option<Held> {
+    fn release(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<Held> {
         self.count(id);
         let held = self.desk.held.remove(&id)?;
         self.desk.leave_lines(id);
         if held.out.is_some() && self.settings.cancelling {
-            out.push(Action::Cancel { exchange: id, forward: ForwardNo(held.sent - 1) });
+            out.push(Action::Cancel { request: id, forward: ForwardNo(held.sent - 1) });
         }
         Some(held)
     }
 
     /// The final answer, at once: a turn-back where the class allows it, else a forfeit.
-    fn give_up(&mut self, id: ExchangeId, out: &mut Vec<Action>) {
+    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(held) = self.release(id, out) else { return };
         let harmless = match held.class.effect {
             Effect::Reissuable | Effect::Numbered { group: Group::All, .. } => true,
             Effect::Numbered { .. } | Effect::AtMostOnce => held.ran.is_none() && held.out.is_none(),
         };
         if !harmless {
-            return out.push(Action::Forfeit { exchange: id });
+            return out.push(Action::Forfeit { request: id });
         }
         let took = Span::from_ms(self.tier.took.or(0.0));
         let soon = took.scaled(0.5 + f64::from(self.rng.rand_float()));
         let soon = if self.now + took < held.goal { soon } else { held.class.cut_off };
         let backoff = self.settings.max_backoff.map(|most| soon.min(most));
-        out.push(Action::TurnBack { exchange: id, backoff });
+        out.push(Action::TurnBack { request: id, backoff });
     }
 
-    /// Sends the next exchange that waits, if the limit has room; first forwards before further ones.
+    /// Sends the next request that waits, if the limit has room; first forwards before further ones.
     fn serve(&mut self, out: &mut Vec<Action>) -> bool {
         // What would be late gives up its place; what nobody may repeat tries while a usual answer may do.
         let needs = [self.tier.latency, self.tier.took].map(|mean| Span::from_ms(NEED * mean.or(0.0)));
         let none = all_barred(&self.backends, &self.barred);
-        let late = |id: &&ExchangeId| {
+        let late = |id: &&RequestId| {
             let held = &self.desk.held[id];
             let need = needs[usize::from(held.sent > 0 && held.class.effect == Effect::AtMostOnce)];
             none || self.now + need.min(held.goal.since(held.arrived).scaled(0.9)) >= held.goal
@@ -574,7 +574,7 @@
         if self.tier.in_flight + self.desk.asking.len() as f64 >= self.tier.own_limit() {
             return false;
         }
-        let order = |id: &&ExchangeId| (self.desk.held[id].beyond_share, self.desk.held[id].goal);
+        let order = |id: &&RequestId| (self.desk.held[id].beyond_share, self.desk.held[id].goal);
         let first = self.desk.first.iter().min_by_key(order);
         for id in first.into_iter().chain(&self.desk.further).copied().collect::<Vec<_>>() {
             let Some(two) = self.pick(id) else { continue };
@@ -600,7 +600,7 @@
     }
 
     /// The better of the two that were asked, once both have answered or the time for it is up.
-    fn answered(&mut self, id: ExchangeId) -> Option<BackendId> {
+    fn answered(&mut self, id: RequestId) -> Option<BackendId> {
         let (two, since, until) = self.desk.held[&id].asked?;
         let report = |id: &BackendId| self.backends.get(id).and_then(|backend| backend.others);
         let silent = |id: &BackendId| report(id).is_none_or(|(at, _)| at <= since);
@@ -614,8 +614,8 @@
         best.map(|(_, _, backend)| backend).or_else(|| self.pick(id).map(|two| two[0]))
     }
 
-    /// Whether a backend is ready and open to the exchange.
-    fn open(&self, id: ExchangeId, not: Option<BackendId>) -> impl Fn(BackendId) -> bool + '_ {
+    /// Whether a backend is ready and open to the request.
+    fn open(&self, id: RequestId, not: Option<BackendId>) -> impl Fn(BackendId) -> bool + '_ {
         let held = &self.desk.held[&id];
         // Guards against an effect that happens twice.
         let may = |b: &Backend| match (held.class.effect, held.ran) {
@@ -632,7 +632,7 @@
     }
 
     /// Of two random ready backends the one with less to do, and the other.
-    fn pick(&mut self, id: ExchangeId) -> Option<[BackendId; 2]> {
+    fn pick(&mut self, id: RequestId) -> Option<[BackendId; 2]> {
         if self.roster.is_empty() {
             let s = &self.settings;
             let width = (SHARED * self.backends.len() as f64 / s.instances as f64).max(PART_LEAST);
@@ -646,7 +646,7 @@
         Some(near.filter(|near| self.load_of(near[0]) <= self.load_of(best[0])).unwrap_or(best))
     }
 
-    fn two(&mut self, id: ExchangeId, near: bool) -> Option<[BackendId; 2]> {
+    fn two(&mut self, id: RequestId, near: bool) -> Option<[BackendId; 2]> {
         let (mut rng, held) = (self.rng, &self.desk.held[&id]);
         // Only the few repeats that must stay in a group look through the whole list.
         let grouped = held.ran.is_some() && held.class.effect != Effect::Reissuable;
@@ -679,7 +679,7 @@
         (b.holds() + others + 1.0) * weight + if far { crossing } else { 0.0 }
     }
 
-    fn forward(&mut self, id: ExchangeId, backend: BackendId, out: &mut Vec<Action>) -> bool {
+    fn forward(&mut self, id: RequestId, backend: BackendId, out: &mut Vec<Action>) -> bool {
         self.desk.leave_lines(id);
         let Some(held) = self.desk.held.get_mut(&id) else { return false };
         self.desk.purse +=
@@ -687,7 +687,7 @@
         held.out = Some((self.backends[&backend].listing, self.now));
         held.sent += 1;
         let by = held.repeats_until();
-        out.push(Action::Forward { exchange: id, backend, time_out: held.due.since(self.now), by });
+        out.push(Action::Forward { request: id, backend, time_out: held.due.since(self.now), by });
         if held.whole {
             self.tell(backend, BackendNote::Sent);
         }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -35,10 +35,10 @@
     balancer
 }
 
-fn exchange(n: u32) -> Exchange {
+fn request(n: u32) -> Request {
     let (class, tenant) = (ClassId(0), TenantId(0));
-    let (id, key, cut_off) = (ExchangeId(n.into()), None, START + ms(500));
-    Exchange { id, class, tenant, key, cut_off, cost: None, whole: true }
+    let (id, key, cut_off) = (RequestId(n.into()), None, START + ms(500));
+    Request { id, class, tenant, key, cut_off, cost: None, whole: true }
 }
 
 fn held(effect: Effect) -> Held {
@@ -47,15 +47,15 @@
     Held::new(class, arrived, goal, due, false)
 }
 
-/// An exchange that has been forwarded once, to backend 0.
+/// A request that has been forwarded once, to backend 0.
 fn forwarded(effect: Effect) -> Held {
     Held { sent: 1, out: Some((listing(0), START)), ..held(effect) }
 }
 
 fn ended(outcome: Outcome) -> Ended {
     let (forward, took) = (ForwardNo(0), ms(50));
-    let (exchange, backend) = (ExchangeId(1), id(0));
-    Ended { exchange, forward, backend, outcome, answered: false, spent: false, took, load: Load::default() }
+    let (request, backend) = (RequestId(1), id(0));
+    Ended { request, forward, backend, outcome, answered: false, spent: false, took, load: Load::default() }
 }
 
 fn by_pod() -> Effect {
@@ -73,38 +73,38 @@
 }
 
 fn first_pick(b: &mut Balancer) -> Option<BackendId> {
-    b.pick(ExchangeId(1)).map(|two| two[0])
+    b.pick(RequestId(1)).map(|two| two[0])
 }
 
 #[test]
 fn at_most_once_is_forfeited_after_an_outcome_that_may_have_run() {
     let (mut b, mut out) = (balancer(Effect::AtMostOnce, 4), Vec::new());
-    b.desk.held.insert(ExchangeId(1), forwarded(Effect::AtMostOnce));
+    b.desk.held.insert(RequestId(1), forwarded(Effect::AtMostOnce));
     b.ended(ended(Outcome::Error), &mut out);
-    assert_eq!(out, [Action::Forfeit { exchange: ExchangeId(1) }]);
+    assert_eq!(out, [Action::Forfeit { request: RequestId(1) }]);
 }
 
 #[test]
 fn at_most_once_goes_again_after_an_outcome_that_proves_it_never_ran() {
     let mut b = balancer(Effect::AtMostOnce, 4);
-    b.desk.held.insert(ExchangeId(1), forwarded(Effect::AtMostOnce));
+    b.desk.held.insert(RequestId(1), forwarded(Effect::AtMostOnce));
     b.ended(ended(Outcome::Full), &mut Vec::new());
-    assert_eq!(b.desk.further, [ExchangeId(1)]);
+    assert_eq!(b.desk.further, [RequestId(1)]);
 }
 
 #[test]
 fn at_most_once_is_not_turned_back_while_a_forward_is_out() {
     let (mut b, mut out) = (balancer(Effect::AtMostOnce, 4), Vec::new());
-    b.desk.held.insert(ExchangeId(1), forwarded(Effect::AtMostOnce));
-    b.give_up(ExchangeId(1), &mut out);
-    let cancel = Action::Cancel { exchange: ExchangeId(1), forward: ForwardNo(0) };
-    assert_eq!(out, [cancel, Action::Forfeit { exchange: ExchangeId(1) }]);
+    b.desk.held.insert(RequestId(1), forwarded(Effect::AtMostOnce));
+    b.give_up(RequestId(1), &mut out);
+    let cancel = Action::Cancel { request: RequestId(1), forward: ForwardNo(0) };
+    assert_eq!(out, [cancel, Action::Forfeit { request: RequestId(1) }]);
 }
 
 #[test]
 fn a_numbered_repeat_stays_in_its_group() {
     let mut b = balancer(by_pod(), 6);
-    b.desk.held.insert(ExchangeId(1), Held { ran: Some((listing(2), START)), ..held(by_pod()) });
+    b.desk.held.insert(RequestId(1), Held { ran: Some((listing(2), START)), ..held(by_pod()) });
     let picked: Vec<_> = (0..50).filter_map(|_| first_pick(&mut b)).collect();
     assert!(picked.contains(&id(2)) && picked.contains(&id(3)));
     assert!(picked.iter().all(|backend| *backend == id(2) || *backend == id(3)));
@@ -113,7 +113,7 @@
 #[test]
 fn a_numbered_repeat_is_not_sent_after_its_window() {
     let mut b = balancer(by_pod(), 6);
-    b.desk.held.insert(ExchangeId(1), Held { ran: Some((listing(2), START)), ..held(by_pod()) });
+    b.desk.held.insert(RequestId(1), Held { ran: Some((listing(2), START)), ..held(by_pod()) });
     b.now = START + ms(1000);
     assert_eq!(first_pick(&mut b), None);
 }
@@ -121,7 +121,7 @@
 #[test]
 fn a_draining_backend_gets_nothing() {
     let mut b = balancer(Effect::Reissuable, 2);
-    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
     b.backends.get_mut(&id(0)).unwrap().listing.condition = Condition::Draining;
     assert!((0..20).all(|_| first_pick(&mut b) == Some(id(1))));
 }
@@ -166,8 +166,8 @@
 fn the_limit_holds_what_is_above_it() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
     b.tier.in_flight = 10.0;
-    b.handle(START, Event::Taken(exchange(1)), &mut out);
-    assert_eq!(b.desk.first, [ExchangeId(1)]);
+    b.handle(START, Event::Taken(request(1)), &mut out);
+    assert_eq!(b.desk.first, [RequestId(1)]);
     assert!(!out.iter().any(|action| matches!(action, Action::Forward { .. })));
 }
 
@@ -175,29 +175,29 @@
 fn past_three_limits_all_are_turned_back_at_once() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
     b.tier.in_flight = 30.0;
-    b.taken(exchange(1), &mut out);
-    assert!(matches!(out.last(), Some(Action::TurnBack { exchange: ExchangeId(1), backoff: Some(_) })));
+    b.taken(request(1), &mut out);
+    assert!(matches!(out.last(), Some(Action::TurnBack { request: RequestId(1), backoff: Some(_) })));
 }
 
 #[test]
 fn within_the_refusal_band_what_is_beyond_a_share_goes_first() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
     b.tier.in_flight = 30.0;
-    b.desk.held.insert(ExchangeId(7), Held { beyond_share: true, ..held(Effect::Reissuable) });
-    b.desk.first.push(ExchangeId(7));
-    b.taken(exchange(1), &mut out);
-    assert_eq!(b.desk.first, [ExchangeId(1)]);
+    b.desk.held.insert(RequestId(7), Held { beyond_share: true, ..held(Effect::Reissuable) });
+    b.desk.first.push(RequestId(7));
+    b.taken(request(1), &mut out);
+    assert_eq!(b.desk.first, [RequestId(1)]);
 }
 
 #[test]
-fn an_exchange_that_waited_too_long_is_turned_back_and_not_sent() {
+fn a_request_that_waited_too_long_is_turned_back_and_not_sent() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
-    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
-    b.desk.first.push(ExchangeId(1));
+    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+    b.desk.first.push(RequestId(1));
     b.tier.latency.add(100.0, 1.0);
     b.now = START + ms(120);
     assert!(!b.serve(&mut out));
-    assert!(matches!(out[..], [Action::TurnBack { exchange: ExchangeId(1), .. }]));
+    assert!(matches!(out[..], [Action::TurnBack { request: RequestId(1), .. }]));
 }
 
 /// Guards against failing, for the slow turn-back of one backend, what its caller may not repeat.
@@ -207,8 +207,8 @@
         let (mut b, mut out) = (balancer(effect, 4), Vec::new());
         b.tier.took.add(40.0, 1.0);
         b.tier.latency.add(150.0, 1.0);
-        b.desk.held.insert(ExchangeId(1), Held { sent: 1, ..held(effect) });
-        b.desk.further.push(ExchangeId(1));
+        b.desk.held.insert(RequestId(1), Held { sent: 1, ..held(effect) });
+        b.desk.further.push(RequestId(1));
         b.now = START + ms(50);
         b.serve(&mut out);
         let sent = out.iter().filter(|action| matches!(action, Action::Forward { .. })).count();
@@ -220,17 +220,17 @@
 fn first_forwards_are_served_before_further_ones() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
     for n in [1, 2] {
-        b.desk.held.insert(ExchangeId(n), held(Effect::Reissuable));
+        b.desk.held.insert(RequestId(n), held(Effect::Reissuable));
     }
-    (b.desk.further, b.desk.first) = (vec![ExchangeId(1)], vec![ExchangeId(2)]);
+    (b.desk.further, b.desk.first) = (vec![RequestId(1)], vec![RequestId(2)]);
     b.serve(&mut out);
-    assert!(matches!(out[..], [Action::Forward { exchange: ExchangeId(2), .. }]));
+    assert!(matches!(out[..], [Action::Forward { request: RequestId(2), .. }]));
 }
 
 #[test]
 fn without_a_purse_what_may_have_run_is_not_sent_again() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
-    b.desk.held.insert(ExchangeId(1), forwarded(Effect::Reissuable));
+    b.desk.held.insert(RequestId(1), forwarded(Effect::Reissuable));
     b.desk.purse = 0.5;
     b.ended(ended(Outcome::Error), &mut out);
     assert!(matches!(out[..], [Action::TurnBack { .. }]));
@@ -239,7 +239,7 @@
 #[test]
 fn the_time_out_ends_before_the_goal_and_the_stand_in_timer_after_it() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
-    b.handle(START, Event::Taken(exchange(1)), &mut out);
+    b.handle(START, Event::Taken(request(1)), &mut out);
     let Action::Timer { after, .. } = out[0] else { panic!("{out:?}") };
     let Action::Forward { time_out, .. } = out[1] else { panic!("{out:?}") };
     assert!(time_out < after && after < ms(200));
@@ -248,8 +248,8 @@
 #[test]
 fn a_stream_that_has_begun_is_left_to_the_client() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
-    b.handle(START, Event::Taken(exchange(1)), &mut Vec::new());
-    b.handle(START, Event::Began { exchange: ExchangeId(1), backend: id(0), took: ms(5) }, &mut out);
+    b.handle(START, Event::Taken(request(1)), &mut Vec::new());
+    b.handle(START, Event::Began { request: RequestId(1), backend: id(0), took: ms(5) }, &mut out);
     b.handle(START + ms(500), Event::Timer(TimerMark(1)), &mut out);
     assert_eq!(out, []);
 }
@@ -280,12 +280,12 @@
 #[test]
 fn a_backend_that_fails_more_than_its_tier_is_passed_over_from_the_first_failure_on() {
     let mut b = balancer(Effect::Reissuable, 2);
-    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
     b.tier.took.add(50.0, 1.0);
     for n in [0, 1] {
         b.tell(id(n), BackendNote::Sent);
         let outcome = if n == 0 { Outcome::Error } else { Outcome::Honoured };
-        let end = Ended { backend: id(n), exchange: ExchangeId(2), ..ended(outcome) };
+        let end = Ended { backend: id(n), request: RequestId(2), ..ended(outcome) };
         b.handle(START, Event::Ended(end), &mut Vec::new());
     }
     assert!(b.backends[&id(0)].out.is_none());
@@ -295,16 +295,16 @@
     assert!((0..40).any(|_| first_pick(&mut b) == Some(id(0))));
 }
 
-/// Guards against each backend of a lost zone being met, and lost an exchange to, before it is known.
+/// Guards against each backend of a lost zone being met, and lost a request to, before it is known.
 #[test]
 fn backends_that_fail_tell_of_others_in_their_zone_and_shared_failures_of_none() {
     let mut b = balancer(Effect::Reissuable, 4);
-    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
     let zone = |n: u16| ZoneId(n / 2);
     b.backends.values_mut().zip(0u16..).for_each(|(backend, n)| backend.listing.zone = zone(n));
     let fail = |b: &mut Balancer, n| {
         b.tell(id(n), BackendNote::Checked(Outcome::ConnectFailed, Load::default()));
-        b.handle(START, Event::Left(ExchangeId(9)), &mut Vec::new());
+        b.handle(START, Event::Left(RequestId(9)), &mut Vec::new());
     };
     (0..3).for_each(|_| fail(&mut b, 0));
     assert!(b.load_of(id(1)) > 1.2 * b.load_of(id(2)));
@@ -313,7 +313,7 @@
 }
 
 #[test]
-fn a_backend_that_a_check_does_not_reach_is_out_and_no_exchange_waits_for_it() {
+fn a_backend_that_a_check_does_not_reach_is_out_and_no_request_waits_for_it() {
     let mut b = asking();
     b.tier.ready_and_out = (9.0, 0.0);
     b.backends.get_mut(&id(1)).unwrap().others = Some((START + ms(1), 3.0));
@@ -438,7 +438,7 @@
 #[test]
 fn the_pick_takes_the_one_with_less_to_do() {
     let mut b = balancer(Effect::Reissuable, 2);
-    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
     b.backends.get_mut(&id(0)).unwrap().others = Some((START, 5.0));
     b.backends.get_mut(&id(1)).unwrap().in_flight = 2.0;
     b.backends.get_mut(&id(1)).unwrap().others = Some((START, 0.0));
@@ -519,12 +519,12 @@
     assert!(!free.goes_beyond(TenantId::NONE));
 }
 
-/// A balancer that asks the two it drew, with exchange 1 waiting for their reports.
+/// A balancer that asks the two it drew, with request 1 waiting for their reports.
 fn asking() -> Balancer {
     let mut b = balancer(Effect::Reissuable, 2);
     (b.settings.report_price, b.settings.instances) = (Some(0.001), 9);
-    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
-    b.desk.first.push(ExchangeId(1));
+    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+    b.desk.first.push(RequestId(1));
     assert!(b.serve(&mut Vec::new()));
     b
 }
@@ -533,18 +533,18 @@
 fn where_instances_outnumber_backends_the_two_drawn_are_asked_first() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 2), Vec::new());
     (b.settings.report_price, b.settings.instances) = (Some(0.001), 9);
-    b.handle(START, Event::Taken(exchange(1)), &mut out);
+    b.handle(START, Event::Taken(request(1)), &mut out);
     assert_eq!(out.iter().filter(|action| matches!(action, Action::Check { .. })).count(), 2);
     assert!(!out.iter().any(|action| matches!(action, Action::Forward { .. })));
 }
 
 #[test]
-fn the_less_busy_of_the_two_asked_gets_the_exchange() {
+fn the_less_busy_of_the_two_asked_gets_the_request() {
     let mut b = asking();
     let at = START + ms(1);
     b.backends.get_mut(&id(0)).unwrap().others = Some((at, 3.0));
     b.backends.get_mut(&id(1)).unwrap().others = Some((at, 0.0));
-    assert_eq!(b.answered(ExchangeId(1)), Some(id(1)));
+    assert_eq!(b.answered(RequestId(1)), Some(id(1)));
 }
 
 #[test]
@@ -552,9 +552,9 @@
     let mut b = asking();
     b.backends.get_mut(&id(1)).unwrap().others = Some((START + ms(1), 3.0));
     b.now = START + ms(2);
-    assert_eq!(b.answered(ExchangeId(1)), None);
+    assert_eq!(b.answered(RequestId(1)), None);
     b.now = START + ms(20);
-    assert_eq!(b.answered(ExchangeId(1)), Some(id(1)));
+    assert_eq!(b.answered(RequestId(1)), Some(id(1)));
 }
 
 #[test]
@@ -563,7 +563,7 @@
     b.backends.remove(&id(0));
     b.roster = Roster::default();
     b.now = START + ms(20);
-    assert_eq!(b.answered(ExchangeId(1)), Some(id(1)));
+    assert_eq!(b.answered(RequestId(1)), Some(id(1)));
 }
 
 /// Draws from 12 backends, of which those below 3 are nearby, with only backend 7 open.
@@ -585,7 +585,7 @@
     for ordinal in 0..100 {
         let mut b = balancer(Effect::Reissuable, 20);
         (b.settings.instances, b.settings.ordinal) = (100, ordinal);
-        b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+        b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
         let own: std::collections::BTreeSet<_> = (0..200).filter_map(|_| first_pick(&mut b)).collect();
         assert!(own.len() <= PART_LEAST as usize);
         own.into_iter().for_each(|id| *kept.entry(id).or_default() += 1);
@@ -610,7 +610,7 @@
 fn keyed(key: u64, backends: u8) -> Balancer {
     let mut b = balancer(Effect::Reissuable, backends);
     b.settings.remembers = true;
-    b.desk.held.insert(ExchangeId(1), Held { key: Some(key), ..held(Effect::Reissuable) });
+    b.desk.held.insert(RequestId(1), Held { key: Some(key), ..held(Effect::Reissuable) });
     b
 }
 
@@ -633,7 +633,7 @@
 fn a_further_forward_goes_elsewhere_than_the_last() {
     let mut b = keyed(5, 20);
     let home = first_pick(&mut b);
-    b.desk.held.get_mut(&ExchangeId(1)).unwrap().last = home;
+    b.desk.held.get_mut(&RequestId(1)).unwrap().last = home;
     assert!(first_pick(&mut b) != home);
     (1..20).for_each(|n| drop(b.backends.remove(&id(n))));
     b.roster = Roster::default();
@@ -644,7 +644,7 @@
 fn of_two_idle_backends_the_larger_is_picked() {
     let mut b = balancer(Effect::Reissuable, 2);
     b.tier.size = 2.0;
-    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
     b.backends.get_mut(&id(0)).unwrap().listing.size = 3.0;
     assert!((0..20).all(|_| first_pick(&mut b) == Some(id(0))));
 }
@@ -695,7 +695,7 @@
     let sent = |balancer: &mut Balancer, now, numbers: std::ops::Range<u32>| {
         let to = numbers.map(|n| {
             let mut out = Vec::new();
-            let taken = Exchange { cut_off: now + ms(500), ..exchange(n) };
+            let taken = Request { cut_off: now + ms(500), ..request(n) };
             balancer.handle(now, Event::Taken(taken), &mut out);
             let forward = out.iter().find_map(|action| match action {
                 Action::Forward { backend, .. } => Some(*backend),
@@ -703,7 +703,7 @@
             });
             let backend = forward.expect("one of the two is open");
             let done =
-                Ended { exchange: ExchangeId(n.into()), backend, answered: true, ..ended(Outcome::Honoured) };
+                Ended { request: RequestId(n.into()), backend, answered: true, ..ended(Outcome::Honoured) };
             balancer.handle(now, Event::Ended(done), &mut out);
             backend
         });
@@ -728,7 +728,7 @@
     let mut balancer = balancer(Effect::Reissuable, 1);
     let mut out = Vec::new();
     balancer.handle(START, Event::Barred { backend: id(0), barred: true }, &mut out);
-    balancer.handle(START, Event::Taken(exchange(1)), &mut out);
+    balancer.handle(START, Event::Taken(request(1)), &mut out);
     assert!(matches!(out.last(), Some(Action::TurnBack { .. })), "{out:?}");
 }
 
@@ -736,14 +736,14 @@
 fn a_request_that_is_not_whole_counts_nowhere_and_its_time_begins_with_its_last_byte() {
     let mut balancer = balancer(Effect::AtMostOnce, 1);
     let (mut out, later) = (Vec::new(), START + ms(3000));
-    balancer.handle(START, Event::Taken(Exchange { whole: false, ..exchange(1) }), &mut out);
+    balancer.handle(START, Event::Taken(Request { whole: false, ..request(1) }), &mut out);
     assert!(matches!(out.last(), Some(Action::Forward { .. })), "{out:?}");
     assert_eq!((balancer.backends[&id(0)].in_flight, balancer.tier.in_flight), (0.0, 0.0));
     // Its own timer comes long before its last byte, and ends nothing.
     out.clear();
     balancer.handle(START + ms(250), Event::Timer(TimerMark(1)), &mut out);
     assert_eq!(out, []);
-    balancer.handle(later, Event::Whole { exchange: ExchangeId(1), cut_off: later + ms(500) }, &mut out);
+    balancer.handle(later, Event::Whole { request: RequestId(1), cut_off: later + ms(500) }, &mut out);
     let more = |action: &Action| matches!(action, Action::TimeOut { time_out, .. } if *time_out > ms(150));
     assert!(out.iter().any(more), "{out:?}");
     assert_eq!(balancer.tier.in_flight, 1.0);
@@ -756,9 +756,9 @@
     for left in [true, false] {
         let mut balancer = balancer(Effect::AtMostOnce, 1);
         let mut out = Vec::new();
-        balancer.handle(START, Event::Taken(Exchange { whole: false, ..exchange(1) }), &mut out);
+        balancer.handle(START, Event::Taken(Request { whole: false, ..request(1) }), &mut out);
         if left {
-            balancer.handle(START, Event::Left(ExchangeId(1)), &mut out);
+            balancer.handle(START, Event::Left(RequestId(1)), &mut out);
         }
         // Its bytes are gone: it is turned back, and not sent again.
         out.clear();
@@ -790,7 +790,7 @@
             let mut balancer = balancer(effect, 4);
             balancer.settings.full_proves_nothing = proves_nothing;
             assert_eq!(outcome.may_have_run(&balancer.settings), ran, "{outcome:?}");
-            balancer.desk.held.insert(ExchangeId(1), forwarded(effect));
+            balancer.desk.held.insert(RequestId(1), forwarded(effect));
             let mut out = Vec::new();
             balancer.handle(START + ms(1), Event::Ended(ended(outcome)), &mut out);
             let to = out.iter().find_map(|action| match action {
@@ -812,14 +812,14 @@
 
 /// Guards against a limit of whole calls that can't bind where an instance's even part is less than one.
 #[test]
-fn where_instances_outnumber_backends_what_these_report_turns_exchanges_back() {
+fn where_instances_outnumber_backends_what_these_report_turns_requests_back() {
     let taken = |held: f64, instances: usize| {
         let mut b = balancer(Effect::Reissuable, 4);
         b.settings.instances = instances;
         b.backends.values_mut().for_each(|b| b.others = Some((START, held)));
         let mut out = Vec::new();
         b.handle(START, Event::Timer(MARK_BEAT), &mut out);
-        b.handle(START, Event::Taken(exchange(1)), &mut out);
+        b.handle(START, Event::Taken(request(1)), &mut out);
         !out.iter().any(|action| matches!(action, Action::TurnBack { .. }))
     };
     assert!(taken(30.0, 1) && taken(1.0, 40));
@@ -841,7 +841,7 @@
 fn what_a_peer_saw_turns_picks_away_until_it_is_old() {
     let mut b = balancer(Effect::Reissuable, 2);
     (b.settings.peers, b.settings.instances, b.tier.crowd) = (true, 8, 4.0);
-    b.desk.held.insert(ExchangeId(1), held(Effect::Reissuable));
+    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
     let word = |age| Word { backend: id(0), age, held: Some(0.0), failing: 1.0 };
     let bytes = encode(&Default::default(), [word(ms(100)), word(ms(4000))].into_iter());
     b.handle(START + ms(5000), Event::PeerSaid { from: PeerId(3), bytes }, &mut Vec::new());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,14 +15,14 @@
     /// Crossing zones has a price.
     pub crossing_priced: bool,
     /// Where answers report what a backend holds: the price of a check that asks for such a report, for each
-    /// exchange; `None` where there are none.
+    /// request; `None` where there are none.
     pub report_price: Option<f64>,
     /// The shortest time between two batches of events.
     pub round: Span,
     pub classes: Vec<Class>,
-    /// Exchanges a second that each tenant may ask of all instances together.
+    /// Requests a second that each tenant may ask of all instances together.
     pub allowances: Vec<f64>,
-    /// What an exchange beyond its tenant's share is worth, as a part of its value.
+    /// What a request beyond its tenant's share is worth, as a part of its value.
     pub beyond_share: f64,
     /// The list must be asked for.
     pub list_on_request: bool,
@@ -32,7 +32,7 @@
     /// A backend that is gone, or left out, and was never listed as draining, may still be sent to.
     pub only_draining_binds: bool,
     pub cancelling: bool,
-    /// A backend that has met an exchange's key of late needs less work for it.
+    /// A backend that has met a request's key of late needs less work for it.
     pub remembers: bool,
     /// Instances may tell each other things.
     pub peers: bool,
@@ -53,7 +53,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Class {
     pub goal: Span,
-    /// The latency goal grows by this multiple of the exchange's own work.
+    /// The latency goal grows by this multiple of the request's own work.
     pub goal_stretch: f64,
     pub cut_off: Span,
     pub value: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::event::{BackendNote, Condition, Event, Listing, Load, TierNote};
-use crate::id::{BackendId, ExchangeId, TenantId, ZoneId};
+use crate::id::{BackendId, RequestId, TenantId, ZoneId};
 use crate::settings::{Class, Effect, Settings};
 use crate::stats::{Keys, Mean, Tally, Trend, Window};
 use crate::time::Time;
@@ -159,7 +159,7 @@
     }
 }
 
-/// An exchange that was taken and not yet answered.
+/// A request that was taken and not yet answered.
 #[derive(Clone, Debug)]
 pub struct Held {
     pub class: Class,
@@ -184,21 +184,21 @@
     pub asked: Option<([BackendId; 2], Time, Time)>,
 }
 
-/// The desk that holds the exchanges.
+/// The desk that holds the requests.
 #[derive(Default)]
 pub struct Desk {
     pub inbox: VecDeque<Event>,
-    pub held: BTreeMap<ExchangeId, Held>,
+    pub held: BTreeMap<RequestId, Held>,
     /// The line of first forwards.
-    pub first: Vec<ExchangeId>,
+    pub first: Vec<RequestId>,
     /// The line of further forwards.
-    pub further: Vec<ExchangeId>,
+    pub further: Vec<RequestId>,
     /// What waits for the reports of the two backends drawn for it.
-    pub asking: Vec<ExchangeId>,
+    pub asking: Vec<RequestId>,
     pub purse: f64,
     /// What each tenant may still send within its share.
     pub shares: Vec<f64>,
-    /// An exchange was taken since the last update.
+    /// A request was taken since the last update.
     pub met: bool,
     /// Which keys are asked for of late.
     pub keys: Keys,
@@ -255,7 +255,7 @@
         }
     }
 
-    /// Counts an exchange against its tenant's share; whether it lies beyond it.
+    /// Counts a request against its tenant's share; whether it lies beyond it.
     pub fn goes_beyond(&mut self, tenant: TenantId) -> bool {
         let share = self.shares.get_mut(tenant.0 as usize);
         let beyond = share.map(|share| {
@@ -278,7 +278,7 @@
         (std::mem::replace(&mut self.mode, mode) != mode).then_some(text)
     }
 
-    pub fn leave_lines(&mut self, id: ExchangeId) {
+    pub fn leave_lines(&mut self, id: RequestId) {
         for line in [&mut self.first, &mut self.further, &mut self.asking] {
             line.retain(|waiting| *waiting != id);
         }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, BinaryHeap};
 
 use oorandom::Rand32;
-use sparlug::event::{Action, Condition, Ended, Event, Exchange, Listing, Load, Outcome};
-use sparlug::id::{BackendId, ClassId, ExchangeId, ForwardNo, PodId, TenantId, TimerMark, ZoneId};
+use sparlug::event::{Action, Condition, Ended, Event, Listing, Load, Outcome, Request};
+use sparlug::id::{BackendId, ClassId, ForwardNo, PodId, RequestId, TenantId, TimerMark, ZoneId};
 use sparlug::policy::Balancer;
 use sparlug::settings::{Class, Cold, Effect, Settings};
 use sparlug::time::{Span, Time};
@@ -140,13 +140,13 @@
                 Action::Timer { after, mark } => {
                     self.set(self.now + after.ms() / 1000.0, Due::Timer(number, turn, mark.0));
                 }
-                Action::Forward { exchange, backend, .. } => {
+                Action::Forward { request, backend, .. } => {
                     let (to, now) = (backend.address[3], self.now);
                     if self.started.contains_key(&to) {
                         self.sent.entry(to).or_default().push(now);
                     }
                     let took = WORK_S * (0.6 + 0.8 * self.chance()) / self.capacity(to, now);
-                    self.set(now + took, Due::Ended(number, turn, exchange.0, to));
+                    self.set(now + took, Due::Ended(number, turn, request.0, to));
                 }
                 _ => {}
             }
@@ -170,21 +170,21 @@
                 // Some instances get several times as much as others.
                 let place = self.chance().powi(2) * self.instances.len() as f64;
                 self.came += 1;
-                let (id, cut_off) = (ExchangeId(self.came), self.time() + Span::from_millis(1_500));
+                let (id, cut_off) = (RequestId(self.came), self.time() + Span::from_millis(1_500));
                 let (class, tenant, key, cost) = (ClassId(0), TenantId(0), None, None);
-                let exchange = Exchange { id, class, tenant, key, cut_off, cost, whole: true };
-                self.tell(place as usize, Event::Taken(exchange));
+                let request = Request { id, class, tenant, key, cut_off, cost, whole: true };
+                self.tell(place as usize, Event::Taken(request));
             }
             Due::Timer(number, turn, mark) if self.instances[number].0 == turn => {
                 self.tell(number, Event::Timer(TimerMark(mark)));
             }
-            Due::Ended(number, turn, exchange, to) if self.instances[number].0 == turn => {
+            Due::Ended(number, turn, request, to) if self.instances[number].0 == turn => {
                 let fails = self.case == Case::Retries && self.chance() < 0.25;
                 let outcome = if fails { Outcome::Error } else { Outcome::Honoured };
-                let (exchange, forward, took) =
-                    (ExchangeId(exchange), ForwardNo(0), Span::from_ms(WORK_S * 1000.0));
+                let (request, forward, took) =
+                    (RequestId(request), ForwardNo(0), Span::from_ms(WORK_S * 1000.0));
                 let (backend, answered, spent, load) = (backend(to), !fails, false, Load::default());
-                let ended = Ended { exchange, forward, backend, outcome, answered, spent, took, load };
+                let ended = Ended { request, forward, backend, outcome, answered, spent, took, load };
                 self.tell(number, Event::Ended(ended));
             }
             Due::Timer(..) | Due::Ended(..) => {}
