--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -2,7 +2,7 @@
 
 use criterion::{criterion_group, criterion_main, BatchSize, BenchmarkId, Criterion};
 use sparlug::event::{Action, Condition, Ended, Event, Listing, Load, Outcome, Request};
-use sparlug::id::{BackendId, ClassId, ForwardNo, PodId, RequestId, TenantId, ZoneId};
+use sparlug::id::{AttemptNo, BackendId, ClassId, PodId, RequestId, TenantId, ZoneId};
 use sparlug::policy::Balancer;
 use sparlug::settings::{Class, Effect, Settings};
 use sparlug::time::{Span, Time};
@@ -65,12 +65,12 @@
 /// One request from its taking to its answer.
 fn request(balancer: &mut Balancer, now: Time, id: u32, actions: &mut Vec<Action>) {
     take(balancer, now, id, actions);
-    let forwards = std::mem::take(actions);
-    for action in forwards {
-        let Action::Forward { request, backend, .. } = action else { continue };
+    let attempts = std::mem::take(actions);
+    for action in attempts {
+        let Action::Attempt { request, backend, .. } = action else { continue };
         let (outcome, took, load) = (Outcome::Honoured, Span::from_millis(20), Load::default());
-        let (forward, answered) = (ForwardNo(0), true);
-        let ended = Ended { request, forward, backend, outcome, answered, spent: false, took, load };
+        let (attempt, answered) = (AttemptNo(0), true);
+        let ended = Ended { request, attempt, backend, outcome, answered, spent: false, took, load };
         balancer.handle(now, Event::Ended(ended), actions);
     }
     actions.clear();
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -22,13 +22,13 @@
     CutShort,
     /// What came is no answer that can be passed on.
     Garbled,
-    /// The time for the forward was up, and `written` tells whether the backend may have it.
+    /// The time for the attempt was up, and `written` tells whether the backend may have it.
     OutOfTime { written: bool },
-    /// The decisions called the forward off, or its client left; `written` tells whether the backend may have it.
+    /// The decisions called the attempt off, or its client left; `written` tells whether the backend may have it.
     CalledOff { written: bool },
     /// The list said, before anything was written, that the backend takes nothing new.
     Withdrawn,
-    /// It was not up before the forward might no longer begin.
+    /// It was not up before the attempt might no longer begin.
     TooLate,
     /// No descriptor was left for a connection.
     NoRoom,
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -207,7 +207,7 @@
             }
         };
         let conn = self.conns.get_mut(slot)?;
-        let deadline = io.deadlines.set(until, Due::Forward(slot));
+        let deadline = io.deadlines.set(until, Due::Attempt(slot));
         conn.job = Some(Job { purpose, sent: io.now, deadline, whole: message.whole });
         conn.used = io.now;
         conn.told = message.told.map(|place| (place, until));
@@ -324,7 +324,7 @@
                 job.sent = if conn.used > job.sent { io.now } else { job.sent };
             }
             match job.purpose {
-                Purpose::Forward(request, _) if !whole && conn.link.pending() <= io.window() / 2 => {
+                Purpose::Attempt(request, _) if !whole && conn.link.pending() <= io.window() / 2 => {
                     io.notes.push_back(Note::Up(request));
                 }
                 _ => {}
@@ -332,7 +332,7 @@
         }
         let written = *written;
         let read = conn.link.fill(if conn.streams { io.window() } else { MESSAGE_MOST });
-        if let (true, Some(Job { purpose: Purpose::Forward(request, _), .. })) = (conn.streams, &conn.job) {
+        if let (true, Some(Job { purpose: Purpose::Attempt(request, _), .. })) = (conn.streams, &conn.job) {
             return io.notes.push_back(Note::Down(*request));
         }
         // What was answered counts, also where the connection broke behind it.
@@ -401,19 +401,19 @@
     /// The answer is passed on as it comes from here on; its time is up to here.
     fn begin(&mut self, slot: ConnSlot, io: &mut Shared) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
-        let (Some(Job { purpose: Purpose::Forward(request, forward), sent, deadline, .. }), Some(head)) =
+        let (Some(Job { purpose: Purpose::Attempt(request, attempt), sent, deadline, .. }), Some(head)) =
             (&mut conn.job, &conn.head)
         else {
             return self.close(slot, Ending::Garbled, io);
         };
         io.deadlines.call_off(conn.deadline.take());
         io.deadlines.call_off(Some(*deadline));
-        *deadline = io.deadlines.set(io.now + SILENCE, Due::Forward(slot));
+        *deadline = io.deadlines.set(io.now + SILENCE, Due::Attempt(slot));
         (conn.streams, conn.used) = (true, io.now);
         let message = conn.link.used(head.length + head.body.seen());
         let (backend, head, took) = (conn.backend, head.clone(), io.now.since(*sent));
-        let (request, forward) = (*request, *forward);
-        io.notes.push_back(Note::Began(Begun { backend, request, forward, head, message, took }));
+        let (request, attempt) = (*request, *attempt);
+        io.notes.push_back(Note::Began(Begun { backend, request, attempt, head, message, took }));
         io.notes.push_back(Note::Down(request));
     }
 
@@ -481,7 +481,7 @@
     pub fn set_time(&mut self, slot: ConnSlot, until: Time, io: &mut Shared) {
         if let Some(job) = self.conns.get_mut(slot).and_then(|conn| conn.job.as_mut()) {
             io.deadlines.call_off(Some(job.deadline));
-            job.deadline = io.deadlines.set(until, Due::Forward(slot));
+            job.deadline = io.deadlines.set(until, Due::Attempt(slot));
         }
     }
 
@@ -550,7 +550,7 @@
         if let (Some(waits), Some(job)) = (waits, &mut conn.job) {
             let since = if waits { io.now } else { conn.used };
             if io.now < since + SILENCE {
-                job.deadline = io.deadlines.set(since + SILENCE, Due::Forward(slot));
+                job.deadline = io.deadlines.set(since + SILENCE, Due::Attempt(slot));
                 return;
             }
             if conn.streams {
@@ -629,9 +629,9 @@
             self.head = None;
             self.link.used(length);
         }
-        let forward = matches!(self.job, Some(Job { purpose: Purpose::Forward(..), .. }));
+        let attempt = matches!(self.job, Some(Job { purpose: Purpose::Attempt(..), .. }));
         let Some(head) = &mut self.head else { return Ok(Came::Part { unknown: false }) };
-        let passes = forward && head.status == 200;
+        let passes = attempt && head.status == 200;
         match head.body.whole(
             &self.link.input[head.length..],
             self.link.ended && !self.link.broken,
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -10,7 +10,7 @@
 use signal_hook_mio::v1_0::Signals;
 use socket2::{Domain, Socket, Type};
 use sparlug::event::{Action, Ended, Event, Listing, Outcome, Request};
-use sparlug::id::{BackendId, ClassId, ForwardNo, RequestId};
+use sparlug::id::{AttemptNo, BackendId, ClassId, RequestId};
 use sparlug::policy::Balancer;
 use sparlug::settings::Effect;
 use sparlug::time::{Span, Time};
@@ -41,13 +41,13 @@
 const COPY_MOST: usize = 512 * 1024; // of a long request, that is held so that it can go again
 const GONE_BY: Span = Span::from_millis(50); // after the longest cut-off from then, nothing is owed any more
 
-/// A request until its answer is given and all its forwards have ended.
+/// A request until its answer is given and all its attempts have ended.
 struct Held {
     /// `None` once it has its answer.
     client: Option<ClientSlot>,
     incoming: Incoming,
-    /// By number, the connections that carry forwards; `None` for one that has ended.
-    forwards: Vec<Option<ConnSlot>>,
+    /// By number, the connections that carry attempts; `None` for one that has ended.
+    attempts: Vec<Option<ConnSlot>>,
     /// `None` while its time has not begun.
     cut_off: Option<DeadlineId>,
     /// For a request that is sent on as it comes.
@@ -58,7 +58,7 @@
 
 /// A request that is sent on as it comes.
 struct Upload {
-    /// How much of what is held the forward that is out has got.
+    /// How much of what is held the attempt that is out has got.
     fed: usize,
     /// Not all that came is held any more.
     spent: bool,
@@ -329,7 +329,7 @@
             Due::Read(slot) => self.clients.event(slot, &mut self.io),
             Due::Dial(slot) => self.pool.dial_late(slot, &mut self.io),
             Due::Begin(slot) => self.pool.begin_due(slot, &mut self.io),
-            Due::Forward(slot) => self.pool.late(slot, &mut self.io),
+            Due::Attempt(slot) => self.pool.late(slot, &mut self.io),
             Due::Idle(slot) => self.pool.idle_over(slot, &mut self.io),
             Due::List => self.discovery.due(&mut self.io),
             Due::Accept => self.clients.accept(&mut self.io),
@@ -559,8 +559,8 @@
     fn carry_out(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
-                Action::Forward { request, backend, time_out, by } => {
-                    self.forward(request, backend, time_out, by);
+                Action::Attempt { request, backend, time_out, by } => {
+                    self.attempt(request, backend, time_out, by);
                 }
                 Action::TurnBack { request, backoff } => {
                     self.io.counters.turned_back += 1;
@@ -570,9 +570,9 @@
                     self.io.counters.forfeited += 1;
                     self.answer(request, 502, None);
                 }
-                Action::Cancel { request, forward } => {
+                Action::Cancel { request, attempt } => {
                     let held = self.held.get(HeldSlot::from_number(request.0));
-                    let out = held.and_then(|held| *held.forwards.get(usize::from(forward.0))?);
+                    let out = held.and_then(|held| *held.attempts.get(usize::from(attempt.0))?);
                     if let Some(slot) = out {
                         self.pool.cancel(slot, &mut self.io);
                     }
@@ -619,7 +619,7 @@
             let due = Due::CutOff(RequestId(slot.number()));
             let cut_off = whole.then(|| deadlines.set(cut_off, due));
             let upload = (!whole).then_some(Upload { fed: 0, spent: false, over: false });
-            Some(Held { client: Some(client), incoming, forwards: Vec::new(), cut_off, upload, began: None })
+            Some(Held { client: Some(client), incoming, attempts: Vec::new(), cut_off, upload, began: None })
         });
         let Some(slot) = slot else {
             self.io.counters.turned_back += 1;
@@ -632,7 +632,7 @@
         self.decide(Event::Taken(Request { id, class, tenant, key, cut_off, cost, whole }));
     }
 
-    fn forward(&mut self, request: RequestId, backend: BackendId, time_out: Span, by: Option<Time>) {
+    fn attempt(&mut self, request: RequestId, backend: BackendId, time_out: Span, by: Option<Time>) {
         // Guards against sending on what nobody waits for: the client's end may be here, and not be read.
         if let Some(client) = self.held.get(HeldSlot::from_number(request.0)).and_then(|held| held.client) {
             self.clients.event(client, &mut self.io);
@@ -642,8 +642,8 @@
         let waits = |held: &Held| held.client.is_some_and(|client| clients.has(client));
         let open = |held: &&mut Held| waits(held) && !spent(held);
         let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)).filter(open) else {
-            // Every forward has an end, also one for a request that is over.
-            let (purpose, ending) = (Purpose::Forward(request, ForwardNo(u16::MAX)), Ending::NoRoom);
+            // Every attempt has an end, also one for a request that is over.
+            let (purpose, ending) = (Purpose::Attempt(request, AttemptNo(u16::MAX)), Ending::NoRoom);
             let (took, load, answer) = Default::default();
             let done = Done { backend, purpose, ending, took, load, answer };
             return self.io.notes.push_back(Note::Done(done));
@@ -651,8 +651,8 @@
         self.io.counters.forwards += 1;
         let id = held.incoming.head.id.as_deref();
         tracing::trace!(id, request = request.0, host = self.pool.host(backend), "forward");
-        let number = ForwardNo(held.forwards.len() as u16);
-        held.forwards.push(None);
+        let number = AttemptNo(held.attempts.len() as u16);
+        held.attempts.push(None);
         let (incoming, window) = (&held.incoming, self.io.window());
         let (mut end, mut left, mut whole) = (incoming.message.len(), time_out, true);
         if let Some(upload) = &mut held.upload {
@@ -662,20 +662,20 @@
             left = if upload.over { time_out } else { incoming.waits };
         }
         let (bytes, place) = incoming.head.forwarded(&incoming.message[..end], left);
-        let (purpose, until) = (Purpose::Forward(request, number), self.io.now + time_out);
-        // A further forward goes on a new connection too: it may be an idle one that cost it the last.
+        let (purpose, until) = (Purpose::Attempt(request, number), self.io.now + time_out);
+        // A further attempt goes on a new connection too: it may be an idle one that cost it the last.
         let again = held.incoming.head.method == "GET" && number.0 == 0;
         let message = Message { bytes: &bytes, whole, again, told: whole.then_some(place), by };
         let slot = self.pool.send(backend, purpose, message, until, &mut self.io);
-        held.forwards[usize::from(number.0)] = slot;
+        held.attempts[usize::from(number.0)] = slot;
         if !whole {
             self.up(request);
         }
     }
 
-    /// What carries the last forward of a request, if it is out.
+    /// What carries the last attempt of a request, if it is out.
     fn out(&self, request: RequestId) -> Option<ConnSlot> {
-        *self.held.get(HeldSlot::from_number(request.0))?.forwards.last()?
+        *self.held.get(HeldSlot::from_number(request.0))?.attempts.last()?
     }
 
     fn left(&mut self, request: RequestId) {
@@ -752,7 +752,7 @@
 
     /// An answer that is passed on as it comes has begun, with which its request is over for the decisions.
     fn began(&mut self, begun: Begun) {
-        let Begun { backend, request, forward, head, message, took } = begun;
+        let Begun { backend, request, attempt, head, message, took } = begun;
         let out = self.out(request);
         let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)) else { return };
         let Some(client) = held.client else {
@@ -767,7 +767,7 @@
         self.io.counters.honoured += 1;
         self.io.counters.ended(Outcome::Honoured);
         let (outcome, answered, spent) = (Outcome::Honoured, true, true);
-        self.decide(Event::Ended(Ended { request, forward, backend, outcome, answered, spent, took, load }));
+        self.decide(Event::Ended(Ended { request, attempt, backend, outcome, answered, spent, took, load }));
     }
 
     /// Passes on what has come of an answer and has room.
@@ -794,7 +794,7 @@
     /// An answer that had begun is over, or has broken off.
     fn streamed(&mut self, request: RequestId, backend: BackendId, ending: Ending) {
         let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)) else { return };
-        held.forwards.iter_mut().for_each(|out| *out = None);
+        held.attempts.iter_mut().for_each(|out| *out = None);
         let broke = !matches!(ending, Ending::Answered { .. } | Ending::CalledOff { .. });
         if let (true, Some(client)) = (broke, held.client) {
             let id = held.incoming.head.id.as_deref();
@@ -818,7 +818,7 @@
     fn ended(&mut self, done: Done) {
         let outcome = done.ending.outcome();
         let Done { backend, purpose, ending, took, load, answer } = done;
-        let Purpose::Forward(request, forward) = purpose else {
+        let Purpose::Attempt(request, attempt) = purpose else {
             // The answer to a check bears its report as its body.
             let load = answer.map_or(load, |(head, message)| http::load(&head.text(&message)));
             let host = self.pool.host(backend);
@@ -840,7 +840,7 @@
         }
         let slot = HeldSlot::from_number(request.0);
         if let Some(held) = self.held.get_mut(slot) {
-            if let Some(out) = held.forwards.get_mut(usize::from(forward.0)) {
+            if let Some(out) = held.attempts.get_mut(usize::from(attempt.0)) {
                 *out = None;
             }
             let last = matches!(outcome, Outcome::Honoured | Outcome::Faulted);
@@ -856,7 +856,7 @@
         let answered = self.held.get(slot).is_none_or(|held| held.client.is_none());
         let spent =
             self.held.get(slot).and_then(|held| held.upload.as_ref()).is_some_and(|upload| upload.spent);
-        let ended = Ended { request, forward, backend, outcome, answered, spent, took, load };
+        let ended = Ended { request, attempt, backend, outcome, answered, spent, took, load };
         self.decide(Event::Ended(ended));
         self.forget(request);
     }
@@ -881,10 +881,10 @@
         self.forget(request);
     }
 
-    /// Drops the record of a request that is over, once no forward is out.
+    /// Drops the record of a request that is over, once no attempt is out.
     fn forget(&mut self, request: RequestId) {
         let slot = HeldSlot::from_number(request.0);
-        let over = |held: &Held| held.client.is_none() && held.forwards.iter().all(Option::is_none);
+        let over = |held: &Held| held.client.is_none() && held.attempts.iter().all(Option::is_none);
         if self.held.get(slot).is_some_and(over) {
             let Some(held) = self.held.remove(slot) else { return };
             self.held_bytes -= held.incoming.message.len();
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -5,7 +5,7 @@
 
 use mio::{Registry, Token};
 use sparlug::event::Load;
-use sparlug::id::{BackendId, ForwardNo, RequestId, TenantId, TimerMark};
+use sparlug::id::{AttemptNo, BackendId, RequestId, TenantId, TimerMark};
 use sparlug::time::{Span, Time};
 
 use crate::counters::Counters;
@@ -27,7 +27,7 @@
 pub type ClientSlot = Slot<OfClient>;
 /// A connection to a backend.
 pub type ConnSlot = Slot<OfConn>;
-/// A request until it is answered and all its forwards have ended.
+/// A request until it is answered and all its attempts have ended.
 pub type HeldSlot = Slot<OfHeld>;
 /// A connection that an operator opened.
 pub type CallSlot = Slot<OfCall>;
@@ -73,7 +73,7 @@
     /// A connection that should be up.
     Dial(ConnSlot),
     /// The end of the time for what a connection carries.
-    Forward(ConnSlot),
+    Attempt(ConnSlot),
     /// An answer whose length is unknown goes on from here, even if it is short.
     Begin(ConnSlot),
     /// The end of the time that a connection may stand idle.
@@ -114,11 +114,11 @@
 /// What a connection to a backend is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
-    Forward(RequestId, ForwardNo),
+    Attempt(RequestId, AttemptNo),
     Check,
 }
 
-/// What became of a forward or a check.
+/// What became of an attempt or a check.
 #[derive(Debug)]
 pub struct Done {
     pub backend: BackendId,
@@ -135,7 +135,7 @@
 pub struct Begun {
     pub backend: BackendId,
     pub request: RequestId,
-    pub forward: ForwardNo,
+    pub attempt: AttemptNo,
     pub head: AnswerHead,
     /// The head and what has come of the body.
     pub message: Vec<u8>,
--- a/crates/proxy/tests/parts.rs
+++ b/crates/proxy/tests/parts.rs
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn only_endings_that_prove_it_say_that_a_forward_never_ran() {
+fn only_endings_that_prove_it_say_that_a_attempt_never_ran() {
     let answered = |status, not_started| Ending::Answered { status, not_started };
     let never = [
         Ending::Refused,
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -111,7 +111,7 @@
     });
 }
 
-/// One request before two backends, of which each sends the reply once; how often a forward came, and the
+/// One request before two backends, of which each sends the reply once; how often an attempt came, and the
 /// answer.
 fn two_backends(method: &str, path: &str, reply: Option<&str>) -> (usize, String) {
     let (one, other) = (backend(), backend());
@@ -134,16 +134,16 @@
     let turned_away = answer("503 Service Unavailable", "Not-Started: 1\r\n", "");
     let cut_short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
     for reply in [None, Some(&*error), Some(&*busy), Some(cut_short), Some("HTTP/9 what\r\n\r\n")] {
-        let (forwards, answer) = two_backends("POST", "/write", reply);
-        assert_eq!((forwards, status(&answer)), (1, 502), "{reply:?}");
-        let (forwards, answer) = two_backends("GET", "/read", reply);
-        assert_eq!((forwards, status(&answer)), (2, 503), "{reply:?}");
+        let (attempts, answer) = two_backends("POST", "/write", reply);
+        assert_eq!((attempts, status(&answer)), (1, 502), "{reply:?}");
+        let (attempts, answer) = two_backends("GET", "/read", reply);
+        assert_eq!((attempts, status(&answer)), (2, 503), "{reply:?}");
         // Nothing of an answer that was not whole reaches a client as if it were.
         assert!(!answer.contains("half"), "{answer}");
     }
     // Proven never to have run: it may be sent again and turned back.
-    let (forwards, answer) = two_backends("POST", "/write", Some(&turned_away));
-    assert_eq!((forwards, status(&answer)), (2, 503));
+    let (attempts, answer) = two_backends("POST", "/write", Some(&turned_away));
+    assert_eq!((attempts, status(&answer)), (2, 503));
     assert!(answer.contains("Retry-After: 0."), "{answer}");
 }
 
@@ -174,7 +174,7 @@
     });
 }
 
-/// Guards against answers of the kind 1xx without end, which are no answer and yet keep a forward waiting.
+/// Guards against answers of the kind 1xx without end, which are no answer and yet keep an attempt waiting.
 #[test]
 fn words_on_the_way_are_passed_over_within_a_bound() {
     let words = |count| "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".repeat(count);
@@ -219,8 +219,8 @@
 fn what_a_backend_will_not_take_is_sent_once_and_blames_nobody() {
     let refuses = answer("400 Bad Request", "", "");
     for (method, path) in [("GET", "/read"), ("POST", "/write")] {
-        let (forwards, answer) = two_backends(method, path, Some(&refuses));
-        assert_eq!((forwards, status(&answer)), (1, 400));
+        let (attempts, answer) = two_backends(method, path, Some(&refuses));
+        assert_eq!((attempts, status(&answer)), (1, 400));
         assert!(answer.contains("Connection: close"), "{answer}");
     }
 }
@@ -286,7 +286,7 @@
 }
 
 #[test]
-fn a_client_that_goes_away_ends_its_forward() {
+fn a_client_that_goes_away_ends_its_attempt() {
     let backend = backend();
     let proxy = Proxy::start(&[&backend]);
     let mut client = proxy.connect();
@@ -607,7 +607,7 @@
     // More idle connections than it has room for, and of some only half a request.
     let mut crowd: Vec<_> = (0..90).map(|_| proxy.connect()).collect();
     crowd.iter_mut().step_by(3).for_each(|client| drop(client.write_all(b"GET /read HT")));
-    // More requests at once than it can forward or even accept: each is answered all the same.
+    // More requests at once than it can send on or even accept: each is answered all the same.
     let clients: Vec<_> = (0..60).map(|_| proxy.connect()).collect();
     let text = request("GET", "/read", "5");
     for mut client in &clients {
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -144,7 +144,8 @@
     conn_idle_ms: f64,
     #[serde(default = "second")]
     dial_timeout_ms: f64,
-    max_forwards: u16,
+    #[serde(rename = "maxForwards")]
+    max_attempts: u16,
     #[serde(default)]
     cancelling: bool,
     #[serde(default)]
@@ -255,7 +256,7 @@
         allowances: setup.tenants.iter().map(|tenant| tenant.allowance_per_s).collect(),
         beyond_share: setup.beyond_share_value,
         list_on_request: matches!(setup.discovery, Discovery::OnRequest),
-        max_forwards: setup.allowed.max_forwards,
+        max_attempts: setup.allowed.max_attempts,
         full_proves_nothing: setup.obligations.shed_after_start,
         only_draining_binds: setup.obligations.drain_binds_alone,
         cancelling: setup.allowed.cancelling,
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -138,7 +138,8 @@
 struct Backends {
     dial: Option<Spanned<String>>,
     idle: Option<Spanned<String>>,
-    most_forwards: Option<Spanned<i64>>,
+    #[serde(rename = "most_forwards")]
+    most_attempts: Option<Spanned<i64>>,
     reports: Option<bool>,
     probes: Option<bool>,
     cold_share: Option<Spanned<f64>>,
@@ -491,7 +492,7 @@
 
     let b = &read.backends;
     let (dial, idle) = (c.above("backends.dial", &b.dial, "1s"), c.above("backends.idle", &b.idle, "60s"));
-    let max_forwards = c.whole("backends.most_forwards", &b.most_forwards, (1, 100), 3) as u16;
+    let max_attempts = c.whole("backends.most_forwards", &b.most_attempts, (1, 100), 3) as u16;
     let cold = Cold {
         share: c.number("backends.cold_share", &b.cold_share, (0.01, 1.0), 0.3),
         ramp: c.span("backends.warm_up", &b.warm_up, "8s"),
@@ -534,7 +535,7 @@
         allowances: Vec::new(),
         beyond_share: 1.0,
         list_on_request: false,
-        max_forwards,
+        max_attempts,
         cancelling: true,
         remembers: b.remember_keys,
         peers: !peers.is_empty() || fleet.is_some(),
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's frames and records, to and from the decisions' own words.
 
 use sparlug::event::{Action, Condition, Ended, Event, Listing, Load, Outcome, Request};
-use sparlug::id::{BackendId, ClassId, ForwardNo, PeerId, PodId, RequestId, TenantId, TimerMark, ZoneId};
+use sparlug::id::{AttemptNo, BackendId, ClassId, PeerId, PodId, RequestId, TenantId, TimerMark, ZoneId};
 use sparlug::time::{Span, Time};
 
 use sparlug_setup::Columns;
@@ -200,16 +200,16 @@
             Event::Taken(Request { id, class, tenant, key, cut_off, cost, whole: true })
         }
         40 => {
-            let (request, _forward, backend) = (RequestId(r.u32()?.into()), r.u16()?, r.backend()?);
+            let (request, _attempt, backend) = (RequestId(r.u32()?.into()), r.u16()?, r.backend()?);
             Event::Began { request, backend, took: r.span()? }
         }
         50 => {
             let request = RequestId(r.u32()?.into());
             let (outcome, backend, last) = (r.outcome()?, r.backend()?, r.u8()?);
-            let (forward, took, load) = (ForwardNo(r.u16()?), r.span()?, r.load(columns(instance))?);
+            let (attempt, took, load) = (AttemptNo(r.u16()?), r.span()?, r.load(columns(instance))?);
             Event::Ended(Ended {
                 request,
-                forward,
+                attempt,
                 backend,
                 outcome,
                 answered: last != 0,
@@ -250,7 +250,7 @@
 
     pub fn add(&mut self, instance: u16, action: &Action) {
         match action {
-            Action::Forward { request, backend, time_out, .. } => {
+            Action::Attempt { request, backend, time_out, .. } => {
                 let record = self.begin(50, instance);
                 record.extend(wire_id(request).to_le_bytes());
                 put_backend(record, *backend);
@@ -262,10 +262,10 @@
                 record.extend(backoff.unwrap_or_default().ms().to_le_bytes());
             }
             Action::Forfeit { request } => self.begin(20, instance).extend(wire_id(request).to_le_bytes()),
-            Action::Cancel { request, forward } => {
+            Action::Cancel { request, attempt } => {
                 let record = self.begin(60, instance);
                 record.extend(wire_id(request).to_le_bytes());
-                record.extend(forward.0.to_le_bytes());
+                record.extend(attempt.0.to_le_bytes());
             }
             Action::Timer { after, mark } => {
                 let record = self.begin(100, instance);
--- a/src/event.rs
+++ b/src/event.rs
@@ -1,6 +1,6 @@
 //! What an instance hears and what it may do.
 
-use crate::id::{BackendId, ClassId, ForwardNo, PeerId, PodId, RequestId, TenantId, TimerMark, ZoneId};
+use crate::id::{AttemptNo, BackendId, ClassId, PeerId, PodId, RequestId, TenantId, TimerMark, ZoneId};
 use crate::settings::{Group, Settings};
 use crate::time::{Span, Time};
 use crate::word::Word;
@@ -15,7 +15,7 @@
     /// A call for the list failed, or the watch on it ended.
     ListFailed,
     Taken(Request),
-    /// The answer of a streamed request has begun; the client holds this forward from here on.
+    /// The answer of a streamed request has begun; the client holds this attempt from here on.
     Began {
         request: RequestId,
         backend: BackendId,
@@ -101,11 +101,11 @@
     pub whole: bool,
 }
 
-/// How a forward ended.
+/// How an attempt ended.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
     pub request: RequestId,
-    pub forward: ForwardNo,
+    pub attempt: AttemptNo,
     pub backend: BackendId,
     pub outcome: Outcome,
     /// The request has its final answer, by this outcome or earlier.
@@ -178,7 +178,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Forward {
+    Attempt {
         request: RequestId,
         backend: BackendId,
         time_out: Span,
@@ -194,12 +194,12 @@
     },
     Cancel {
         request: RequestId,
-        forward: ForwardNo,
+        attempt: AttemptNo,
     },
-    /// The forward that is out has so much more time from here.
+    /// The attempt that is out has so much more time from here.
     TimeOut {
         request: RequestId,
-        forward: ForwardNo,
+        attempt: AttemptNo,
         time_out: Span,
     },
     Timer {
--- a/src/id.rs
+++ b/src/id.rs
@@ -3,9 +3,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
 
-/// Which forward of a request, counted from 0.
+/// Which attempt of a request, counted from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ForwardNo(pub u16);
+pub struct AttemptNo(pub u16);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BackendId {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,7 +33,7 @@
 //!     whole: true,
 //! };
 //! balancer.handle(start, Event::Taken(request), &mut actions);
-//! assert!(actions.iter().any(|a| matches!(a, Action::Forward { backend: b, .. } if *b == backend)));
+//! assert!(actions.iter().any(|a| matches!(a, Action::Attempt { backend: b, .. } if *b == backend)));
 //! ```
 
 pub mod event;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,7 +11,7 @@
 use oorandom::Rand32;
 
 use crate::event::{Action, BackendNote, Condition, Ended, Event, Listing, Outcome, Request, TierNote};
-use crate::id::{BackendId, ForwardNo, PeerId, RequestId, TimerMark};
+use crate::id::{AttemptNo, BackendId, PeerId, RequestId, TimerMark};
 use crate::roster::Roster;
 use crate::settings::{Effect, Group, Settings};
 use crate::state::{all_barred, census, left_out, words, Backend, Desk, Held, Tier};
@@ -39,11 +39,11 @@
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
 const BAND_ALL: f64 = 3.0; // above this one nothing is taken
 const NEED: f64 = 1.5; // time left for an answer, in p90, under which waiting ends
-const PURSE_SHARE: f64 = 0.1; // repeats of what may have run, for each first forward
+const PURSE_SHARE: f64 = 0.1; // repeats of what may have run, for each first attempt
 const PURSE_MOST: f64 = 10.0; // and the most that are saved up
 const STRIKES_OUT: f64 = 2.0; // strikes in a row that put a backend out
 const WORD_FADE: f64 = 5000.0; // ms in which a word of a backend fades
-const PRIOR: f64 = 4.0; // own forwards that what is known of the zone, or the tier, counts as
+const PRIOR: f64 = 4.0; // own attempts that what is known of the zone, or the tier, counts as
 const FADE: f64 = 0.98; // what failed is forgotten by so much an update interval
 const OUT_MOST: f64 = 0.34; // part of the ready that may be out, so that the rest is not overrun
 const OUT_FIRST: Span = Span::from_millis(1000); // how long a backend is out at first
@@ -112,7 +112,7 @@
             BackendNote::Told(word) => self.hear(word, around.now),
             BackendNote::Beat => self.beat(around),
         }
-        // Guards against a hung backend's forwards using up the limit: while it is out they do not count.
+        // Guards against a hung backend's attempts using up the limit: while it is out they do not count.
         let counts = if self.out.is_some() { 0.0 } else { self.holds() };
         around.tier_inbox.push(TierNote::Holds(counts - self.counted));
         self.counted = counts;
@@ -154,7 +154,7 @@
     }
 
     fn ended(&mut self, e: &Ended, sample: Option<(Span, bool)>, around: &mut Around) {
-        self.report(e.load, around.now); // first: it still counts the forward with whose answer it came
+        self.report(e.load, around.now); // first: it still counts the attempt with whose answer it came
         self.in_flight -= 1.0;
         let honoured = e.outcome == Outcome::Honoured;
         if let Some((latency, in_time)) = sample {
@@ -165,7 +165,7 @@
             self.ghosts.push(around.now + e.took.scaled(2.0));
         }
         if matches!(e.outcome, Outcome::Full | Outcome::ConnectFailed) {
-            // Guards against a storm of forwards at what looks idle as it takes none: it rests a while.
+            // Guards against a storm of attempts at what looks idle as it takes none: it rests a while.
             self.full_until = around.now + Span::from_ms(around.tier.took.or(0.0) * (0.5 + around.chance));
         }
         if e.outcome.judges_nobody() {
@@ -266,7 +266,7 @@
         self.p90.add(p90, SMOOTHING);
         self.answered.add(answered, SMOOTHING);
         let log = self.limit.log10();
-        // Guards against forwards lost whatever the load: unless answers show a queue, time-outs say nothing.
+        // Guards against attempts lost whatever the load: unless answers show a queue, time-outs say nothing.
         let jammed = self.queued(self.answered) >= 3.0 * log;
         self.latency = if jammed { self.p90 } else { self.answered };
         // Guards against a baseline that was set in a jam, from which the limit would never come down again.
@@ -458,7 +458,7 @@
         }
     }
 
-    /// Only a stand-in: the forward's own time-out comes a round earlier, and counts as a sample.
+    /// Only a stand-in: the attempt's own time-out comes a round earlier, and counts as a sample.
     fn stand_in(&self, id: RequestId, due: Time, out: &mut Vec<Action>) {
         let after = due.since(self.now) + self.settings.round;
         out.push(Action::Timer { after, mark: TimerMark(id.0) });
@@ -472,15 +472,15 @@
         let Some(held) = self.desk.held.get_mut(&id) else { return };
         (held.goal, held.due, held.whole) = (goal, due, true);
         if held.out.is_some() {
-            let (forward, time_out) = (ForwardNo(held.sent - 1), due.since(self.now));
-            out.push(Action::TimeOut { request: id, forward, time_out });
+            let (attempt, time_out) = (AttemptNo(held.sent - 1), due.since(self.now));
+            out.push(Action::TimeOut { request: id, attempt, time_out });
         }
     }
 
-    /// A forward of what was not whole counts from here, at the latest when it ends.
+    /// An attempt of what was not whole counts from here, at the latest when it ends.
     fn count(&mut self, id: RequestId) {
-        let forward = self.desk.held.get(&id).filter(|held| !held.whole).and_then(|held| held.out);
-        if let Some((listing, _)) = forward {
+        let attempt = self.desk.held.get(&id).filter(|held| !held.whole).and_then(|held| held.out);
+        if let Some((listing, _)) = attempt {
             self.tell(listing.backend, BackendNote::Sent);
         }
     }
@@ -518,7 +518,7 @@
         (held.out, held.last) = (None, Some(e.backend));
         let allowed = held.ran.is_none() || held.class.effect != Effect::AtMostOnce;
         let cost = f64::from(u8::from(ran));
-        let more = held.sent < self.settings.max_forwards && e.outcome != Outcome::NotSent && !e.spent;
+        let more = held.sent < self.settings.max_attempts && e.outcome != Outcome::NotSent && !e.spent;
         if allowed && more && self.desk.purse >= cost {
             self.desk.purse -= cost;
             self.desk.further.push(e.request);
@@ -532,7 +532,7 @@
         let held = self.desk.held.remove(&id)?;
         self.desk.leave_lines(id);
         if held.out.is_some() && self.settings.cancelling {
-            out.push(Action::Cancel { request: id, forward: ForwardNo(held.sent - 1) });
+            out.push(Action::Cancel { request: id, attempt: AttemptNo(held.sent - 1) });
         }
         Some(held)
     }
@@ -554,7 +554,7 @@
         out.push(Action::TurnBack { request: id, backoff });
     }
 
-    /// Sends the next request that waits, if the limit has room; first forwards before further ones.
+    /// Sends the next request that waits, if the limit has room; first attempts before further ones.
     fn serve(&mut self, out: &mut Vec<Action>) -> bool {
         // What would be late gives up its place; what nobody may repeat tries while a usual answer may do.
         let needs = [self.tier.latency, self.tier.took].map(|mean| Span::from_ms(NEED * mean.or(0.0)));
@@ -569,7 +569,7 @@
         }
         for id in self.desk.asking.clone() {
             let Some(backend) = self.answered(id) else { continue };
-            return self.forward(id, backend, out);
+            return self.attempt(id, backend, out);
         }
         if self.tier.in_flight + self.desk.asking.len() as f64 >= self.tier.own_limit() {
             return false;
@@ -579,7 +579,7 @@
         for id in first.into_iter().chain(&self.desk.further).copied().collect::<Vec<_>>() {
             let Some(two) = self.pick(id) else { continue };
             if !self.asks() {
-                return self.forward(id, two[0], out);
+                return self.attempt(id, two[0], out);
             }
             self.desk.leave_lines(id);
             self.desk.asking.push(id);
@@ -592,7 +592,7 @@
         false
     }
 
-    /// Where instances outnumber backends, own forwards say next to nothing of what a backend holds, and
+    /// Where instances outnumber backends, own attempts say next to nothing of what a backend holds, and
     /// reports that came with answers are old: there the two that were drawn are asked first.
     fn asks(&self) -> bool {
         let cheap = self.settings.report_price.is_some_and(|price| price <= ASK_PRICE);
@@ -679,7 +679,7 @@
         (b.holds() + others + 1.0) * weight + if far { crossing } else { 0.0 }
     }
 
-    fn forward(&mut self, id: RequestId, backend: BackendId, out: &mut Vec<Action>) -> bool {
+    fn attempt(&mut self, id: RequestId, backend: BackendId, out: &mut Vec<Action>) -> bool {
         self.desk.leave_lines(id);
         let Some(held) = self.desk.held.get_mut(&id) else { return false };
         self.desk.purse +=
@@ -687,7 +687,7 @@
         held.out = Some((self.backends[&backend].listing, self.now));
         held.sent += 1;
         let by = held.repeats_until();
-        out.push(Action::Forward { request: id, backend, time_out: held.due.since(self.now), by });
+        out.push(Action::Attempt { request: id, backend, time_out: held.due.since(self.now), by });
         if held.whole {
             self.tell(backend, BackendNote::Sent);
         }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -53,9 +53,9 @@
 }
 
 fn ended(outcome: Outcome) -> Ended {
-    let (forward, took) = (ForwardNo(0), ms(50));
+    let (attempt, took) = (AttemptNo(0), ms(50));
     let (request, backend) = (RequestId(1), id(0));
-    Ended { request, forward, backend, outcome, answered: false, spent: false, took, load: Load::default() }
+    Ended { request, attempt, backend, outcome, answered: false, spent: false, took, load: Load::default() }
 }
 
 fn by_pod() -> Effect {
@@ -93,11 +93,11 @@
 }
 
 #[test]
-fn at_most_once_is_not_turned_back_while_a_forward_is_out() {
+fn at_most_once_is_not_turned_back_while_a_attempt_is_out() {
     let (mut b, mut out) = (balancer(Effect::AtMostOnce, 4), Vec::new());
     b.desk.held.insert(RequestId(1), forwarded(Effect::AtMostOnce));
     b.give_up(RequestId(1), &mut out);
-    let cancel = Action::Cancel { request: RequestId(1), forward: ForwardNo(0) };
+    let cancel = Action::Cancel { request: RequestId(1), attempt: AttemptNo(0) };
     assert_eq!(out, [cancel, Action::Forfeit { request: RequestId(1) }]);
 }
 
@@ -168,7 +168,7 @@
     b.tier.in_flight = 10.0;
     b.handle(START, Event::Taken(request(1)), &mut out);
     assert_eq!(b.desk.first, [RequestId(1)]);
-    assert!(!out.iter().any(|action| matches!(action, Action::Forward { .. })));
+    assert!(!out.iter().any(|action| matches!(action, Action::Attempt { .. })));
 }
 
 #[test]
@@ -203,7 +203,7 @@
 /// Guards against failing, for the slow turn-back of one backend, what its caller may not repeat.
 #[test]
 fn what_may_run_only_once_goes_on_while_a_usual_answer_can_be_in_time() {
-    for (effect, forwards) in [(Effect::AtMostOnce, 1), (Effect::Reissuable, 0)] {
+    for (effect, attempts) in [(Effect::AtMostOnce, 1), (Effect::Reissuable, 0)] {
         let (mut b, mut out) = (balancer(effect, 4), Vec::new());
         b.tier.took.add(40.0, 1.0);
         b.tier.latency.add(150.0, 1.0);
@@ -211,20 +211,20 @@
         b.desk.further.push(RequestId(1));
         b.now = START + ms(50);
         b.serve(&mut out);
-        let sent = out.iter().filter(|action| matches!(action, Action::Forward { .. })).count();
-        assert_eq!(sent, forwards, "{out:?}");
+        let sent = out.iter().filter(|action| matches!(action, Action::Attempt { .. })).count();
+        assert_eq!(sent, attempts, "{out:?}");
     }
 }
 
 #[test]
-fn first_forwards_are_served_before_further_ones() {
+fn first_attempts_are_served_before_further_ones() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
     for n in [1, 2] {
         b.desk.held.insert(RequestId(n), held(Effect::Reissuable));
     }
     (b.desk.further, b.desk.first) = (vec![RequestId(1)], vec![RequestId(2)]);
     b.serve(&mut out);
-    assert!(matches!(out[..], [Action::Forward { request: RequestId(2), .. }]));
+    assert!(matches!(out[..], [Action::Attempt { request: RequestId(2), .. }]));
 }
 
 #[test]
@@ -241,7 +241,7 @@
     let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
     b.handle(START, Event::Taken(request(1)), &mut out);
     let Action::Timer { after, .. } = out[0] else { panic!("{out:?}") };
-    let Action::Forward { time_out, .. } = out[1] else { panic!("{out:?}") };
+    let Action::Attempt { time_out, .. } = out[1] else { panic!("{out:?}") };
     assert!(time_out < after && after < ms(200));
 }
 
@@ -320,7 +320,7 @@
     let (outcome, took, load) = (Outcome::ConnectFailed, ms(1), Load::default());
     let mut out = Vec::new();
     b.handle(START + ms(2), Event::Checked { backend: id(0), outcome, took, load }, &mut out);
-    assert!(out.iter().any(|action| matches!(action, Action::Forward { backend, .. } if *backend == id(1))));
+    assert!(out.iter().any(|action| matches!(action, Action::Attempt { backend, .. } if *backend == id(1))));
 }
 
 #[test]
@@ -333,7 +333,7 @@
 }
 
 #[test]
-fn a_silent_backend_goes_out_and_its_forwards_leave_the_limit() {
+fn a_silent_backend_goes_out_and_its_attempts_leave_the_limit() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 4), Vec::new());
     b.tier.latency.add(100.0, 1.0);
     let hung = b.backends.get_mut(&id(0)).unwrap();
@@ -354,7 +354,7 @@
 }
 
 #[test]
-fn a_forward_given_up_counts_as_in_flight_until_its_work_is_likely_done() {
+fn an_attempt_given_up_counts_as_in_flight_until_its_work_is_likely_done() {
     let (b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
     let mut backend = Backend { in_flight: 1.0, ..Backend::default() };
     backend.ended(&ended(Outcome::TimedOut), None, &mut around(&b, &mut inbox, &mut out, START));
@@ -410,9 +410,9 @@
     assert!(backend.credit > 0.0 && backend.credit < 0.2 * 3.0 * 10.0 / BEATS_PER_S);
 }
 
-/// Guards against the forward that an answer ends passing for one that others hold there.
+/// Guards against the attempt that an answer ends passing for one that others hold there.
 #[test]
-fn the_report_that_comes_with_an_answer_counts_the_forward_it_ends() {
+fn the_report_that_comes_with_an_answer_counts_the_attempt_it_ends() {
     let b = balancer(Effect::Reissuable, 1);
     let mut backend = Backend { in_flight: 2.0, ..Backend::default() };
     let load = Load { held: Some(5.0), waiting: None };
@@ -535,7 +535,7 @@
     (b.settings.report_price, b.settings.instances) = (Some(0.001), 9);
     b.handle(START, Event::Taken(request(1)), &mut out);
     assert_eq!(out.iter().filter(|action| matches!(action, Action::Check { .. })).count(), 2);
-    assert!(!out.iter().any(|action| matches!(action, Action::Forward { .. })));
+    assert!(!out.iter().any(|action| matches!(action, Action::Attempt { .. })));
 }
 
 #[test]
@@ -630,7 +630,7 @@
 }
 
 #[test]
-fn a_further_forward_goes_elsewhere_than_the_last() {
+fn a_further_attempt_goes_elsewhere_than_the_last() {
     let mut b = keyed(5, 20);
     let home = first_pick(&mut b);
     b.desk.held.get_mut(&RequestId(1)).unwrap().last = home;
@@ -662,7 +662,7 @@
 }
 
 #[test]
-fn forwards_that_are_lost_lower_the_limit_only_where_answers_show_a_queue() {
+fn attempts_that_are_lost_lower_the_limit_only_where_answers_show_a_queue() {
     let lossy = |took: i64| {
         let mut tier = tier(took);
         (0..12).for_each(|n| tier.samples.add(START + ms(2390 + n), 1200.0, false));
@@ -697,11 +697,11 @@
             let mut out = Vec::new();
             let taken = Request { cut_off: now + ms(500), ..request(n) };
             balancer.handle(now, Event::Taken(taken), &mut out);
-            let forward = out.iter().find_map(|action| match action {
-                Action::Forward { backend, .. } => Some(*backend),
+            let attempt = out.iter().find_map(|action| match action {
+                Action::Attempt { backend, .. } => Some(*backend),
                 _ => None,
             });
-            let backend = forward.expect("one of the two is open");
+            let backend = attempt.expect("one of the two is open");
             let done =
                 Ended { request: RequestId(n.into()), backend, answered: true, ..ended(Outcome::Honoured) };
             balancer.handle(now, Event::Ended(done), &mut out);
@@ -737,7 +737,7 @@
     let mut balancer = balancer(Effect::AtMostOnce, 1);
     let (mut out, later) = (Vec::new(), START + ms(3000));
     balancer.handle(START, Event::Taken(Request { whole: false, ..request(1) }), &mut out);
-    assert!(matches!(out.last(), Some(Action::Forward { .. })), "{out:?}");
+    assert!(matches!(out.last(), Some(Action::Attempt { .. })), "{out:?}");
     assert_eq!((balancer.backends[&id(0)].in_flight, balancer.tier.in_flight), (0.0, 0.0));
     // Its own timer comes long before its last byte, and ends nothing.
     out.clear();
@@ -764,7 +764,7 @@
         out.clear();
         balancer.handle(START, Event::Ended(Ended { spent: true, ..ended(Outcome::Withdrawn) }), &mut out);
         assert_eq!(out.iter().any(|action| matches!(action, Action::TurnBack { .. })), !left, "{out:?}");
-        assert!(!out.iter().any(|action| matches!(action, Action::Forward { .. })), "{out:?}");
+        assert!(!out.iter().any(|action| matches!(action, Action::Attempt { .. })), "{out:?}");
         assert_eq!((balancer.backends[&id(0)].in_flight, balancer.tier.in_flight), (0.0, 0.0));
     }
 }
@@ -794,7 +794,7 @@
             let mut out = Vec::new();
             balancer.handle(START + ms(1), Event::Ended(ended(outcome)), &mut out);
             let to = out.iter().find_map(|action| match action {
-                Action::Forward { backend, .. } => Some(*backend),
+                Action::Attempt { backend, .. } => Some(*backend),
                 _ => None,
             });
             // The pod of backend 0 holds backend 1 as well.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -26,7 +26,7 @@
     pub beyond_share: f64,
     /// The list must be asked for.
     pub list_on_request: bool,
-    pub max_forwards: u16,
+    pub max_attempts: u16,
     /// Backends say that they are full of work that they had begun, too.
     pub full_proves_nothing: bool,
     /// A backend that is gone, or left out, and was never listed as draining, may still be sent to.
@@ -115,7 +115,7 @@
             allowances: Vec::new(),
             beyond_share: 1.0,
             list_on_request: false,
-            max_forwards: 3,
+            max_attempts: 3,
             full_proves_nothing: false,
             only_draining_binds: false,
             cancelling: true,
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,26 +16,26 @@
     pub listing: Listing,
     /// When staff let it serve again; it may have restarted meanwhile.
     pub back: Option<Time>,
-    /// While out it gets nothing until then, and after that one trial forward at a time.
+    /// While out it gets nothing until then, and after that one trial attempt at a time.
     pub out: Option<Time>,
     /// How often it was put out, or stayed out, in a row.
     pub outs: u32,
     pub strikes: f64,
-    /// Own forwards and checks that failed, of late.
+    /// Own attempts and checks that failed, of late.
     pub tally: Tally,
     pub in_flight: f64,
     /// What of it the tier's sum holds.
     pub counted: f64,
-    /// Until when it may still work on forwards that were given up.
+    /// Until when it may still work on attempts that were given up.
     pub ghosts: Vec<Time>,
-    /// Most forwards in flight while it is fresh; grows with its answers.
+    /// Most attempts in flight while it is fresh; grows with its answers.
     pub cap: Option<f64>,
     pub full_until: Time,
-    /// Forwards that a cold backend may still be sent.
+    /// Attempts that a cold backend may still be sent.
     pub credit: f64,
     /// Answer time in ms.
     pub took: Mean,
-    /// When it last answered, or was sent its first forward while idle.
+    /// When it last answered, or was sent its first attempt while idle.
     pub heard: Time,
     /// What it last said it holds for others, and when.
     pub others: Option<(Time, f64)>,
@@ -68,19 +68,19 @@
         ((1.0 - tier.failing) / (1.0 - failing).max(0.1)).max(1.0).powi(2)
     }
 
-    /// What it says that it holds, without this instance's forwards.
+    /// What it says that it holds, without this instance's attempts.
     pub fn report(&mut self, load: Load, now: Time) {
         let said = load.held.or(load.waiting).map(|held| (now, (held - self.in_flight).max(0.0)));
         self.others = said.or(self.others);
     }
 
-    /// The part of forwards that fail in its zone.
+    /// The part of attempts that fail in its zone.
     fn like(&self, tier: &Tier, prior: f64) -> f64 {
         let zone = tier.zones.get(&self.listing.zone).copied().unwrap_or_default();
         zone.share(tier.failing, prior)
     }
 
-    /// The part of its forwards that fail, as others saw it, and with time as its zone does.
+    /// The part of its attempts that fail, as others saw it, and with time as its zone does.
     pub fn word(&self, now: Time, tier: &Tier, prior: f64, fade: f64) -> f64 {
         let like = self.like(tier, prior);
         // What has faded to a trace is forgotten, so that it decides no pick between equals.
@@ -146,7 +146,7 @@
     pub took: Mean,
     /// Part of the samples that were not in time.
     pub late: Mean,
-    /// Part of the forwards that fail.
+    /// Part of the attempts that fail.
     pub failing: f64,
     /// What failed of late in each zone.
     pub zones: BTreeMap<ZoneId, Tally>,
@@ -169,16 +169,16 @@
     /// The final answer is given by then.
     pub due: Time,
     pub beyond_share: bool,
-    /// All of it has come; before that nothing runs, and a forward counts nowhere.
+    /// All of it has come; before that nothing runs, and an attempt counts nowhere.
     pub whole: bool,
     pub sent: u16,
-    /// Where the forward that is out may be running, and since when.
+    /// Where the attempt that is out may be running, and since when.
     pub out: Option<(Listing, Time)>,
-    /// The first forward that may have run.
+    /// The first attempt that may have run.
     pub ran: Option<(Listing, Time)>,
     /// What it is about, where backends remember that.
     pub key: Option<u64>,
-    /// Where its last forward ended.
+    /// Where its last attempt ended.
     pub last: Option<BackendId>,
     /// The two that were asked for a report, since when, and until when at most.
     pub asked: Option<([BackendId; 2], Time, Time)>,
@@ -189,9 +189,9 @@
 pub struct Desk {
     pub inbox: VecDeque<Event>,
     pub held: BTreeMap<RequestId, Held>,
-    /// The line of first forwards.
+    /// The line of first attempts.
     pub first: Vec<RequestId>,
-    /// The line of further forwards.
+    /// The line of further attempts.
     pub further: Vec<RequestId>,
     /// What waits for the reports of the two backends drawn for it.
     pub asking: Vec<RequestId>,
--- a/src/word.rs
+++ b/src/word.rs
@@ -13,7 +13,7 @@
     pub age: Span,
     /// What it said that it holds.
     pub held: Option<f64>,
-    /// The part of its forwards that fail.
+    /// The part of its attempts that fail.
     pub failing: f64,
 }
 
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -7,7 +7,7 @@
 
 use oorandom::Rand32;
 use sparlug::event::{Action, Condition, Ended, Event, Listing, Load, Outcome, Request};
-use sparlug::id::{BackendId, ClassId, ForwardNo, PodId, RequestId, TenantId, TimerMark, ZoneId};
+use sparlug::id::{AttemptNo, BackendId, ClassId, PodId, RequestId, TenantId, TimerMark, ZoneId};
 use sparlug::policy::Balancer;
 use sparlug::settings::{Class, Cold, Effect, Settings};
 use sparlug::time::{Span, Time};
@@ -105,7 +105,7 @@
     fn start(&mut self, number: usize, count: usize, turn: u32) -> (u32, Balancer) {
         let class = Class::new(Span::from_millis(600), Span::from_millis(1_500), Effect::Reissuable);
         let usual = Settings::for_classes(vec![class]);
-        let settings = Settings { instances: count, ordinal: number, cold: COLD, max_forwards: 4, ..usual };
+        let settings = Settings { instances: count, ordinal: number, cold: COLD, max_attempts: 4, ..usual };
         let (mut out, now, seed) = (Vec::new(), self.time(), u64::from(self.rng.rand_u32()));
         let mut balancer = Balancer::new(settings, seed, now, &mut out);
         let listings = (0..BACKENDS).map(|number| self.listing(number)).collect();
@@ -140,7 +140,7 @@
                 Action::Timer { after, mark } => {
                     self.set(self.now + after.ms() / 1000.0, Due::Timer(number, turn, mark.0));
                 }
-                Action::Forward { request, backend, .. } => {
+                Action::Attempt { request, backend, .. } => {
                     let (to, now) = (backend.address[3], self.now);
                     if self.started.contains_key(&to) {
                         self.sent.entry(to).or_default().push(now);
@@ -181,10 +181,10 @@
             Due::Ended(number, turn, request, to) if self.instances[number].0 == turn => {
                 let fails = self.case == Case::Retries && self.chance() < 0.25;
                 let outcome = if fails { Outcome::Error } else { Outcome::Honoured };
-                let (request, forward, took) =
-                    (RequestId(request), ForwardNo(0), Span::from_ms(WORK_S * 1000.0));
+                let (request, attempt, took) =
+                    (RequestId(request), AttemptNo(0), Span::from_ms(WORK_S * 1000.0));
                 let (backend, answered, spent, load) = (backend(to), !fails, false, Load::default());
-                let ended = Ended { request, forward, backend, outcome, answered, spent, took, load };
+                let ended = Ended { request, attempt, backend, outcome, answered, spent, took, load };
                 self.tell(number, Event::Ended(ended));
             }
             Due::Timer(..) | Due::Ended(..) => {}
