--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -49,13 +49,13 @@
 }
 
 fn take(balancer: &mut Balancer, now: Time, id: u32, actions: &mut Vec<Action>) {
-    let (class, cut_off) = (ClassId((id % 2) as u16), now + Span::from_millis(530));
+    let (class, deadline) = (ClassId((id % 2) as u16), now + Span::from_millis(530));
     let request = Request {
         id: RequestId(id.into()),
         class,
         tenant: TenantId(0),
         key: None,
-        cut_off,
+        deadline,
         cost: None,
         whole: true,
     };
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -90,7 +90,7 @@
 /// those are called on whose behalf it comes.
 pub struct Classes {
     pub names: Vec<String>,
-    pub cut_offs: Vec<Span>,
+    pub deadlines: Vec<Span>,
     pub methods: Vec<&'static str>,
     pub tenants: Vec<String>,
 }
@@ -474,7 +474,7 @@
         }
         let named = |name: &String| Some(name.as_str()) == head.tenant.as_deref();
         let tenant = self.classes.tenants.iter().position(named).map(|place| TenantId(place as u32));
-        let longest = self.classes.cut_offs[class];
+        let longest = self.classes.deadlines[class];
         let waits = head.time_out.as_deref().map_or(Some(longest), seconds);
         // Guards against one client's request passing for that of another, whose id it bears.
         let id = head.id.clone().filter(|id| !self.ids.contains(id));
@@ -492,9 +492,9 @@
             client.id = Some(id);
         }
         // The client counts from when it sent, which may have been while the loop was busy.
-        let (class, cut_off) = (class as u16, io.since + waits);
+        let (class, deadline) = (class as u16, io.since + waits);
         let tenant = tenant.unwrap_or(TenantId::NONE);
-        let incoming = Incoming { head, message, class, tenant, waits, cut_off, whole };
+        let incoming = Incoming { head, message, class, tenant, waits, deadline, whole };
         io.notes.push_back(Note::Taken(slot, incoming));
     }
 
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -39,7 +39,7 @@
 const BACKLOG: i32 = 1024; // connections that may wait to be accepted
 const ACCEPT_ON: Span = Span::from_millis(600); // how long new connections are taken after the word to go
 const COPY_MOST: usize = 512 * 1024; // of a long request, that is held so that it can go again
-const GONE_BY: Span = Span::from_millis(50); // after the longest cut-off from then, nothing is owed any more
+const GONE_BY: Span = Span::from_millis(50); // after the longest deadline from then, nothing is owed any more
 
 /// A request until its answer is given and all its attempts have ended.
 struct Held {
@@ -49,7 +49,7 @@
     /// By number, the connections that carry attempts; `None` for one that has ended.
     attempts: Vec<Option<ConnSlot>>,
     /// `None` while its time has not begun.
-    cut_off: Option<DeadlineId>,
+    deadline: Option<DeadlineId>,
     /// For a request that is sent on as it comes.
     upload: Option<Upload>,
     /// For an answer that is passed on as it comes, once it has begun.
@@ -178,12 +178,12 @@
             setup.settings.ordinal = fleet::ordinal(&config.name);
         }
         let ordinal = setup.settings.ordinal;
-        let cut_offs: Vec<_> = setup.settings.classes.iter().map(|class| class.cut_off).collect();
-        let longest = cut_offs.iter().copied().max().unwrap_or_default();
+        let deadlines: Vec<_> = setup.settings.classes.iter().map(|class| class.deadline).collect();
+        let longest = deadlines.iter().copied().max().unwrap_or_default();
         let method = |effect| if effect == Effect::Reissuable { "GET" } else { "POST" };
         let methods = setup.settings.classes.iter().map(|class| method(class.effect)).collect();
         let (names, tenants) = (setup.class_names, setup.tenant_names);
-        let classes = Classes { names, cut_offs, methods, tenants };
+        let classes = Classes { names, deadlines, methods, tenants };
         let clients = Clients::new(Some(listener), joined, classes, now_budgets);
         let pool = Pool::new(now_budgets, setup.dial, setup.idle);
         // Versions are an agent's own; of two lists of one agent the newer one counts.
@@ -324,7 +324,7 @@
         self.io.now = self.clock.now();
         match due {
             Due::Timer(mark) => self.decide(Event::Timer(mark)),
-            Due::CutOff(request) => self.cut_off(request),
+            Due::Deadline(request) => self.deadline_passed(request),
             Due::Client(slot) => self.clients.due(slot, &mut self.io),
             Due::Read(slot) => self.clients.event(slot, &mut self.io),
             Due::Dial(slot) => self.pool.dial_late(slot, &mut self.io),
@@ -606,7 +606,7 @@
 
     fn taken(&mut self, client: ClientSlot, incoming: Incoming) {
         self.io.counters.taken += 1;
-        let (class, cut_off, whole) = (ClassId(incoming.class), incoming.cut_off, incoming.whole);
+        let (class, deadline, whole) = (ClassId(incoming.class), incoming.deadline, incoming.whole);
         let (tenant, key, cost) = (incoming.tenant, incoming.head.key, None);
         // Guards against large requests filling the memory while they wait.
         let bytes = incoming.message.len();
@@ -616,10 +616,10 @@
             if !room {
                 return None;
             }
-            let due = Due::CutOff(RequestId(slot.number()));
-            let cut_off = whole.then(|| deadlines.set(cut_off, due));
+            let due = Due::Deadline(RequestId(slot.number()));
+            let deadline = whole.then(|| deadlines.set(deadline, due));
             let upload = (!whole).then_some(Upload { fed: 0, spent: false, over: false });
-            Some(Held { client: Some(client), incoming, attempts: Vec::new(), cut_off, upload, began: None })
+            Some(Held { client: Some(client), incoming, attempts: Vec::new(), deadline, upload, began: None })
         });
         let Some(slot) = slot else {
             self.io.counters.turned_back += 1;
@@ -629,7 +629,7 @@
         self.io.streams += usize::from(!whole);
         let id = RequestId(slot.number());
         self.clients.holds(client, id);
-        self.decide(Event::Taken(Request { id, class, tenant, key, cut_off, cost, whole }));
+        self.decide(Event::Taken(Request { id, class, tenant, key, deadline, cost, whole }));
     }
 
     fn attempt(&mut self, request: RequestId, backend: BackendId, time_out: Span, by: Option<Time>) {
@@ -738,9 +738,9 @@
     /// The last byte of a request that is sent on as it comes is here.
     fn whole(&mut self, request: RequestId) {
         let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)) else { return };
-        let cut_off = self.io.since + held.incoming.waits;
-        held.cut_off = Some(self.io.deadlines.set(cut_off, Due::CutOff(request)));
-        self.decide(Event::Whole { request, cut_off });
+        let deadline = self.io.since + held.incoming.waits;
+        held.deadline = Some(self.io.deadlines.set(deadline, Due::Deadline(request)));
+        self.decide(Event::Whole { request, deadline });
     }
 
     /// What comes of a request can't be read any further.
@@ -760,7 +760,7 @@
         };
         let close = held.incoming.head.close || self.clients.ends(client);
         self.io.streams += usize::from(!held.streams());
-        self.io.deadlines.call_off(held.cut_off.take());
+        self.io.deadlines.call_off(held.deadline.take());
         self.clients.begin(client, request, &head.begun(&message, close), close, &mut self.io);
         let load = head.load;
         held.began = Some(Box::new(head));
@@ -877,7 +877,7 @@
     fn finish(&mut self, request: RequestId) {
         let Some(held) = self.held.get_mut(HeldSlot::from_number(request.0)) else { return };
         held.client = None;
-        self.io.deadlines.call_off(held.cut_off.take());
+        self.io.deadlines.call_off(held.deadline.take());
         self.forget(request);
     }
 
@@ -892,8 +892,8 @@
         }
     }
 
-    /// Guards against a request that nothing answers: at its cut-off it fails, whatever the decisions say.
-    fn cut_off(&mut self, request: RequestId) {
+    /// Guards against a request that nothing answers: at its deadline it fails, whatever the decisions say.
+    fn deadline_passed(&mut self, request: RequestId) {
         let held = self.held.get(HeldSlot::from_number(request.0));
         if held.is_some_and(|held| held.client.is_some()) {
             self.io.counters.overdue += 1;
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -64,8 +64,8 @@
 pub enum Due {
     /// A timer of the decisions.
     Timer(TimerMark),
-    /// A request's cut-off.
-    CutOff(RequestId),
+    /// A request's deadline.
+    Deadline(RequestId),
     /// A client's message that has begun and does not come to its end, or its connection's last moments.
     Client(ClientSlot),
     /// More of a client's bytes are there to be read.
@@ -106,7 +106,7 @@
     pub tenant: TenantId,
     /// How long the client waits from its last byte on, and until when if that has come.
     pub waits: Span,
-    pub cut_off: Time,
+    pub deadline: Time,
     /// Its last byte has come; if not, the rest is to be had from the client.
     pub whole: bool,
 }
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -301,7 +301,7 @@
 }
 
 #[test]
-fn silence_is_answered_before_the_cut_off() {
+fn silence_is_answered_before_the_deadline() {
     let backend = backend();
     let proxy = Proxy::start_with(&[&backend], 1024, &settings(400, ""));
     for (method, path, expected) in [("POST", "/write", 502), ("GET", "/read", 503)] {
@@ -381,7 +381,7 @@
     let proxy = Proxy::start_with(&[&backend], 1024, &settings(200, ""));
     let mut client = proxy.connect();
     write(&mut client, "POST /write HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
-    // Guards against SIGKILL, which may come as soon as the longest cut-off (0.4 s here) and 0.7 s after
+    // Guards against SIGKILL, which may come as soon as the longest deadline (0.4 s here) and 0.7 s after
     // SIGTERM. A busy machine is allowed 0.2 s more.
     let start = Instant::now();
     proxy.signal("-TERM");
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -102,7 +102,8 @@
     #[serde(default)]
     name: String,
     latency_goal_ms: f64,
-    cut_off_ms: f64,
+    #[serde(rename = "cutOffMs")]
+    deadline_ms: f64,
     #[serde(default)]
     aim_stretch: f64,
     value: f64,
@@ -226,7 +227,7 @@
         Ok(Class {
             goal: Span::from_ms(self.latency_goal_ms),
             goal_stretch: self.aim_stretch,
-            cut_off: Span::from_ms(self.cut_off_ms),
+            deadline: Span::from_ms(self.deadline_ms),
             value: self.value,
             late_value: self.late_value,
             effect,
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -161,7 +161,8 @@
 #[serde(deny_unknown_fields, default)]
 struct ClassText {
     goal: Option<Spanned<String>>,
-    cut_off: Option<Spanned<String>>,
+    #[serde(rename = "cut_off")]
+    deadline: Option<Spanned<String>>,
     value: Option<Spanned<f64>>,
     late_value: Option<Spanned<f64>>,
     effect: Option<Spanned<String>>,
@@ -314,7 +315,7 @@
     fn class(&mut self, name: &str, found: &Spanned<ClassText>) -> Class {
         let (at, t) = (found.span().start, found.get_ref());
         let field = |field: &str| format!("tariff.{name}.{field}");
-        for (wanted, there) in [("goal", t.goal.is_some()), ("cut_off", t.cut_off.is_some())] {
+        for (wanted, there) in [("goal", t.goal.is_some()), ("cut_off", t.deadline.is_some())] {
             if !there {
                 self.fault(at, format!("{}: missing; wanted a span, such as \"250ms\"", field(wanted)));
             }
@@ -327,8 +328,8 @@
         }
         let before = self.faults.len();
         let goal = self.above(&field("goal"), &t.goal, "1s");
-        let cut_off = self.above(&field("cut_off"), &t.cut_off, "1s");
-        if self.faults.len() == before && t.goal.is_some() && t.cut_off.is_some() && goal > cut_off {
+        let deadline = self.above(&field("cut_off"), &t.deadline, "1s");
+        if self.faults.len() == before && t.goal.is_some() && t.deadline.is_some() && goal > deadline {
             self.fault(at, format!("{}: is longer than the cut-off", field("goal")));
         }
         let effect = self.value(&field("effect"), &t.effect, |text| match text.as_str() {
@@ -363,7 +364,7 @@
         };
         let value = self.number(&field("value"), &t.value, (0.0, 1e9), 1.0);
         let late_value = self.number(&field("late_value"), &t.late_value, (0.0, 1.0), 0.0);
-        Class { value, late_value, ..Class::new(goal, cut_off, effect) }
+        Class { value, late_value, ..Class::new(goal, deadline, effect) }
     }
 
     fn backend(&mut self, found: &Spanned<BackendText>, zones: &[String]) -> Option<Backend> {
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -194,10 +194,10 @@
         30 => {
             let (id, class, tenant) = (RequestId(r.u32()?.into()), ClassId(r.u16()?), TenantId(r.u32()?));
             let key = Some(r.u64()?).filter(|key| *key != 0);
-            let cut_off = Time::from_ms(r.f64()?);
+            let deadline = Time::from_ms(r.f64()?);
             let cost = r.span()?;
             let cost = (r.u16()? & COST_VALID != 0).then_some(cost);
-            Event::Taken(Request { id, class, tenant, key, cut_off, cost, whole: true })
+            Event::Taken(Request { id, class, tenant, key, deadline, cost, whole: true })
         }
         40 => {
             let (request, _attempt, backend) = (RequestId(r.u32()?.into()), r.u16()?, r.backend()?);
--- a/src/event.rs
+++ b/src/event.rs
@@ -25,7 +25,7 @@
     /// The last byte of a request that was taken before has come, and its time runs from here.
     Whole {
         request: RequestId,
-        cut_off: Time,
+        deadline: Time,
     },
     /// An answer that had begun broke off, after its request had ended as honoured.
     Broke(BackendId),
@@ -94,7 +94,7 @@
     /// What it is about; requests with one key belong together.
     pub key: Option<u64>,
     /// When the client gives this try up.
-    pub cut_off: Time,
+    pub deadline: Time,
     /// A rough guess of its work.
     pub cost: Option<Span>,
     /// Its last byte has come; if not, `Whole` follows, and until then nothing runs.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,7 +28,7 @@
 //!     class: ClassId(0),
 //!     tenant: TenantId(0),
 //!     key: None,
-//!     cut_off: start + Span::from_ms(500.0),
+//!     deadline: start + Span::from_ms(500.0),
 //!     cost: None,
 //!     whole: true,
 //! };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -435,7 +435,7 @@
                 self.roster = Roster::default();
             }
             Event::Ended(ended) => self.ended(ended, out),
-            Event::Whole { request, cut_off } => self.whole(request, cut_off, out),
+            Event::Whole { request, deadline } => self.whole(request, deadline, out),
             Event::Broke(backend) => self.tell(backend, BackendNote::Broke),
             Event::Left(id) => drop(self.release(id, out)),
             Event::Timer(MARK_BEAT) => self.beat(out),
@@ -464,9 +464,9 @@
         out.push(Action::Timer { after, mark: TimerMark(id.0) });
     }
 
-    fn whole(&mut self, id: RequestId, cut_off: Time, out: &mut Vec<Action>) {
+    fn whole(&mut self, id: RequestId, deadline: Time, out: &mut Vec<Action>) {
         let Some(class) = self.desk.held.get(&id).map(|held| held.class) else { return };
-        let (goal, due) = self.settings.times(&class, self.now, cut_off, None);
+        let (goal, due) = self.settings.times(&class, self.now, deadline, None);
         self.stand_in(id, due, out);
         self.count(id);
         let Some(held) = self.desk.held.get_mut(&id) else { return };
@@ -488,7 +488,7 @@
     fn taken(&mut self, request: Request, out: &mut Vec<Action>) {
         let id = request.id;
         let class = self.settings.classes[usize::from(request.class.0)];
-        let (goal, due) = self.settings.times(&class, self.now, request.cut_off, request.cost);
+        let (goal, due) = self.settings.times(&class, self.now, request.deadline, request.cost);
         let beyond_share = self.desk.goes_beyond(request.tenant);
         self.desk.met = true;
         self.stand_in(id, due, out);
@@ -549,7 +549,7 @@
         }
         let took = Span::from_ms(self.tier.took.or(0.0));
         let soon = took.scaled(0.5 + f64::from(self.rng.rand_float()));
-        let soon = if self.now + took < held.goal { soon } else { held.class.cut_off };
+        let soon = if self.now + took < held.goal { soon } else { held.class.deadline };
         let backoff = self.settings.max_backoff.map(|most| soon.min(most));
         out.push(Action::TurnBack { request: id, backoff });
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -37,8 +37,8 @@
 
 fn request(n: u32) -> Request {
     let (class, tenant) = (ClassId(0), TenantId(0));
-    let (id, key, cut_off) = (RequestId(n.into()), None, START + ms(500));
-    Request { id, class, tenant, key, cut_off, cost: None, whole: true }
+    let (id, key, deadline) = (RequestId(n.into()), None, START + ms(500));
+    Request { id, class, tenant, key, deadline, cost: None, whole: true }
 }
 
 fn held(effect: Effect) -> Held {
@@ -695,7 +695,7 @@
     let sent = |balancer: &mut Balancer, now, numbers: std::ops::Range<u32>| {
         let to = numbers.map(|n| {
             let mut out = Vec::new();
-            let taken = Request { cut_off: now + ms(500), ..request(n) };
+            let taken = Request { deadline: now + ms(500), ..request(n) };
             balancer.handle(now, Event::Taken(taken), &mut out);
             let attempt = out.iter().find_map(|action| match action {
                 Action::Attempt { backend, .. } => Some(*backend),
@@ -743,7 +743,7 @@
     out.clear();
     balancer.handle(START + ms(250), Event::Timer(TimerMark(1)), &mut out);
     assert_eq!(out, []);
-    balancer.handle(later, Event::Whole { request: RequestId(1), cut_off: later + ms(500) }, &mut out);
+    balancer.handle(later, Event::Whole { request: RequestId(1), deadline: later + ms(500) }, &mut out);
     let more = |action: &Action| matches!(action, Action::TimeOut { time_out, .. } if *time_out > ms(150));
     assert!(out.iter().any(more), "{out:?}");
     assert_eq!(balancer.tier.in_flight, 1.0);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -55,7 +55,7 @@
     pub goal: Span,
     /// The latency goal grows by this multiple of the request's own work.
     pub goal_stretch: f64,
-    pub cut_off: Span,
+    pub deadline: Span,
     pub value: f64,
     /// What an answer after the goal still earns, as a part of the value.
     pub late_value: f64,
@@ -86,18 +86,18 @@
 }
 
 impl Class {
-    pub fn new(goal: Span, cut_off: Span, effect: Effect) -> Class {
-        Class { goal, goal_stretch: 0.0, cut_off, value: 1.0, late_value: 0.0, effect }
+    pub fn new(goal: Span, deadline: Span, effect: Effect) -> Class {
+        Class { goal, goal_stretch: 0.0, deadline, value: 1.0, late_value: 0.0, effect }
     }
 }
 
 impl Settings {
     /// When an answer to what came whole `now` is late, and when the final answer is given.
-    pub fn times(&self, class: &Class, now: Time, cut_off: Time, cost: Option<Span>) -> (Time, Time) {
+    pub fn times(&self, class: &Class, now: Time, deadline: Time, cost: Option<Span>) -> (Time, Time) {
         // Room for the time between two batches, and for the answer's way back.
         let margin = self.round.scaled(2.0) + Span::from_millis(2);
-        let (last, stretch) = (cut_off - margin, cost.unwrap_or_default().scaled(class.goal_stretch));
-        let goal = last.min(now + class.cut_off.min(class.goal + stretch) - margin);
+        let (last, stretch) = (deadline - margin, cost.unwrap_or_default().scaled(class.goal_stretch));
+        let goal = last.min(now + class.deadline.min(class.goal + stretch) - margin);
         (goal, if class.late_value > 0.0 { last } else { goal })
     }
 
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -170,9 +170,9 @@
                 // Some instances get several times as much as others.
                 let place = self.chance().powi(2) * self.instances.len() as f64;
                 self.came += 1;
-                let (id, cut_off) = (RequestId(self.came), self.time() + Span::from_millis(1_500));
+                let (id, deadline) = (RequestId(self.came), self.time() + Span::from_millis(1_500));
                 let (class, tenant, key, cost) = (ClassId(0), TenantId(0), None, None);
-                let request = Request { id, class, tenant, key, cut_off, cost, whole: true };
+                let request = Request { id, class, tenant, key, deadline, cost, whole: true };
                 self.tell(place as usize, Event::Taken(request));
             }
             Due::Timer(number, turn, mark) if self.instances[number].0 == turn => {
