--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -68,7 +68,7 @@
     let attempts = std::mem::take(actions);
     for action in attempts {
         let Action::Attempt { request, backend, .. } = action else { continue };
-        let (outcome, took, load) = (Outcome::Honoured, Span::from_millis(20), Load::default());
+        let (outcome, took, load) = (Outcome::Served, Span::from_millis(20), Load::default());
         let (attempt, answered) = (AttemptNo(0), true);
         let ended = Ended { request, attempt, backend, outcome, answered, spent: false, took, load };
         balancer.handle(now, Event::Ended(ended), actions);
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -10,7 +10,7 @@
     pub taken: u64,
     pub bad_input: u64,
     pub left: u64,
-    pub honoured: u64,
+    pub served: u64,
     pub turned_back: u64,
     pub forfeited: u64,
     /// Answers that nothing was left to give in time.
@@ -68,7 +68,7 @@
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "connections={} taken={} bad_input={} ", self.connections, self.taken, self.bad_input)?;
-        write!(f, "honoured={} turned_back={} ", self.honoured, self.turned_back)?;
+        write!(f, "honoured={} turned_back={} ", self.served, self.turned_back)?;
         write!(f, "forfeited={} overdue={} left={} ", self.forfeited, self.overdue, self.left)?;
         write!(f, "forwards={} dialled={} reused={} ", self.forwards, self.dialled, self.reused)?;
         write!(f, "checks={} heard={} ", self.checks, self.heard)?;
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -40,7 +40,7 @@
 impl Ending {
     pub fn outcome(self) -> Outcome {
         match self {
-            Ending::Answered { status: 200, .. } => Outcome::Honoured,
+            Ending::Answered { status: 200, .. } => Outcome::Served,
             Ending::Answered { status: 503 | 504, not_started: true } => Outcome::Full,
             // 408 and 429 speak of the moment, all others of the request.
             Ending::Answered { status: 400..=407 | 409..=428 | 430..=499, .. } => Outcome::Faulted,
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -764,9 +764,9 @@
         self.clients.begin(client, request, &head.begun(&message, close), close, &mut self.io);
         let load = head.load;
         held.began = Some(Box::new(head));
-        self.io.counters.honoured += 1;
-        self.io.counters.ended(Outcome::Honoured);
-        let (outcome, answered, spent) = (Outcome::Honoured, true, true);
+        self.io.counters.served += 1;
+        self.io.counters.ended(Outcome::Served);
+        let (outcome, answered, spent) = (Outcome::Served, true, true);
         self.decide(Event::Ended(Ended { request, attempt, backend, outcome, answered, spent, took, load }));
     }
 
@@ -829,7 +829,7 @@
             return self.streamed(request, backend, ending);
         }
         self.io.counters.ended(outcome);
-        if outcome != Outcome::Honoured {
+        if outcome != Outcome::Served {
             let host = self.pool.host(backend);
             let held = self.held.get(HeldSlot::from_number(request.0));
             let id = held.and_then(|held| held.incoming.head.id.as_deref());
@@ -843,11 +843,11 @@
             if let Some(out) = held.attempts.get_mut(usize::from(attempt.0)) {
                 *out = None;
             }
-            let last = matches!(outcome, Outcome::Honoured | Outcome::Faulted);
+            let last = matches!(outcome, Outcome::Served | Outcome::Faulted);
             if let (true, Some(client), Some((head, message))) = (last, held.client, answer) {
                 let close = held.incoming.head.close || self.clients.ends(client);
                 let close = close || outcome == Outcome::Faulted;
-                self.io.counters.honoured += u64::from(outcome == Outcome::Honoured);
+                self.io.counters.served += u64::from(outcome == Outcome::Served);
                 let bytes = head.passed_on(&message, close);
                 self.clients.answer(client, head.status, &bytes, close, &mut self.io);
                 self.finish(request);
--- a/crates/proxy/tests/large.rs
+++ b/crates/proxy/tests/large.rs
@@ -112,7 +112,7 @@
     }
 }
 
-/// So many requests, from a few callers that each keep a connection; how many were not honoured.
+/// So many requests, from a few callers that each keep a connection; how many were not served.
 fn ask_many(address: &str, count: usize) -> usize {
     const CALLERS: usize = 8;
     let caller = |_| {
--- a/crates/proxy/tests/parts.rs
+++ b/crates/proxy/tests/parts.rs
@@ -102,7 +102,7 @@
     let ran = |ending: &Ending| ending.outcome().may_have_run(&usual);
     assert!(!never.iter().any(ran));
     assert!(perhaps.iter().all(ran));
-    assert_eq!(answered(200, false).outcome(), Outcome::Honoured);
+    assert_eq!(answered(200, false).outcome(), Outcome::Served);
     // Guards against backends left out for what a client, the list or the proxy itself is the cause of.
     let called_off = [true, false].map(|written| Ending::CalledOff { written });
     let ours = [Ending::Withdrawn, Ending::NoRoom, Ending::OutOfTime { written: false }];
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -324,10 +324,10 @@
     std::thread::spawn(move || loop {
         once(&there, Some(&answer("200 OK", "Connection: close\r\n", "fine")));
     });
-    let honoured = || status(&proxy.ask(&request("POST", "/write", "6"))) == 200;
-    assert!((0..20).any(|_| honoured()), "one connection has come up");
+    let served = || status(&proxy.ask(&request("POST", "/write", "6"))) == 200;
+    assert!((0..20).any(|_| served()), "one connection has come up");
     // Until it goes out, every second request or so meets the lost one.
-    assert!((0..20).all(|_| honoured()));
+    assert!((0..20).all(|_| served()));
     proxy.signal("-USR1");
     let counters = proxy.logged("counters=");
     assert!(!counters.contains("ended_connect_failed=0"), "{counters}");
@@ -413,7 +413,7 @@
         agent = accept(&proxy.discovery);
         message(&mut agent);
     };
-    let honoured_by = |listener: &TcpListener| {
+    let served_by = |listener: &TcpListener| {
         std::thread::scope(|scope| {
             let seen =
                 scope.spawn(|| once(listener, Some(&answer("200 OK", "Connection: close\r\n", "fine"))));
@@ -423,12 +423,12 @@
     };
     // A change: the first drains. Then the whole list without the second. Then a new address for the first.
     assert!(list(7, false, host(&one, "h0", "Terminating")) < Duration::from_millis(200));
-    (0..4).for_each(|_| honoured_by(&other));
+    (0..4).for_each(|_| served_by(&other));
     list(8, true, host(&one, "h0", "Ready"));
-    (0..4).for_each(|_| honoured_by(&one));
+    (0..4).for_each(|_| served_by(&one));
     let moved = backend();
     list(9, false, host(&moved, "h0", "Ready"));
-    honoured_by(&moved);
+    served_by(&moved);
     list(10, false, host(&moved, "h0", "Gone"));
     assert_eq!(status(&proxy.ask(&request("POST", "/write", "0.05"))), 503);
     // Guards against spinning on an agent that does not wait, yet the watch must not lapse.
@@ -512,7 +512,7 @@
     assert!(counters.contains(" lists_failed=3 "), "{counters}");
 }
 
-/// Guards against odd lists, whatever discovery makes of the fleet: each costs a line, and requests are honoured.
+/// Guards against odd lists, whatever discovery makes of the fleet: each costs a line, and requests are served.
 #[test]
 fn odd_lists_cost_a_line_and_no_request() {
     let there = backend();
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -86,7 +86,7 @@
         let at = self.at;
         Ok(match self.u16()? {
             0 => Outcome::Error,
-            1 => Outcome::Honoured,
+            1 => Outcome::Served,
             2 => Outcome::Full,
             3 => Outcome::TimedOut,
             4 => Outcome::ConnectFailed,
--- a/src/event.rs
+++ b/src/event.rs
@@ -27,7 +27,7 @@
         request: RequestId,
         deadline: Time,
     },
-    /// An answer that had begun broke off, after its request had ended as honoured.
+    /// An answer that had begun broke off, after its request had ended as served.
     Broke(BackendId),
     /// The client no longer waits; no answer is owed.
     Left(RequestId),
@@ -123,7 +123,7 @@
     pub fn sample(&self, goal: Span) -> Option<(Span, bool)> {
         match self.outcome {
             Outcome::Full | Outcome::TimedOut => Some((goal.max(self.took), false)),
-            Outcome::Honoured => Some((self.took, self.took < goal)),
+            Outcome::Served => Some((self.took, self.took < goal)),
             _ => None,
         }
     }
@@ -136,7 +136,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    Honoured,
+    Served,
     Error,
     Full,
     TimedOut,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -156,7 +156,7 @@
     fn ended(&mut self, e: &Ended, sample: Option<(Span, bool)>, around: &mut Around) {
         self.report(e.load, around.now); // first: it still counts the attempt with whose answer it came
         self.in_flight -= 1.0;
-        let honoured = e.outcome == Outcome::Honoured;
+        let served = e.outcome == Outcome::Served;
         if let Some((latency, in_time)) = sample {
             self.sample(latency, in_time, e.outcome != Outcome::TimedOut, around);
         }
@@ -172,8 +172,8 @@
             return;
         }
         self.heard = around.now;
-        self.judge(if honoured { 0.0 } else { 1.0 }, around);
-        if honoured {
+        self.judge(if served { 0.0 } else { 1.0 }, around);
+        if served {
             self.strikes = 0.0;
             self.took.add(e.took.ms(), 0.2);
             self.cap = self.cap.map(|cap| cap + 1.0 / cap);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -93,7 +93,7 @@
 }
 
 #[test]
-fn at_most_once_is_not_turned_back_while_a_attempt_is_out() {
+fn at_most_once_is_not_turned_back_while_an_attempt_is_out() {
     let (mut b, mut out) = (balancer(Effect::AtMostOnce, 4), Vec::new());
     b.desk.held.insert(RequestId(1), forwarded(Effect::AtMostOnce));
     b.give_up(RequestId(1), &mut out);
@@ -284,7 +284,7 @@
     b.tier.took.add(50.0, 1.0);
     for n in [0, 1] {
         b.tell(id(n), BackendNote::Sent);
-        let outcome = if n == 0 { Outcome::Error } else { Outcome::Honoured };
+        let outcome = if n == 0 { Outcome::Error } else { Outcome::Served };
         let end = Ended { backend: id(n), request: RequestId(2), ..ended(outcome) };
         b.handle(START, Event::Ended(end), &mut Vec::new());
     }
@@ -348,7 +348,7 @@
     let (b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
     let mut backend = Backend { in_flight: 1.0, out: Some(START), ..Backend::default() };
     let mut around = around(&b, &mut inbox, &mut out, START);
-    backend.ended(&ended(Outcome::Honoured), Some((ms(50), true)), &mut around);
+    backend.ended(&ended(Outcome::Served), Some((ms(50), true)), &mut around);
     assert!(!inbox.iter().any(|note| matches!(note, TierNote::Sample(..))));
     assert_eq!((backend.out, backend.cap), (None, Some(1.0)));
 }
@@ -416,7 +416,7 @@
     let b = balancer(Effect::Reissuable, 1);
     let mut backend = Backend { in_flight: 2.0, ..Backend::default() };
     let load = Load { held: Some(5.0), waiting: None };
-    let end = Ended { load, ..ended(Outcome::Honoured) };
+    let end = Ended { load, ..ended(Outcome::Served) };
     backend.act(BackendNote::Ended(end, None), &mut around(&b, &mut Vec::new(), &mut Vec::new(), START));
     assert_eq!((backend.in_flight, backend.others), (1.0, Some((START, 3.0))));
 }
@@ -691,7 +691,7 @@
     // Nothing but the call back lifts it: not a list, and not one that told of a restart.
     let restarted = Listing { started: Some(START), ..listing(0) };
     balancer.handle(now, Event::Listed { whole: true, listings: vec![restarted, listing(1)] }, &mut out);
-    // How many of these are sent to it; each is honoured at once.
+    // How many of these are sent to it; each is served at once.
     let sent = |balancer: &mut Balancer, now, numbers: std::ops::Range<u32>| {
         let to = numbers.map(|n| {
             let mut out = Vec::new();
@@ -703,7 +703,7 @@
             });
             let backend = attempt.expect("one of the two is open");
             let done =
-                Ended { request: RequestId(n.into()), backend, answered: true, ..ended(Outcome::Honoured) };
+                Ended { request: RequestId(n.into()), backend, answered: true, ..ended(Outcome::Served) };
             balancer.handle(now, Event::Ended(done), &mut out);
             backend
         });
@@ -747,7 +747,7 @@
     let more = |action: &Action| matches!(action, Action::TimeOut { time_out, .. } if *time_out > ms(150));
     assert!(out.iter().any(more), "{out:?}");
     assert_eq!(balancer.tier.in_flight, 1.0);
-    balancer.handle(later, Event::Ended(Ended { answered: true, ..ended(Outcome::Honoured) }), &mut out);
+    balancer.handle(later, Event::Ended(Ended { answered: true, ..ended(Outcome::Served) }), &mut out);
     assert_eq!(balancer.tier.in_flight, 0.0);
 }
 
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -180,7 +180,7 @@
             }
             Due::Ended(number, turn, request, to) if self.instances[number].0 == turn => {
                 let fails = self.case == Case::Retries && self.chance() < 0.25;
-                let outcome = if fails { Outcome::Error } else { Outcome::Honoured };
+                let outcome = if fails { Outcome::Error } else { Outcome::Served };
                 let (request, attempt, took) =
                     (RequestId(request), AttemptNo(0), Span::from_ms(WORK_S * 1000.0));
                 let (backend, answered, spent, load) = (backend(to), !fails, false, Load::default());
