--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -43,7 +43,7 @@
         actions.clear();
         take(&mut balancer, start, id, &mut actions);
         id += 1;
-        holds += 1 - actions.iter().filter(|action| matches!(action, Action::TurnBack { .. })).count();
+        holds += 1 - actions.iter().filter(|action| matches!(action, Action::Refuse { .. })).count();
     }
     (balancer, start)
 }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -700,7 +700,7 @@
         }
     }
 
-    /// Closes the connections on which nothing is owed. A request that is not whole yet is turned back: what
+    /// Closes the connections on which nothing is owed. A request that is not whole yet is refused: what
     /// came to its end later could not be answered any more.
     pub fn let_go(&mut self, io: &mut Shared) {
         let slots: Vec<_> = self.clients.iter().map(|(slot, _)| slot).collect();
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -11,8 +11,8 @@
     pub bad_input: u64,
     pub left: u64,
     pub served: u64,
-    pub turned_back: u64,
-    pub forfeited: u64,
+    pub refused: u64,
+    pub failed: u64,
     /// Answers that nothing was left to give in time.
     pub overdue: u64,
     pub forwards: u64,
@@ -68,8 +68,8 @@
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "connections={} taken={} bad_input={} ", self.connections, self.taken, self.bad_input)?;
-        write!(f, "honoured={} turned_back={} ", self.served, self.turned_back)?;
-        write!(f, "forfeited={} overdue={} left={} ", self.forfeited, self.overdue, self.left)?;
+        write!(f, "honoured={} turned_back={} ", self.served, self.refused)?;
+        write!(f, "forfeited={} overdue={} left={} ", self.failed, self.overdue, self.left)?;
         write!(f, "forwards={} dialled={} reused={} ", self.forwards, self.dialled, self.reused)?;
         write!(f, "checks={} heard={} ", self.checks, self.heard)?;
         write!(f, "lists={} lists_failed={} ", self.lists, self.lists_failed)?;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -562,12 +562,12 @@
                 Action::Attempt { request, backend, time_out, by } => {
                     self.attempt(request, backend, time_out, by);
                 }
-                Action::TurnBack { request, backoff } => {
-                    self.io.counters.turned_back += 1;
+                Action::Refuse { request, backoff } => {
+                    self.io.counters.refused += 1;
                     self.answer(request, 503, backoff);
                 }
-                Action::Forfeit { request } => {
-                    self.io.counters.forfeited += 1;
+                Action::Fail { request } => {
+                    self.io.counters.failed += 1;
                     self.answer(request, 502, None);
                 }
                 Action::Cancel { request, attempt } => {
@@ -622,7 +622,7 @@
             Some(Held { client: Some(client), incoming, attempts: Vec::new(), deadline, upload, began: None })
         });
         let Some(slot) = slot else {
-            self.io.counters.turned_back += 1;
+            self.io.counters.refused += 1;
             return self.clients.reply(client, 503, true, &mut self.io);
         };
         self.held_bytes += bytes;
--- a/crates/proxy/tests/operating.rs
+++ b/crates/proxy/tests/operating.rs
@@ -125,7 +125,7 @@
     assert_eq!(message(&mut conn), "");
     expected[2] += 1;
     assert_eq!((counts("write"), proxy.figure("svc.in_flight")), (expected, Some(0)));
-    // Turned back by the proxy, with nothing sent.
+    // Refused by the proxy, with nothing sent.
     assert_eq!(proxy.call("PUT", "/backends/disable/h0").0, 200);
     assert!(proxy.ask(&request("POST", "/write", "5")).starts_with("HTTP/1.1 503 "));
     expected[1] += 1;
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -141,7 +141,7 @@
         // Nothing of an answer that was not whole reaches a client as if it were.
         assert!(!answer.contains("half"), "{answer}");
     }
-    // Proven never to have run: it may be sent again and turned back.
+    // Proven never to have run: it may be sent again and refused.
     let (attempts, answer) = two_backends("POST", "/write", Some(&turned_away));
     assert_eq!((attempts, status(&answer)), (2, 503));
     assert!(answer.contains("Retry-After: 0."), "{answer}");
--- a/crates/proxy/tests/streaming.rs
+++ b/crates/proxy/tests/streaming.rs
@@ -145,7 +145,7 @@
 fn a_request_that_is_still_held_goes_to_another_backend_and_one_that_is_not_is_answered() {
     let (status, body) = broken_upload(300_000, 200_000);
     assert_eq!((status, body), (200, Some(bytes(300_000))));
-    // Turned back, since what was never whole has never run.
+    // Refused, since what was never whole has never run.
     let (status, body) = broken_upload(LONG, 2_000_000);
     assert_eq!((status, body), (503, None));
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -185,11 +185,11 @@
         /// It may not begin from then on: its repeats are dropped no longer.
         by: Option<Time>,
     },
-    TurnBack {
+    Refuse {
         request: RequestId,
         backoff: Option<Span>,
     },
-    Forfeit {
+    Fail {
         request: RequestId,
     },
     Cancel {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,5 @@
 //! sparlug decides, for one caller's proxy, where each request goes, when it waits and when it is
-//! turned back. It does no input or output: a host hands it [`event::Event`]s and carries out the
+//! refused. It does no input or output: a host hands it [`event::Event`]s and carries out the
 //! [`event::Action`]s it returns.
 //!
 //! ```
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,4 +1,4 @@
-//! All decisions of an instance: where a request goes, when it waits, when it is turned back.
+//! All decisions of an instance: where a request goes, when it waits, when it is refused.
 //! Make one [`Balancer`] with the instance's settings, then hand it every event in order; it appends what is
 //! to be done. The ordinary path is the design of `docs/design.md`, which tells what stands beside it.
 //!
@@ -537,7 +537,7 @@
         Some(held)
     }
 
-    /// The final answer, at once: a turn-back where the class allows it, else a forfeit.
+    /// The final answer, at once: a refusal where the class allows it, else a failure.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(held) = self.release(id, out) else { return };
         let harmless = match held.class.effect {
@@ -545,13 +545,13 @@
             Effect::Numbered { .. } | Effect::AtMostOnce => held.ran.is_none() && held.out.is_none(),
         };
         if !harmless {
-            return out.push(Action::Forfeit { request: id });
+            return out.push(Action::Fail { request: id });
         }
         let took = Span::from_ms(self.tier.took.or(0.0));
         let soon = took.scaled(0.5 + f64::from(self.rng.rand_float()));
         let soon = if self.now + took < held.goal { soon } else { held.class.deadline };
         let backoff = self.settings.max_backoff.map(|most| soon.min(most));
-        out.push(Action::TurnBack { request: id, backoff });
+        out.push(Action::Refuse { request: id, backoff });
     }
 
     /// Sends the next request that waits, if the limit has room; first attempts before further ones.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -77,11 +77,11 @@
 }
 
 #[test]
-fn at_most_once_is_forfeited_after_an_outcome_that_may_have_run() {
+fn at_most_once_is_failed_after_an_outcome_that_may_have_run() {
     let (mut b, mut out) = (balancer(Effect::AtMostOnce, 4), Vec::new());
     b.desk.held.insert(RequestId(1), forwarded(Effect::AtMostOnce));
     b.ended(ended(Outcome::Error), &mut out);
-    assert_eq!(out, [Action::Forfeit { request: RequestId(1) }]);
+    assert_eq!(out, [Action::Fail { request: RequestId(1) }]);
 }
 
 #[test]
@@ -93,12 +93,12 @@
 }
 
 #[test]
-fn at_most_once_is_not_turned_back_while_an_attempt_is_out() {
+fn at_most_once_is_not_refused_while_an_attempt_is_out() {
     let (mut b, mut out) = (balancer(Effect::AtMostOnce, 4), Vec::new());
     b.desk.held.insert(RequestId(1), forwarded(Effect::AtMostOnce));
     b.give_up(RequestId(1), &mut out);
     let cancel = Action::Cancel { request: RequestId(1), attempt: AttemptNo(0) };
-    assert_eq!(out, [cancel, Action::Forfeit { request: RequestId(1) }]);
+    assert_eq!(out, [cancel, Action::Fail { request: RequestId(1) }]);
 }
 
 #[test]
@@ -172,11 +172,11 @@
 }
 
 #[test]
-fn past_three_limits_all_are_turned_back_at_once() {
+fn past_three_limits_all_are_refused_at_once() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
     b.tier.in_flight = 30.0;
     b.taken(request(1), &mut out);
-    assert!(matches!(out.last(), Some(Action::TurnBack { request: RequestId(1), backoff: Some(_) })));
+    assert!(matches!(out.last(), Some(Action::Refuse { request: RequestId(1), backoff: Some(_) })));
 }
 
 #[test]
@@ -190,17 +190,17 @@
 }
 
 #[test]
-fn a_request_that_waited_too_long_is_turned_back_and_not_sent() {
+fn a_request_that_waited_too_long_is_refused_and_not_sent() {
     let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
     b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
     b.desk.first.push(RequestId(1));
     b.tier.latency.add(100.0, 1.0);
     b.now = START + ms(120);
     assert!(!b.serve(&mut out));
-    assert!(matches!(out[..], [Action::TurnBack { request: RequestId(1), .. }]));
+    assert!(matches!(out[..], [Action::Refuse { request: RequestId(1), .. }]));
 }
 
-/// Guards against failing, for the slow turn-back of one backend, what its caller may not repeat.
+/// Guards against failing, for the slow refusal of one backend, what its caller may not repeat.
 #[test]
 fn what_may_run_only_once_goes_on_while_a_usual_answer_can_be_in_time() {
     for (effect, attempts) in [(Effect::AtMostOnce, 1), (Effect::Reissuable, 0)] {
@@ -233,7 +233,7 @@
     b.desk.held.insert(RequestId(1), forwarded(Effect::Reissuable));
     b.desk.purse = 0.5;
     b.ended(ended(Outcome::Error), &mut out);
-    assert!(matches!(out[..], [Action::TurnBack { .. }]));
+    assert!(matches!(out[..], [Action::Refuse { .. }]));
 }
 
 #[test]
@@ -724,12 +724,12 @@
 }
 
 #[test]
-fn with_all_backends_barred_what_waits_is_turned_back_at_once() {
+fn with_all_backends_barred_what_waits_is_refused_at_once() {
     let mut balancer = balancer(Effect::Reissuable, 1);
     let mut out = Vec::new();
     balancer.handle(START, Event::Barred { backend: id(0), barred: true }, &mut out);
     balancer.handle(START, Event::Taken(request(1)), &mut out);
-    assert!(matches!(out.last(), Some(Action::TurnBack { .. })), "{out:?}");
+    assert!(matches!(out.last(), Some(Action::Refuse { .. })), "{out:?}");
 }
 
 #[test]
@@ -760,10 +760,10 @@
         if left {
             balancer.handle(START, Event::Left(RequestId(1)), &mut out);
         }
-        // Its bytes are gone: it is turned back, and not sent again.
+        // Its bytes are gone: it is refused, and not sent again.
         out.clear();
         balancer.handle(START, Event::Ended(Ended { spent: true, ..ended(Outcome::Withdrawn) }), &mut out);
-        assert_eq!(out.iter().any(|action| matches!(action, Action::TurnBack { .. })), !left, "{out:?}");
+        assert_eq!(out.iter().any(|action| matches!(action, Action::Refuse { .. })), !left, "{out:?}");
         assert!(!out.iter().any(|action| matches!(action, Action::Attempt { .. })), "{out:?}");
         assert_eq!((balancer.backends[&id(0)].in_flight, balancer.tier.in_flight), (0.0, 0.0));
     }
@@ -799,7 +799,7 @@
             });
             // The pod of backend 0 holds backend 1 as well.
             let inside = to.is_none_or(|to| [id(0), id(1)].contains(&to));
-            let turned = out.iter().any(|action| matches!(action, Action::TurnBack { .. }));
+            let turned = out.iter().any(|action| matches!(action, Action::Refuse { .. }));
             let case = format!("{outcome:?} {effect:?} {proves_nothing}: {out:?}");
             match effect {
                 Effect::AtMostOnce if ran => assert!(to.is_none() && !turned, "{case}"),
@@ -820,7 +820,7 @@
         let mut out = Vec::new();
         b.handle(START, Event::Timer(MARK_BEAT), &mut out);
         b.handle(START, Event::Taken(request(1)), &mut out);
-        !out.iter().any(|action| matches!(action, Action::TurnBack { .. }))
+        !out.iter().any(|action| matches!(action, Action::Refuse { .. }))
     };
     assert!(taken(30.0, 1) && taken(1.0, 40));
     assert!(!taken(30.0, 40));
