--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -23,7 +23,7 @@
 /// want of room it does not hold, so it is offered more until it holds enough.
 fn balancer(backends: u32, held: usize) -> (Balancer, Time) {
     let class = |effect| Class::new(Span::from_millis(210), Span::from_millis(530), effect);
-    let classes = vec![class(Effect::Reissuable), class(Effect::AtMostOnce)];
+    let classes = vec![class(Effect::Safe), class(Effect::AtMostOnce)];
     let (start, mut actions) = (Time::from_ms(1000.0), Vec::new());
     let mut balancer = Balancer::new(Settings::for_classes(classes), 7, start, &mut actions);
     let timers = std::mem::take(&mut actions);
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -180,7 +180,7 @@
         let ordinal = setup.settings.ordinal;
         let deadlines: Vec<_> = setup.settings.classes.iter().map(|class| class.deadline).collect();
         let longest = deadlines.iter().copied().max().unwrap_or_default();
-        let method = |effect| if effect == Effect::Reissuable { "GET" } else { "POST" };
+        let method = |effect| if effect == Effect::Safe { "GET" } else { "POST" };
         let methods = setup.settings.classes.iter().map(|class| method(class.effect)).collect();
         let (names, tenants) = (setup.class_names, setup.tenant_names);
         let classes = Classes { names, deadlines, methods, tenants };
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -24,7 +24,7 @@
     path: PathBuf,
 }
 
-/// The settings of a tier with a reissuable and an at-most-once class, and goals of `goal` ms.
+/// The settings of a tier with a safe and an at-most-once class, and goals of `goal` ms.
 pub fn settings(goal: u32, more: &str) -> String {
     let class = |name: &str, effect: &str| {
         format!(
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -213,9 +213,9 @@
 impl SetupClass {
     fn decode(self) -> Result<Class, String> {
         let effect = match self.effect {
-            SetupEffect::Pure => Effect::Reissuable,
+            SetupEffect::Pure => Effect::Safe,
             SetupEffect::SideEffect => Effect::AtMostOnce,
-            SetupEffect::Token => Effect::Numbered {
+            SetupEffect::Token => Effect::Keyed {
                 group: match self.group.ok_or("a tariff with effect token lacks group")? {
                     SetupGroup::All => Group::All,
                     SetupGroup::Zone => Group::Zone,
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -333,9 +333,9 @@
             self.fault(at, format!("{}: is longer than the cut-off", field("goal")));
         }
         let effect = self.value(&field("effect"), &t.effect, |text| match text.as_str() {
-            "reissuable" => Ok(Effect::Reissuable),
+            "reissuable" => Ok(Effect::Safe),
             "at-most-once" => Ok(Effect::AtMostOnce),
-            "numbered" => Ok(Effect::Numbered { group: Group::All, window: Span::ZERO }),
+            "numbered" => Ok(Effect::Keyed { group: Group::All, window: Span::ZERO }),
             _ => Err(format!("{text:?}: wanted reissuable, numbered or at-most-once")),
         });
         let group = self.value(&field("group"), &t.group, |text| match text.as_str() {
@@ -346,11 +346,11 @@
         });
         let window = t.window.is_some().then(|| self.above(&field("window"), &t.window, "1s"));
         let effect = match effect {
-            Some(Effect::Numbered { .. }) => {
+            Some(Effect::Keyed { .. }) => {
                 if t.group.is_none() || t.window.is_none() {
                     self.fault(at, format!("tariff.{name}: a numbered effect wants group and window"));
                 }
-                Effect::Numbered { group: group.unwrap_or(Group::Pod), window: window.unwrap_or_default() }
+                Effect::Keyed { group: group.unwrap_or(Group::Pod), window: window.unwrap_or_default() }
             }
             effect => {
                 if effect.is_some() && (t.group.is_some() || t.window.is_some()) {
--- a/crates/setup/tests/native.rs
+++ b/crates/setup/tests/native.rs
@@ -32,11 +32,11 @@
     let settings = &found.setup.settings;
     assert_eq!((settings.max_attempts, settings.instances, settings.max_backoff), (3, 1, None));
     assert_eq!(settings.classes[0].goal, Span::from_millis(210));
-    assert_eq!(settings.classes[0].effect, Effect::Reissuable);
+    assert_eq!(settings.classes[0].effect, Effect::Safe);
 }
 
 #[test]
-fn a_list_of_backends_and_numbered_classes_are_read() {
+fn a_list_of_backends_and_keyed_classes_are_read() {
     let text = SMALL.replace("agent = \"127.0.0.1:8500\"", "")
         + "effect_of = 1\n[[discovery.backend]]\nname = \"s-1\"\naddress = \"127.0.0.2:80\"\nzone = \"b\"\nsize = 2.0\n\
            [tier]\nzones = [\"a\", \"b\"]\nzone = \"b\"\n[tariff.mark]\ngoal = \"1s\"\ncut_off = \"2s\"\n\
@@ -46,7 +46,7 @@
     let Directory::Listed(backends) = &found.directory else { panic!("an agent") };
     assert_eq!((backends[0].name.as_str(), backends[0].zone, backends[0].size), ("s-1", Some(1), 2.0));
     let window = Span::from_millis(3000);
-    assert_eq!(found.setup.settings.classes[1].effect, Effect::Numbered { group: Group::Pod, window });
+    assert_eq!(found.setup.settings.classes[1].effect, Effect::Keyed { group: Group::Pod, window });
 }
 
 #[test]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,7 @@
 //! use sparlug::settings::{Effect, Settings, Class};
 //! use sparlug::time::{Span, Time};
 //!
-//! let class = Class::new(Span::from_ms(200.0), Span::from_ms(500.0), Effect::Reissuable);
+//! let class = Class::new(Span::from_ms(200.0), Span::from_ms(500.0), Effect::Safe);
 //! let settings = Settings::for_classes(vec![class]);
 //! let (start, mut actions) = (Time::from_ms(1000.0), Vec::new());
 //! let mut balancer = Balancer::new(settings, 7, start, &mut actions);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -541,8 +541,8 @@
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(held) = self.release(id, out) else { return };
         let harmless = match held.class.effect {
-            Effect::Reissuable | Effect::Numbered { group: Group::All, .. } => true,
-            Effect::Numbered { .. } | Effect::AtMostOnce => held.ran.is_none() && held.out.is_none(),
+            Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
+            Effect::Keyed { .. } | Effect::AtMostOnce => held.ran.is_none() && held.out.is_none(),
         };
         if !harmless {
             return out.push(Action::Fail { request: id });
@@ -619,9 +619,9 @@
         let held = &self.desk.held[&id];
         // Guards against an effect that happens twice.
         let may = |b: &Backend| match (held.class.effect, held.ran) {
-            (Effect::Reissuable, _) | (_, None) => true,
+            (Effect::Safe, _) | (_, None) => true,
             (Effect::AtMostOnce, Some(_)) => false,
-            (Effect::Numbered { group, .. }, Some((at, _))) => {
+            (Effect::Keyed { group, .. }, Some((at, _))) => {
                 held.repeats_until() > Some(self.now) && at.shares(&b.listing, group)
             }
         };
@@ -649,7 +649,7 @@
     fn two(&mut self, id: RequestId, near: bool) -> Option<[BackendId; 2]> {
         let (mut rng, held) = (self.rng, &self.desk.held[&id]);
         // Only the few repeats that must stay in a group look through the whole list.
-        let grouped = held.ran.is_some() && held.class.effect != Effect::Reissuable;
+        let grouped = held.ran.is_some() && held.class.effect != Effect::Safe;
         let (one, other, moved) = if let Some(key) = held.key {
             let homes = SPREAD * self.tier.ready_and_out.0 * self.desk.keys.share(key);
             self.roster.draw_homes(&mut rng, key, homes, held.last, self.open(id, None))?
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -59,7 +59,7 @@
 }
 
 fn by_pod() -> Effect {
-    Effect::Numbered { group: Group::Pod, window: ms(1000) }
+    Effect::Keyed { group: Group::Pod, window: ms(1000) }
 }
 
 /// What a backend is told of its surroundings, with everything it says thrown away.
@@ -102,7 +102,7 @@
 }
 
 #[test]
-fn a_numbered_repeat_stays_in_its_group() {
+fn a_keyed_repeat_stays_in_its_group() {
     let mut b = balancer(by_pod(), 6);
     b.desk.held.insert(RequestId(1), Held { ran: Some((listing(2), START)), ..held(by_pod()) });
     let picked: Vec<_> = (0..50).filter_map(|_| first_pick(&mut b)).collect();
@@ -111,7 +111,7 @@
 }
 
 #[test]
-fn a_numbered_repeat_is_not_sent_after_its_window() {
+fn a_keyed_repeat_is_not_sent_after_its_window() {
     let mut b = balancer(by_pod(), 6);
     b.desk.held.insert(RequestId(1), Held { ran: Some((listing(2), START)), ..held(by_pod()) });
     b.now = START + ms(1000);
@@ -120,15 +120,15 @@
 
 #[test]
 fn a_draining_backend_gets_nothing() {
-    let mut b = balancer(Effect::Reissuable, 2);
-    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+    let mut b = balancer(Effect::Safe, 2);
+    b.desk.held.insert(RequestId(1), held(Effect::Safe));
     b.backends.get_mut(&id(0)).unwrap().listing.condition = Condition::Draining;
     assert!((0..20).all(|_| first_pick(&mut b) == Some(id(1))));
 }
 
 #[test]
 fn a_backend_that_a_whole_list_leaves_out_is_gone() {
-    let mut b = balancer(Effect::Reissuable, 2);
+    let mut b = balancer(Effect::Safe, 2);
     b.handle(START, Event::Listed { whole: true, listings: vec![listing(1)] }, &mut Vec::new());
     assert_eq!(b.backends[&id(0)].listing.condition, Condition::Gone);
     assert_eq!(b.backends[&id(1)].listing.condition, Condition::Ready);
@@ -145,7 +145,7 @@
 
 #[test]
 fn a_lost_watch_is_asked_for_again_later_each_time() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 1), Vec::new());
     (0..4).for_each(|_| b.handle(START, Event::ListFailed, &mut out));
     let waits = watch_waits(&out);
     assert_eq!(waits.len(), 4);
@@ -156,7 +156,7 @@
 /// one is to have 1.25 s for its answer.
 #[test]
 fn a_lost_watch_is_asked_for_again_while_a_drain_can_still_be_heard_in_time() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 1), Vec::new());
     (0..500).for_each(|_| b.handle(START, Event::ListFailed, &mut out));
     let longest = watch_waits(&out).into_iter().max().unwrap().ms();
     assert!((1250.0..=1500.0).contains(&longest), "{longest}");
@@ -164,7 +164,7 @@
 
 #[test]
 fn the_limit_holds_what_is_above_it() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 3), Vec::new());
     b.tier.in_flight = 10.0;
     b.handle(START, Event::Taken(request(1)), &mut out);
     assert_eq!(b.desk.first, [RequestId(1)]);
@@ -173,7 +173,7 @@
 
 #[test]
 fn past_three_limits_all_are_refused_at_once() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 3), Vec::new());
     b.tier.in_flight = 30.0;
     b.taken(request(1), &mut out);
     assert!(matches!(out.last(), Some(Action::Refuse { request: RequestId(1), backoff: Some(_) })));
@@ -181,9 +181,9 @@
 
 #[test]
 fn within_the_refusal_band_what_is_beyond_a_share_goes_first() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 3), Vec::new());
     b.tier.in_flight = 30.0;
-    b.desk.held.insert(RequestId(7), Held { beyond_share: true, ..held(Effect::Reissuable) });
+    b.desk.held.insert(RequestId(7), Held { beyond_share: true, ..held(Effect::Safe) });
     b.desk.first.push(RequestId(7));
     b.taken(request(1), &mut out);
     assert_eq!(b.desk.first, [RequestId(1)]);
@@ -191,8 +191,8 @@
 
 #[test]
 fn a_request_that_waited_too_long_is_refused_and_not_sent() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
-    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+    let (mut b, mut out) = (balancer(Effect::Safe, 3), Vec::new());
+    b.desk.held.insert(RequestId(1), held(Effect::Safe));
     b.desk.first.push(RequestId(1));
     b.tier.latency.add(100.0, 1.0);
     b.now = START + ms(120);
@@ -203,7 +203,7 @@
 /// Guards against failing, for the slow refusal of one backend, what its caller may not repeat.
 #[test]
 fn what_may_run_only_once_goes_on_while_a_usual_answer_can_be_in_time() {
-    for (effect, attempts) in [(Effect::AtMostOnce, 1), (Effect::Reissuable, 0)] {
+    for (effect, attempts) in [(Effect::AtMostOnce, 1), (Effect::Safe, 0)] {
         let (mut b, mut out) = (balancer(effect, 4), Vec::new());
         b.tier.took.add(40.0, 1.0);
         b.tier.latency.add(150.0, 1.0);
@@ -218,9 +218,9 @@
 
 #[test]
 fn first_attempts_are_served_before_further_ones() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 3), Vec::new());
     for n in [1, 2] {
-        b.desk.held.insert(RequestId(n), held(Effect::Reissuable));
+        b.desk.held.insert(RequestId(n), held(Effect::Safe));
     }
     (b.desk.further, b.desk.first) = (vec![RequestId(1)], vec![RequestId(2)]);
     b.serve(&mut out);
@@ -229,8 +229,8 @@
 
 #[test]
 fn without_a_purse_what_may_have_run_is_not_sent_again() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 3), Vec::new());
-    b.desk.held.insert(RequestId(1), forwarded(Effect::Reissuable));
+    let (mut b, mut out) = (balancer(Effect::Safe, 3), Vec::new());
+    b.desk.held.insert(RequestId(1), forwarded(Effect::Safe));
     b.desk.purse = 0.5;
     b.ended(ended(Outcome::Error), &mut out);
     assert!(matches!(out[..], [Action::Refuse { .. }]));
@@ -238,7 +238,7 @@
 
 #[test]
 fn the_time_out_ends_before_the_goal_and_the_stand_in_timer_after_it() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 1), Vec::new());
     b.handle(START, Event::Taken(request(1)), &mut out);
     let Action::Timer { after, .. } = out[0] else { panic!("{out:?}") };
     let Action::Attempt { time_out, .. } = out[1] else { panic!("{out:?}") };
@@ -247,7 +247,7 @@
 
 #[test]
 fn a_stream_that_has_begun_is_left_to_the_client() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 1), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 1), Vec::new());
     b.handle(START, Event::Taken(request(1)), &mut Vec::new());
     b.handle(START, Event::Began { request: RequestId(1), backend: id(0), took: ms(5) }, &mut out);
     b.handle(START + ms(500), Event::Timer(TimerMark(1)), &mut out);
@@ -256,7 +256,7 @@
 
 #[test]
 fn a_backend_goes_out_on_failures_that_its_peers_do_not_share() {
-    let (b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let (b, mut inbox, mut out) = (balancer(Effect::Safe, 4), Vec::new(), Vec::new());
     let mut backend = Backend { in_flight: 2.0, ..Backend::default() };
     let mut around = around(&b, &mut inbox, &mut out, START);
     backend.ended(&ended(Outcome::Error), None, &mut around);
@@ -267,7 +267,7 @@
 
 #[test]
 fn failures_that_all_share_are_no_backends_fault() {
-    let (mut b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let (mut b, mut inbox, mut out) = (balancer(Effect::Safe, 4), Vec::new(), Vec::new());
     b.tier.failing = 0.5;
     let mut backend = Backend { in_flight: 9.0, ..Backend::default() };
     let mut around = around(&b, &mut inbox, &mut out, START);
@@ -279,8 +279,8 @@
 /// each has learnt of it anew.
 #[test]
 fn a_backend_that_fails_more_than_its_tier_is_passed_over_from_the_first_failure_on() {
-    let mut b = balancer(Effect::Reissuable, 2);
-    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+    let mut b = balancer(Effect::Safe, 2);
+    b.desk.held.insert(RequestId(1), held(Effect::Safe));
     b.tier.took.add(50.0, 1.0);
     for n in [0, 1] {
         b.tell(id(n), BackendNote::Sent);
@@ -298,8 +298,8 @@
 /// Guards against each backend of a lost zone being met, and lost a request to, before it is known.
 #[test]
 fn backends_that_fail_tell_of_others_in_their_zone_and_shared_failures_of_none() {
-    let mut b = balancer(Effect::Reissuable, 4);
-    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+    let mut b = balancer(Effect::Safe, 4);
+    b.desk.held.insert(RequestId(1), held(Effect::Safe));
     let zone = |n: u16| ZoneId(n / 2);
     b.backends.values_mut().zip(0u16..).for_each(|(backend, n)| backend.listing.zone = zone(n));
     let fail = |b: &mut Balancer, n| {
@@ -325,7 +325,7 @@
 
 #[test]
 fn no_more_than_a_part_of_the_ready_is_out() {
-    let (mut b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let (mut b, mut inbox, mut out) = (balancer(Effect::Safe, 4), Vec::new(), Vec::new());
     b.tier.ready_and_out = (4.0, 1.0);
     let mut backend = Backend::default();
     backend.put_out("failing", &mut around(&b, &mut inbox, &mut out, START));
@@ -334,7 +334,7 @@
 
 #[test]
 fn a_silent_backend_goes_out_and_its_attempts_leave_the_limit() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 4), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 4), Vec::new());
     b.tier.latency.add(100.0, 1.0);
     let hung = b.backends.get_mut(&id(0)).unwrap();
     (hung.in_flight, hung.counted, b.tier.in_flight) = (3.0, 3.0, 3.0);
@@ -345,7 +345,7 @@
 
 #[test]
 fn a_backend_that_is_out_says_nothing_to_the_limit_and_returns_with_an_answer() {
-    let (b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let (b, mut inbox, mut out) = (balancer(Effect::Safe, 4), Vec::new(), Vec::new());
     let mut backend = Backend { in_flight: 1.0, out: Some(START), ..Backend::default() };
     let mut around = around(&b, &mut inbox, &mut out, START);
     backend.ended(&ended(Outcome::Served), Some((ms(50), true)), &mut around);
@@ -355,7 +355,7 @@
 
 #[test]
 fn an_attempt_given_up_counts_as_in_flight_until_its_work_is_likely_done() {
-    let (b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let (b, mut inbox, mut out) = (balancer(Effect::Safe, 4), Vec::new(), Vec::new());
     let mut backend = Backend { in_flight: 1.0, ..Backend::default() };
     backend.ended(&ended(Outcome::TimedOut), None, &mut around(&b, &mut inbox, &mut out, START));
     assert_eq!(backend.holds(), 1.0);
@@ -366,7 +366,7 @@
 /// Guards against a dead backend drawing all picks, since it is never busy, where no further one may be out.
 #[test]
 fn a_backend_that_refuses_connections_rests_also_where_it_may_not_go_out() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 2), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 2), Vec::new());
     b.tier.took.add(60.0, 1.0);
     b.tier.ready_and_out = (2.0, 1.0);
     let mut backend = Backend { in_flight: 1.0, listing: listing(0), ..Backend::default() };
@@ -378,7 +378,7 @@
 
 #[test]
 fn a_full_backend_rests() {
-    let (mut b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let (mut b, mut inbox, mut out) = (balancer(Effect::Safe, 4), Vec::new(), Vec::new());
     b.tier.took.add(40.0, 1.0);
     let mut backend = Backend { in_flight: 1.0, ..Backend::default() };
     backend.ended(&ended(Outcome::Full), None, &mut around(&b, &mut inbox, &mut out, START));
@@ -388,7 +388,7 @@
 
 #[test]
 fn a_cold_backend_waits_for_credit_and_gets_one_at_a_time() {
-    let (b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let (b, mut inbox, mut out) = (balancer(Effect::Safe, 4), Vec::new(), Vec::new());
     let mut backend = Backend { listing: listing(0), ..Backend::default() };
     let cold = Listing { started: Some(START), ..listing(0) };
     backend.act(BackendNote::Listed(cold), &mut around(&b, &mut inbox, &mut out, START));
@@ -401,7 +401,7 @@
 
 #[test]
 fn a_cold_backends_credit_grows_slower_than_what_it_bears() {
-    let (mut b, mut inbox, mut out) = (balancer(Effect::Reissuable, 4), Vec::new(), Vec::new());
+    let (mut b, mut inbox, mut out) = (balancer(Effect::Safe, 4), Vec::new(), Vec::new());
     let cold = Cold { share: 0.2, ramp: ms(10_000), multiple: 3.0, window: ms(2000) };
     (b.settings.cold, b.tier.rate) = (cold, 10.0);
     let mut backend =
@@ -413,7 +413,7 @@
 /// Guards against the attempt that an answer ends passing for one that others hold there.
 #[test]
 fn the_report_that_comes_with_an_answer_counts_the_attempt_it_ends() {
-    let b = balancer(Effect::Reissuable, 1);
+    let b = balancer(Effect::Safe, 1);
     let mut backend = Backend { in_flight: 2.0, ..Backend::default() };
     let load = Load { held: Some(5.0), waiting: None };
     let end = Ended { load, ..ended(Outcome::Served) };
@@ -424,7 +424,7 @@
 /// Guards against a restarted backend being put out, or thought busy, for what its last run did.
 #[test]
 fn what_was_sent_before_a_start_tells_nothing_of_the_backend() {
-    let b = balancer(Effect::Reissuable, 1);
+    let b = balancer(Effect::Safe, 1);
     let restarted = Listing { started: Some(START + ms(10)), ..listing(0) };
     let mut backend = Backend { in_flight: 2.0, listing: restarted, ..Backend::default() };
     for (now, strikes) in [(START + ms(50), 0.0), (START + ms(70), 1.0)] {
@@ -437,8 +437,8 @@
 
 #[test]
 fn the_pick_takes_the_one_with_less_to_do() {
-    let mut b = balancer(Effect::Reissuable, 2);
-    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+    let mut b = balancer(Effect::Safe, 2);
+    b.desk.held.insert(RequestId(1), held(Effect::Safe));
     b.backends.get_mut(&id(0)).unwrap().others = Some((START, 5.0));
     b.backends.get_mut(&id(1)).unwrap().in_flight = 2.0;
     b.backends.get_mut(&id(1)).unwrap().others = Some((START, 0.0));
@@ -491,7 +491,7 @@
 
 #[test]
 fn a_backend_that_is_out_gets_one_trial_after_its_rest() {
-    let b = balancer(Effect::Reissuable, 4);
+    let b = balancer(Effect::Safe, 4);
     let mut backend = Backend { out: Some(START + ms(1000)), ..Backend::default() };
     assert!(!backend.ready(START + ms(999), &b.settings));
     assert!(backend.ready(START + ms(1000), &b.settings));
@@ -521,9 +521,9 @@
 
 /// A balancer that asks the two it drew, with request 1 waiting for their reports.
 fn asking() -> Balancer {
-    let mut b = balancer(Effect::Reissuable, 2);
+    let mut b = balancer(Effect::Safe, 2);
     (b.settings.report_price, b.settings.instances) = (Some(0.001), 9);
-    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+    b.desk.held.insert(RequestId(1), held(Effect::Safe));
     b.desk.first.push(RequestId(1));
     assert!(b.serve(&mut Vec::new()));
     b
@@ -531,7 +531,7 @@
 
 #[test]
 fn where_instances_outnumber_backends_the_two_drawn_are_asked_first() {
-    let (mut b, mut out) = (balancer(Effect::Reissuable, 2), Vec::new());
+    let (mut b, mut out) = (balancer(Effect::Safe, 2), Vec::new());
     (b.settings.report_price, b.settings.instances) = (Some(0.001), 9);
     b.handle(START, Event::Taken(request(1)), &mut out);
     assert_eq!(out.iter().filter(|action| matches!(action, Action::Check { .. })).count(), 2);
@@ -583,9 +583,9 @@
 fn of_many_instances_each_keeps_to_a_part_of_the_backends_and_all_are_kept_to() {
     let mut kept = std::collections::BTreeMap::<_, usize>::new();
     for ordinal in 0..100 {
-        let mut b = balancer(Effect::Reissuable, 20);
+        let mut b = balancer(Effect::Safe, 20);
         (b.settings.instances, b.settings.ordinal) = (100, ordinal);
-        b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+        b.desk.held.insert(RequestId(1), held(Effect::Safe));
         let own: std::collections::BTreeSet<_> = (0..200).filter_map(|_| first_pick(&mut b)).collect();
         assert!(own.len() <= PART_LEAST as usize);
         own.into_iter().for_each(|id| *kept.entry(id).or_default() += 1);
@@ -608,9 +608,9 @@
 }
 
 fn keyed(key: u64, backends: u8) -> Balancer {
-    let mut b = balancer(Effect::Reissuable, backends);
+    let mut b = balancer(Effect::Safe, backends);
     b.settings.remembers = true;
-    b.desk.held.insert(RequestId(1), Held { key: Some(key), ..held(Effect::Reissuable) });
+    b.desk.held.insert(RequestId(1), Held { key: Some(key), ..held(Effect::Safe) });
     b
 }
 
@@ -642,16 +642,16 @@
 
 #[test]
 fn of_two_idle_backends_the_larger_is_picked() {
-    let mut b = balancer(Effect::Reissuable, 2);
+    let mut b = balancer(Effect::Safe, 2);
     b.tier.size = 2.0;
-    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+    b.desk.held.insert(RequestId(1), held(Effect::Safe));
     b.backends.get_mut(&id(0)).unwrap().listing.size = 3.0;
     assert!((0..20).all(|_| first_pick(&mut b) == Some(id(0))));
 }
 
 #[test]
 fn what_is_nearby_and_busy_is_weighed_against_the_unseen_load_far_away() {
-    let mut b = balancer(Effect::Reissuable, 2);
+    let mut b = balancer(Effect::Safe, 2);
     (b.settings.crossing_priced, b.tier.in_flight) = (true, 4.0);
     b.roster = Roster::new([listing(0), listing(1)].into_iter(), ZoneId(0), 2.0, 0);
     let mut prefers_near = |near| {
@@ -683,7 +683,7 @@
 
 #[test]
 fn what_staff_bar_gets_nothing_until_it_is_called_back_and_then_starts_cold() {
-    let mut balancer = balancer(Effect::Reissuable, 2);
+    let mut balancer = balancer(Effect::Safe, 2);
     let (mut out, mut now) = (Vec::new(), START);
     let bar = |barred| Event::Barred { backend: id(0), barred };
     balancer.handle(now, bar(true), &mut out);
@@ -725,7 +725,7 @@
 
 #[test]
 fn with_all_backends_barred_what_waits_is_refused_at_once() {
-    let mut balancer = balancer(Effect::Reissuable, 1);
+    let mut balancer = balancer(Effect::Safe, 1);
     let mut out = Vec::new();
     balancer.handle(START, Event::Barred { backend: id(0), barred: true }, &mut out);
     balancer.handle(START, Event::Taken(request(1)), &mut out);
@@ -771,7 +771,7 @@
 
 #[test]
 fn an_answer_that_breaks_off_counts_against_its_backend() {
-    let mut balancer = balancer(Effect::Reissuable, 2);
+    let mut balancer = balancer(Effect::Safe, 2);
     balancer.handle(START, Event::Broke(id(0)), &mut Vec::new());
     assert!(
         balancer.backends[&id(0)].burden(START, &balancer.tier, false, (PRIOR, WORD_FADE))
@@ -786,7 +786,7 @@
     let all = [Error, Full, TimedOut, ConnectFailed, Broken, Cancelled, NotSent, Withdrawn, Lost, Faulted];
     for (outcome, proves_nothing) in all.into_iter().flat_map(|outcome| [(outcome, false), (outcome, true)]) {
         let ran = !never.contains(&outcome) && (outcome != Full || proves_nothing);
-        for effect in [Effect::Reissuable, by_pod(), Effect::AtMostOnce] {
+        for effect in [Effect::Safe, by_pod(), Effect::AtMostOnce] {
             let mut balancer = balancer(effect, 4);
             balancer.settings.full_proves_nothing = proves_nothing;
             assert_eq!(outcome.may_have_run(&balancer.settings), ran, "{outcome:?}");
@@ -803,7 +803,7 @@
             let case = format!("{outcome:?} {effect:?} {proves_nothing}: {out:?}");
             match effect {
                 Effect::AtMostOnce if ran => assert!(to.is_none() && !turned, "{case}"),
-                Effect::Numbered { .. } if ran => assert!(inside && !turned, "{case}"),
+                Effect::Keyed { .. } if ran => assert!(inside && !turned, "{case}"),
                 _ => assert!(to.is_some() || turned, "{case}"),
             }
         }
@@ -814,7 +814,7 @@
 #[test]
 fn where_instances_outnumber_backends_what_these_report_turns_requests_back() {
     let taken = |held: f64, instances: usize| {
-        let mut b = balancer(Effect::Reissuable, 4);
+        let mut b = balancer(Effect::Safe, 4);
         b.settings.instances = instances;
         b.backends.values_mut().for_each(|b| b.others = Some((START, held)));
         let mut out = Vec::new();
@@ -828,7 +828,7 @@
 
 #[test]
 fn an_old_report_counts_for_little_in_the_mean_of_all() {
-    let mut b = balancer(Effect::Reissuable, 2);
+    let mut b = balancer(Effect::Safe, 2);
     b.backends.get_mut(&id(0)).unwrap().others = Some((START, 40.0));
     let now = START + ms(20_000);
     b.backends.get_mut(&id(1)).unwrap().others = Some((now, 2.0));
@@ -839,9 +839,9 @@
 /// Two instances of many; the first saw backend 0 fail and hold much, and tells the other.
 #[test]
 fn what_a_peer_saw_turns_picks_away_until_it_is_old() {
-    let mut b = balancer(Effect::Reissuable, 2);
+    let mut b = balancer(Effect::Safe, 2);
     (b.settings.peers, b.settings.instances, b.tier.crowd) = (true, 8, 4.0);
-    b.desk.held.insert(RequestId(1), held(Effect::Reissuable));
+    b.desk.held.insert(RequestId(1), held(Effect::Safe));
     let word = |age| Word { backend: id(0), age, held: Some(0.0), failing: 1.0 };
     let bytes = encode(&Default::default(), [word(ms(100)), word(ms(4000))].into_iter());
     b.handle(START + ms(5000), Event::PeerSaid { from: PeerId(3), bytes }, &mut Vec::new());
@@ -853,7 +853,7 @@
 #[test]
 fn an_instance_tells_one_other_what_it_saw_and_only_where_peers_may() {
     for (peers, instances, told) in [(true, 5, 1), (true, 1, 0), (false, 5, 0)] {
-        let mut b = balancer(Effect::Reissuable, 2);
+        let mut b = balancer(Effect::Safe, 2);
         (b.settings.peers, b.settings.instances, b.settings.ordinal) = (peers, instances, 3);
         b.backends.get_mut(&id(1)).unwrap().others = Some((START, 2.0));
         b.desk.keys.add(7);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -64,8 +64,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
-    Reissuable,
-    Numbered { group: Group, window: Span },
+    Safe,
+    Keyed { group: Group, window: Span },
     AtMostOnce,
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -228,7 +228,7 @@
     /// Until when its repeats are dropped, if it may have run and they are.
     pub fn repeats_until(&self) -> Option<Time> {
         match (self.class.effect, self.ran) {
-            (Effect::Numbered { window, .. }, Some((_, since))) => Some(since + window),
+            (Effect::Keyed { window, .. }, Some((_, since))) => Some(since + window),
             _ => None,
         }
     }
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -103,7 +103,7 @@
     }
 
     fn start(&mut self, number: usize, count: usize, turn: u32) -> (u32, Balancer) {
-        let class = Class::new(Span::from_millis(600), Span::from_millis(1_500), Effect::Reissuable);
+        let class = Class::new(Span::from_millis(600), Span::from_millis(1_500), Effect::Safe);
         let usual = Settings::for_classes(vec![class]);
         let settings = Settings { instances: count, ordinal: number, cold: COLD, max_attempts: 4, ..usual };
         let (mut out, now, seed) = (Vec::new(), self.time(), u64::from(self.rng.rand_u32()));
