--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -24,12 +24,12 @@
     path: PathBuf,
 }
 
-/// The settings of a tier with a safe and an at-most-once class, and goals of `goal` ms.
-pub fn settings(goal: u32, more: &str) -> String {
+/// The settings of a tier with a safe and an at-most-once class, and targets of `target` ms.
+pub fn settings(target: u32, more: &str) -> String {
     let class = |name: &str, effect: &str| {
         format!(
-            r#"{{"name":"{name}","latencyGoalMs":{goal},"cutOffMs":{},"value":1,"effect":"{effect}"}}"#,
-            goal * 2
+            r#"{{"name":"{name}","latencyGoalMs":{target},"cutOffMs":{},"value":1,"effect":"{effect}"}}"#,
+            target * 2
         )
     };
     let classes = [class("read", "pure"), class("write", "side_effect")].join(",");
--- a/crates/setup/src/lib.rs
+++ b/crates/setup/src/lib.rs
@@ -101,7 +101,8 @@
 struct SetupClass {
     #[serde(default)]
     name: String,
-    latency_goal_ms: f64,
+    #[serde(rename = "latencyGoalMs")]
+    latency_target_ms: f64,
     #[serde(rename = "cutOffMs")]
     deadline_ms: f64,
     #[serde(default)]
@@ -225,8 +226,8 @@
             },
         };
         Ok(Class {
-            goal: Span::from_ms(self.latency_goal_ms),
-            goal_stretch: self.aim_stretch,
+            target: Span::from_ms(self.latency_target_ms),
+            target_stretch: self.aim_stretch,
             deadline: Span::from_ms(self.deadline_ms),
             value: self.value,
             late_value: self.late_value,
--- a/crates/setup/src/native.rs
+++ b/crates/setup/src/native.rs
@@ -160,7 +160,8 @@
 #[derive(Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct ClassText {
-    goal: Option<Spanned<String>>,
+    #[serde(rename = "goal")]
+    target: Option<Spanned<String>>,
     #[serde(rename = "cut_off")]
     deadline: Option<Spanned<String>>,
     value: Option<Spanned<f64>>,
@@ -315,7 +316,7 @@
     fn class(&mut self, name: &str, found: &Spanned<ClassText>) -> Class {
         let (at, t) = (found.span().start, found.get_ref());
         let field = |field: &str| format!("tariff.{name}.{field}");
-        for (wanted, there) in [("goal", t.goal.is_some()), ("cut_off", t.deadline.is_some())] {
+        for (wanted, there) in [("goal", t.target.is_some()), ("cut_off", t.deadline.is_some())] {
             if !there {
                 self.fault(at, format!("{}: missing; wanted a span, such as \"250ms\"", field(wanted)));
             }
@@ -327,9 +328,9 @@
             );
         }
         let before = self.faults.len();
-        let goal = self.above(&field("goal"), &t.goal, "1s");
+        let target = self.above(&field("goal"), &t.target, "1s");
         let deadline = self.above(&field("cut_off"), &t.deadline, "1s");
-        if self.faults.len() == before && t.goal.is_some() && t.deadline.is_some() && goal > deadline {
+        if self.faults.len() == before && t.target.is_some() && t.deadline.is_some() && target > deadline {
             self.fault(at, format!("{}: is longer than the cut-off", field("goal")));
         }
         let effect = self.value(&field("effect"), &t.effect, |text| match text.as_str() {
@@ -364,7 +365,7 @@
         };
         let value = self.number(&field("value"), &t.value, (0.0, 1e9), 1.0);
         let late_value = self.number(&field("late_value"), &t.late_value, (0.0, 1.0), 0.0);
-        Class { value, late_value, ..Class::new(goal, deadline, effect) }
+        Class { value, late_value, ..Class::new(target, deadline, effect) }
     }
 
     fn backend(&mut self, found: &Spanned<BackendText>, zones: &[String]) -> Option<Backend> {
--- a/crates/setup/tests/native.rs
+++ b/crates/setup/tests/native.rs
@@ -31,7 +31,7 @@
     assert_eq!(found.setup.class_names, ["check-free"]);
     let settings = &found.setup.settings;
     assert_eq!((settings.max_attempts, settings.instances, settings.max_backoff), (3, 1, None));
-    assert_eq!(settings.classes[0].goal, Span::from_millis(210));
+    assert_eq!(settings.classes[0].target, Span::from_millis(210));
     assert_eq!(settings.classes[0].effect, Effect::Safe);
 }
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -120,10 +120,10 @@
     /// The latency that counts for it, if any, and whether it was in time. A full answer counts as a time-out, and
     /// both as one that had not waited: guards against the short time-outs of what waited long passing for quick
     /// answers.
-    pub fn sample(&self, goal: Span) -> Option<(Span, bool)> {
+    pub fn sample(&self, target: Span) -> Option<(Span, bool)> {
         match self.outcome {
-            Outcome::Full | Outcome::TimedOut => Some((goal.max(self.took), false)),
-            Outcome::Served => Some((self.took, self.took < goal)),
+            Outcome::Full | Outcome::TimedOut => Some((target.max(self.took), false)),
+            Outcome::Served => Some((self.took, self.took < target)),
             _ => None,
         }
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -57,7 +57,7 @@
 const MOVED: f64 = 0.4; // calls that it counts as to go where a key is not known
 const SHARED: f64 = 3.0; // instances that share a backend, where there are many
 const PART_LEAST: f64 = 6.0; // and the fewest backends that an instance keeps to
-const PATIENCE: f64 = 0.05; // part of the latency goal for which reports are waited for
+const PATIENCE: f64 = 0.05; // part of the latency target for which reports are waited for
 const MARK_BEAT: TimerMark = TimerMark(u64::MAX);
 const MARK_WATCH: TimerMark = TimerMark(u64::MAX - 1);
 const MARK_ASKED: TimerMark = TimerMark(u64::MAX - 2);
@@ -275,7 +275,7 @@
             self.baseline = self.latency;
         }
         let queued = self.queued(self.latency);
-        // Guards against a goal so near that latency can't grow past it: much lateness is a queue, if any.
+        // Guards against a target so near that latency can't grow past it: much lateness is a queue, if any.
         if queued > 6.0 * log || self.late.or(0.0) > LATE && queued > 1.5 * log {
             self.limit -= log.max(1.0);
         } else if queued < 3.0 * log {
@@ -466,11 +466,11 @@
 
     fn whole(&mut self, id: RequestId, deadline: Time, out: &mut Vec<Action>) {
         let Some(class) = self.desk.held.get(&id).map(|held| held.class) else { return };
-        let (goal, due) = self.settings.times(&class, self.now, deadline, None);
+        let (target, due) = self.settings.times(&class, self.now, deadline, None);
         self.stand_in(id, due, out);
         self.count(id);
         let Some(held) = self.desk.held.get_mut(&id) else { return };
-        (held.goal, held.due, held.whole) = (goal, due, true);
+        (held.target, held.due, held.whole) = (target, due, true);
         if held.out.is_some() {
             let (attempt, time_out) = (AttemptNo(held.sent - 1), due.since(self.now));
             out.push(Action::TimeOut { request: id, attempt, time_out });
@@ -488,11 +488,11 @@
     fn taken(&mut self, request: Request, out: &mut Vec<Action>) {
         let id = request.id;
         let class = self.settings.classes[usize::from(request.class.0)];
-        let (goal, due) = self.settings.times(&class, self.now, request.deadline, request.cost);
+        let (target, due) = self.settings.times(&class, self.now, request.deadline, request.cost);
         let beyond_share = self.desk.goes_beyond(request.tenant);
         self.desk.met = true;
         self.stand_in(id, due, out);
-        let held = Held::new(class, self.now, goal, due, beyond_share);
+        let held = Held::new(class, self.now, target, due, beyond_share);
         let key = request.key.filter(|_| self.settings.remembers).inspect(|key| self.desk.keys.add(*key));
         self.desk.held.insert(id, Held { whole: request.whole, key, ..held });
         self.desk.first.push(id);
@@ -507,7 +507,7 @@
     fn ended(&mut self, e: Ended, out: &mut Vec<Action>) {
         self.count(e.request);
         let held = self.desk.held.get(&e.request);
-        let sample = held.and_then(|held| e.sample(held.class.goal));
+        let sample = held.and_then(|held| e.sample(held.class.target));
         self.tell(e.backend, BackendNote::Ended(e, sample));
         if e.answered {
             self.desk.held.remove(&e.request);
@@ -549,7 +549,7 @@
         }
         let took = Span::from_ms(self.tier.took.or(0.0));
         let soon = took.scaled(0.5 + f64::from(self.rng.rand_float()));
-        let soon = if self.now + took < held.goal { soon } else { held.class.deadline };
+        let soon = if self.now + took < held.target { soon } else { held.class.deadline };
         let backoff = self.settings.max_backoff.map(|most| soon.min(most));
         out.push(Action::Refuse { request: id, backoff });
     }
@@ -562,7 +562,7 @@
         let late = |id: &&RequestId| {
             let held = &self.desk.held[id];
             let need = needs[usize::from(held.sent > 0 && held.class.effect == Effect::AtMostOnce)];
-            none || self.now + need.min(held.goal.since(held.arrived).scaled(0.9)) >= held.goal
+            none || self.now + need.min(held.target.since(held.arrived).scaled(0.9)) >= held.target
         };
         for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
             self.give_up(id, out);
@@ -574,7 +574,7 @@
         if self.tier.in_flight + self.desk.asking.len() as f64 >= self.tier.own_limit() {
             return false;
         }
-        let order = |id: &&RequestId| (self.desk.held[id].beyond_share, self.desk.held[id].goal);
+        let order = |id: &&RequestId| (self.desk.held[id].beyond_share, self.desk.held[id].target);
         let first = self.desk.first.iter().min_by_key(order);
         for id in first.into_iter().chain(&self.desk.further).copied().collect::<Vec<_>>() {
             let Some(two) = self.pick(id) else { continue };
@@ -583,7 +583,7 @@
             }
             self.desk.leave_lines(id);
             self.desk.asking.push(id);
-            let (now, wait) = (self.now, self.desk.held[&id].class.goal.scaled(PATIENCE));
+            let (now, wait) = (self.now, self.desk.held[&id].class.target.scaled(PATIENCE));
             self.desk.held.entry(id).and_modify(|held| held.asked = Some((two, now, now + wait)));
             out.extend(two.map(|backend| Action::Check { backend }));
             out.push(Action::Timer { after: wait, mark: MARK_ASKED });
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -42,9 +42,9 @@
 }
 
 fn held(effect: Effect) -> Held {
-    let (goal, due) = (START + ms(200), START + ms(200));
+    let (target, due) = (START + ms(200), START + ms(200));
     let (arrived, class) = (START, class(effect));
-    Held::new(class, arrived, goal, due, false)
+    Held::new(class, arrived, target, due, false)
 }
 
 /// A request that has been forwarded once, to backend 0.
@@ -237,7 +237,7 @@
 }
 
 #[test]
-fn the_time_out_ends_before_the_goal_and_the_stand_in_timer_after_it() {
+fn the_time_out_ends_before_the_target_and_the_stand_in_timer_after_it() {
     let (mut b, mut out) = (balancer(Effect::Safe, 1), Vec::new());
     b.handle(START, Event::Taken(request(1)), &mut out);
     let Action::Timer { after, .. } = out[0] else { panic!("{out:?}") };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -52,12 +52,12 @@
 
 #[derive(Clone, Copy, Debug)]
 pub struct Class {
-    pub goal: Span,
-    /// The latency goal grows by this multiple of the request's own work.
-    pub goal_stretch: f64,
+    pub target: Span,
+    /// The latency target grows by this multiple of the request's own work.
+    pub target_stretch: f64,
     pub deadline: Span,
     pub value: f64,
-    /// What an answer after the goal still earns, as a part of the value.
+    /// What an answer after the target still earns, as a part of the value.
     pub late_value: f64,
     pub effect: Effect,
 }
@@ -86,8 +86,8 @@
 }
 
 impl Class {
-    pub fn new(goal: Span, deadline: Span, effect: Effect) -> Class {
-        Class { goal, goal_stretch: 0.0, deadline, value: 1.0, late_value: 0.0, effect }
+    pub fn new(target: Span, deadline: Span, effect: Effect) -> Class {
+        Class { target, target_stretch: 0.0, deadline, value: 1.0, late_value: 0.0, effect }
     }
 }
 
@@ -96,9 +96,9 @@
     pub fn times(&self, class: &Class, now: Time, deadline: Time, cost: Option<Span>) -> (Time, Time) {
         // Room for the time between two batches, and for the answer's way back.
         let margin = self.round.scaled(2.0) + Span::from_millis(2);
-        let (last, stretch) = (deadline - margin, cost.unwrap_or_default().scaled(class.goal_stretch));
-        let goal = last.min(now + class.deadline.min(class.goal + stretch) - margin);
-        (goal, if class.late_value > 0.0 { last } else { goal })
+        let (last, stretch) = (deadline - margin, cost.unwrap_or_default().scaled(class.target_stretch));
+        let target = last.min(now + class.deadline.min(class.target + stretch) - margin);
+        (target, if class.late_value > 0.0 { last } else { target })
     }
 
     /// One instance in one zone, told of every change of the list, with no tenants.
--- a/src/state.rs
+++ b/src/state.rs
@@ -165,7 +165,7 @@
     pub class: Class,
     pub arrived: Time,
     /// An answer after this is late.
-    pub goal: Time,
+    pub target: Time,
     /// The final answer is given by then.
     pub due: Time,
     pub beyond_share: bool,
@@ -206,11 +206,11 @@
 }
 
 impl Held {
-    pub fn new(class: Class, arrived: Time, goal: Time, due: Time, beyond_share: bool) -> Held {
+    pub fn new(class: Class, arrived: Time, target: Time, due: Time, beyond_share: bool) -> Held {
         Held {
             class,
             arrived,
-            goal,
+            target,
             due,
             beyond_share,
             whole: true,
