--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,8 +39,8 @@
 const BAND_CHANCE: f64 = 2.0; // above this multiple of the limit refusals begin
 const BAND_ALL: f64 = 3.0; // above this one nothing is taken
 const NEED: f64 = 1.5; // time left for an answer, in p90, under which waiting ends
-const PURSE_SHARE: f64 = 0.1; // repeats of what may have run, for each first attempt
-const PURSE_MOST: f64 = 10.0; // and the most that are saved up
+const RETRY_SHARE: f64 = 0.1; // repeats of what may have run, for each first attempt
+const RETRY_MOST: f64 = 10.0; // and the most that are saved up
 const STRIKES_OUT: f64 = 2.0; // strikes in a row that put a backend out
 const WORD_FADE: f64 = 5000.0; // ms in which a word of a backend fades
 const PRIOR: f64 = 4.0; // own attempts that what is known of the zone, or the tier, counts as
@@ -306,7 +306,7 @@
             let after = Span::from_millis(1500).scaled(rng.rand_float().into());
             out.push(Action::Timer { after, mark: MARK_WATCH });
         }
-        let desk = Desk::new(&settings, PURSE_MOST / 2.0);
+        let desk = Desk::new(&settings, RETRY_MOST / 2.0);
         let (backends, barred, mail, roster, tier, tier_inbox, list_failures) = Default::default();
         Balancer { settings, rng, now, backends, barred, mail, roster, tier, tier_inbox, desk, list_failures }
     }
@@ -519,8 +519,8 @@
         let allowed = held.ran.is_none() || held.class.effect != Effect::AtMostOnce;
         let cost = f64::from(u8::from(ran));
         let more = held.sent < self.settings.max_attempts && e.outcome != Outcome::NotSent && !e.spent;
-        if allowed && more && self.desk.purse >= cost {
-            self.desk.purse -= cost;
+        if allowed && more && self.desk.retry_budget >= cost {
+            self.desk.retry_budget -= cost;
             self.desk.further.push(e.request);
         } else {
             self.give_up(e.request, out);
@@ -682,8 +682,8 @@
     fn attempt(&mut self, id: RequestId, backend: BackendId, out: &mut Vec<Action>) -> bool {
         self.desk.leave_lines(id);
         let Some(held) = self.desk.held.get_mut(&id) else { return false };
-        self.desk.purse +=
-            PURSE_SHARE.min(PURSE_MOST - self.desk.purse) * f64::from(u8::from(held.sent == 0));
+        self.desk.retry_budget +=
+            RETRY_SHARE.min(RETRY_MOST - self.desk.retry_budget) * f64::from(u8::from(held.sent == 0));
         held.out = Some((self.backends[&backend].listing, self.now));
         held.sent += 1;
         let by = held.repeats_until();
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -228,10 +228,10 @@
 }
 
 #[test]
-fn without_a_purse_what_may_have_run_is_not_sent_again() {
+fn without_a_retry_budget_what_may_have_run_is_not_sent_again() {
     let (mut b, mut out) = (balancer(Effect::Safe, 3), Vec::new());
     b.desk.held.insert(RequestId(1), forwarded(Effect::Safe));
-    b.desk.purse = 0.5;
+    b.desk.retry_budget = 0.5;
     b.ended(ended(Outcome::Error), &mut out);
     assert!(matches!(out[..], [Action::Refuse { .. }]));
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -195,7 +195,7 @@
     pub further: Vec<RequestId>,
     /// What waits for the reports of the two backends drawn for it.
     pub asking: Vec<RequestId>,
-    pub purse: f64,
+    pub retry_budget: f64,
     /// What each tenant may still send within its share.
     pub shares: Vec<f64>,
     /// A request was taken since the last update.
@@ -235,12 +235,12 @@
 }
 
 impl Desk {
-    /// With a purse, and shares of what tenants may ask: those of the first tier's clients; below it they have been
+    /// With a retry budget, and shares of what tenants may ask: those of the first tier's clients; below it they have been
     /// dealt with.
-    pub fn new(settings: &Settings, purse: f64) -> Desk {
+    pub fn new(settings: &Settings, retry_budget: f64) -> Desk {
         let own = settings.allowances.iter().filter(|_| settings.tier == 0);
         let shares = own.map(|allowance| allowance / settings.instances as f64).collect();
-        Desk { purse, shares, mode: "ordinary", ..Desk::default() }
+        Desk { retry_budget, shares, mode: "ordinary", ..Desk::default() }
     }
 
     pub fn waiting(&self) -> f64 {
