--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -29,7 +29,7 @@
     let timers = std::mem::take(&mut actions);
     let listings = (0..backends).map(listing).collect();
     balancer.handle(start, Event::Listed { whole: true, listings }, &mut actions);
-    // With its first beat it takes the measure of the list.
+    // With its first tick it takes the measure of the list.
     let mut start = start;
     for timer in timers {
         if let Action::Timer { after, mark } = timer {
--- a/src/event.rs
+++ b/src/event.rs
@@ -243,7 +243,7 @@
     Told(Word),
     /// It may serve again, after staff had left it out.
     Back,
-    Beat,
+    Tick,
 }
 
 /// What the tier's actor finds in its inbox.
@@ -256,5 +256,5 @@
     /// So much more is in flight at backends that are not out.
     Holds(f64),
     /// How many backends are listed as ready, how many of those are out, and the mean of their reports.
-    Beat { ready: f64, out: f64, others: f64, middle: f64, size: f64 },
+    Tick { ready: f64, out: f64, others: f64, middle: f64, size: f64 },
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,8 +22,8 @@
 #[cfg(test)]
 mod tests;
 
-const BEAT: Span = Span::from_millis(250); // the limit's update interval
-const BEATS_PER_S: f64 = 4.0;
+const TICK: Span = Span::from_millis(250); // the limit's update interval
+const TICKS_PER_S: f64 = 4.0;
 const WINDOW: Span = Span::from_millis(2000); // a window of samples is at least this long
 const WINDOW_SAMPLES: usize = 50; // and this full
 const WINDOW_MOST: Span = Span::from_millis(30_000); // and holds nothing older
@@ -58,7 +58,7 @@
 const SHARED: f64 = 3.0; // instances that share a backend, where there are many
 const PART_LEAST: f64 = 6.0; // and the fewest backends that an instance keeps to
 const PATIENCE: f64 = 0.05; // part of the latency target for which reports are waited for
-const MARK_BEAT: TimerMark = TimerMark(u64::MAX);
+const MARK_TICK: TimerMark = TimerMark(u64::MAX);
 const MARK_WATCH: TimerMark = TimerMark(u64::MAX - 1);
 const MARK_ASKED: TimerMark = TimerMark(u64::MAX - 2);
 
@@ -110,7 +110,7 @@
                 }
             }
             BackendNote::Told(word) => self.hear(word, around.now),
-            BackendNote::Beat => self.beat(around),
+            BackendNote::Tick => self.tick(around),
         }
         // Guards against a hung backend's attempts using up the limit: while it is out they do not count.
         let counts = if self.out.is_some() { 0.0 } else { self.holds() };
@@ -137,13 +137,13 @@
         }
     }
 
-    fn beat(&mut self, around: &mut Around) {
+    fn tick(&mut self, around: &mut Around) {
         // Guards against a cold backend being pushed over by all instances together: each sends it its part
         // of what its warmth bears, measured by what its peers carry.
         let cold = &around.settings.cold;
         let floor = 2.0 / (around.settings.instances as f64 * (cold.window.ms() / 1000.0).max(0.1));
         let bears = cold.warmth(self.started(), around.now) * cold.multiple * 0.5 * around.tier.rate;
-        self.credit = (self.credit + bears.max(floor) / BEATS_PER_S).min(1.5);
+        self.credit = (self.credit + bears.max(floor) / TICKS_PER_S).min(1.5);
         self.ghosts.retain(|until| *until > around.now);
         self.tally.fade(FADE);
         // What was slow is forgotten with time, so that it is tried again.
@@ -239,11 +239,11 @@
                     self.took.add(took.ms(), 0.05);
                 }
             }
-            TierNote::Beat { ready, out, others, middle, size } => {
+            TierNote::Tick { ready, out, others, middle, size } => {
                 (self.ready_and_out, self.others, self.middle, self.size) =
                     ((ready, out), others, middle, size);
                 self.zones.values_mut().for_each(|tally| tally.fade(FADE));
-                self.rate += (self.answers * BEATS_PER_S / ready.max(1.0) - self.rate) * 0.05;
+                self.rate += (self.answers * TICKS_PER_S / ready.max(1.0) - self.rate) * 0.05;
                 self.intervals.add(self.in_flight, take(&mut self.answers), CORRELATED);
                 // Where instances outnumber backends, the limit is that of what all have at one of these.
                 self.crowd = (settings.instances as f64 / ready.max(1.0)).max(0.01);
@@ -260,7 +260,7 @@
         let full = (WINDOW_SAMPLES as f64 / self.crowd.max(1.0)) as usize;
         let Some((p90, answered)) = self.samples.p90(now, WINDOW, WINDOW_MOST, full) else {
             // Guards against an instance with few calls being stuck at a low limit: it rises while unjudged.
-            self.limit += if self.limit < start { 1.0 / BEATS_PER_S } else { 0.0 };
+            self.limit += if self.limit < start { 1.0 / TICKS_PER_S } else { 0.0 };
             return;
         };
         self.p90.add(p90, SMOOTHING);
@@ -301,7 +301,7 @@
 impl Balancer {
     pub fn new(settings: Settings, seed: u64, now: Time, out: &mut Vec<Action>) -> Balancer {
         let mut rng = Rand32::new(seed);
-        out.push(Action::Timer { after: Span::ZERO, mark: MARK_BEAT });
+        out.push(Action::Timer { after: Span::ZERO, mark: MARK_TICK });
         if settings.list_on_request {
             let after = Span::from_millis(1500).scaled(rng.rand_float().into());
             out.push(Action::Timer { after, mark: MARK_WATCH });
@@ -374,8 +374,8 @@
         left_out(&self.backends, &self.barred)
     }
 
-    fn beat(&mut self, out: &mut Vec<Action>) {
-        out.push(Action::Timer { after: BEAT, mark: MARK_BEAT });
+    fn tick(&mut self, out: &mut Vec<Action>) {
+        out.push(Action::Timer { after: TICK, mark: MARK_TICK });
         let before = self.backends.len();
         self.backends.retain(|_, b| b.listing.condition != Condition::Gone || b.holds() > 0.0);
         let moved = self.backends.len() < before;
@@ -383,10 +383,10 @@
         self.desk.keys.fade(KEYS_FADE);
         out.extend(self.gossip());
         self.mail = self.backends.keys().copied().collect();
-        self.backends.values_mut().for_each(|backend| backend.inbox.push(BackendNote::Beat));
+        self.backends.values_mut().for_each(|backend| backend.inbox.push(BackendNote::Tick));
         let open = self.backends.iter().filter(|(id, _)| !self.barred.contains(id));
         self.tier_inbox.push(census(open.map(|(_, backend)| backend), self.now));
-        self.desk.refill(&self.settings, BEATS_PER_S);
+        self.desk.refill(&self.settings, TICKS_PER_S);
         out.extend(self.desk.tell_mode(self.load(), BAND_CHANCE, &self.tier).map(Action::Log));
     }
 
@@ -421,7 +421,7 @@
                 self.list_failures += 1;
                 let wait = (1 << self.list_failures.min(2)) as f32 * (0.5 + self.rng.rand_float());
                 out.push(Action::Log(format!("list lost, failure {}, asking again", self.list_failures)));
-                out.push(Action::Timer { after: BEAT.scaled(wait.into()), mark: MARK_WATCH });
+                out.push(Action::Timer { after: TICK.scaled(wait.into()), mark: MARK_WATCH });
             }
             Event::Taken(request) => self.taken(request, out),
             Event::Began { request, backend, took } => {
@@ -438,7 +438,7 @@
             Event::Whole { request, deadline } => self.whole(request, deadline, out),
             Event::Broke(backend) => self.tell(backend, BackendNote::Broke),
             Event::Left(id) => drop(self.release(id, out)),
-            Event::Timer(MARK_BEAT) => self.beat(out),
+            Event::Timer(MARK_TICK) => self.tick(out),
             Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
             Event::Checked { backend, outcome, load, .. } => {
                 self.tell(backend, BackendNote::Checked(outcome, load))
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -291,7 +291,7 @@
     assert!(b.backends[&id(0)].out.is_none());
     assert!((0..20).all(|_| first_pick(&mut b) == Some(id(1))));
     // What it did is forgotten with time.
-    (0..400).for_each(|_| b.handle(START, Event::Timer(MARK_BEAT), &mut Vec::new()));
+    (0..400).for_each(|_| b.handle(START, Event::Timer(MARK_TICK), &mut Vec::new()));
     assert!((0..40).any(|_| first_pick(&mut b) == Some(id(0))));
 }
 
@@ -338,7 +338,7 @@
     b.tier.latency.add(100.0, 1.0);
     let hung = b.backends.get_mut(&id(0)).unwrap();
     (hung.in_flight, hung.counted, b.tier.in_flight) = (3.0, 3.0, 3.0);
-    b.handle(START + ms(400), Event::Timer(MARK_BEAT), &mut out);
+    b.handle(START + ms(400), Event::Timer(MARK_TICK), &mut out);
     assert!(b.backends[&id(0)].out.is_some());
     assert_eq!(b.tier.in_flight, 0.0);
 }
@@ -359,7 +359,7 @@
     let mut backend = Backend { in_flight: 1.0, ..Backend::default() };
     backend.ended(&ended(Outcome::TimedOut), None, &mut around(&b, &mut inbox, &mut out, START));
     assert_eq!(backend.holds(), 1.0);
-    backend.beat(&mut around(&b, &mut inbox, &mut out, START + ms(110)));
+    backend.tick(&mut around(&b, &mut inbox, &mut out, START + ms(110)));
     assert_eq!(backend.holds(), 0.0);
 }
 
@@ -406,8 +406,8 @@
     (b.settings.cold, b.tier.rate) = (cold, 10.0);
     let mut backend =
         Backend { listing: Listing { started: Some(START), ..listing(0) }, ..Backend::default() };
-    backend.beat(&mut around(&b, &mut inbox, &mut out, START));
-    assert!(backend.credit > 0.0 && backend.credit < 0.2 * 3.0 * 10.0 / BEATS_PER_S);
+    backend.tick(&mut around(&b, &mut inbox, &mut out, START));
+    assert!(backend.credit > 0.0 && backend.credit < 0.2 * 3.0 * 10.0 / TICKS_PER_S);
 }
 
 /// Guards against the attempt that an answer ends passing for one that others hold there.
@@ -717,8 +717,8 @@
     let back = &balancer.backends[&id(0)];
     assert_eq!((back.started(), back.cap, back.ready(now, &balancer.settings)), (Some(now), Some(1.0), true));
     for _ in 0..20 {
-        now = now + BEAT;
-        balancer.handle(now, Event::Timer(MARK_BEAT), &mut out);
+        now = now + TICK;
+        balancer.handle(now, Event::Timer(MARK_TICK), &mut out);
     }
     assert!(sent(&mut balancer, now, 50..100) > 0);
 }
@@ -818,7 +818,7 @@
         b.settings.instances = instances;
         b.backends.values_mut().for_each(|b| b.others = Some((START, held)));
         let mut out = Vec::new();
-        b.handle(START, Event::Timer(MARK_BEAT), &mut out);
+        b.handle(START, Event::Timer(MARK_TICK), &mut out);
         b.handle(START, Event::Taken(request(1)), &mut out);
         !out.iter().any(|action| matches!(action, Action::Refuse { .. }))
     };
@@ -832,7 +832,7 @@
     b.backends.get_mut(&id(0)).unwrap().others = Some((START, 40.0));
     let now = START + ms(20_000);
     b.backends.get_mut(&id(1)).unwrap().others = Some((now, 2.0));
-    let TierNote::Beat { others, .. } = census(b.backends.values(), now) else { panic!() };
+    let TierNote::Tick { others, .. } = census(b.backends.values(), now) else { panic!() };
     assert!(others < 2.0, "{others}");
 }
 
@@ -858,10 +858,10 @@
         b.backends.get_mut(&id(1)).unwrap().others = Some((START, 2.0));
         b.desk.keys.add(7);
         let mut out = Vec::new();
-        b.handle(START, Event::Timer(MARK_BEAT), &mut out);
+        b.handle(START, Event::Timer(MARK_TICK), &mut out);
         assert!(!out.iter().any(|action| matches!(action, Action::Tell { .. })), "nothing was taken");
         b.desk.met = true;
-        b.handle(START, Event::Timer(MARK_BEAT), &mut out);
+        b.handle(START, Event::Timer(MARK_TICK), &mut out);
         let tells: Vec<_> = out
             .iter()
             .filter_map(|action| match action {
--- a/src/state.rs
+++ b/src/state.rs
@@ -248,10 +248,10 @@
     }
 
     /// Gives each tenant its part of what it may ask of one instance in an update interval.
-    pub fn refill(&mut self, settings: &Settings, beats_per_s: f64) {
+    pub fn refill(&mut self, settings: &Settings, ticks_per_s: f64) {
         for (share, allowance) in self.shares.iter_mut().zip(&settings.allowances) {
             let own = allowance / settings.instances as f64;
-            *share = (share.max(0.0) + own / beats_per_s).min(own);
+            *share = (share.max(0.0) + own / ticks_per_s).min(own);
         }
     }
 
@@ -306,7 +306,7 @@
     let (ready, out) =
         (listed.clone().count() as f64, listed.clone().filter(|b| b.out.is_some()).count() as f64);
     let size = listed.map(|b| b.listing.size).sum::<f64>() / ready.max(1.0);
-    TierNote::Beat { ready, out, others, middle, size }
+    TierNote::Tick { ready, out, others, middle, size }
 }
 
 /// What there is to tell another instance of them, the newest first.
