--- a/crates/proxy/tests/closing.rs
+++ b/crates/proxy/tests/closing.rs
@@ -7,31 +7,13 @@
 use std::time::Duration;
 
 use helper::{
-    accept, answer, backend, close, counted, message, request, settings, unreachable, write, Proxy,
+    accept, answer, asks, backend, close, counted, id, kept, message, settings, unreachable, write, Proxy,
 };
 
-/// Longer than any test waits, so that nothing ends by its time alone.
-const LONG: &str = "60";
-
 fn long() -> String {
     settings(40_000, "")
 }
 
-fn kept(method: &str, path: &str) -> String {
-    request(method, path, LONG).replace("Connection: close\r\n", "")
-}
-
-fn id(text: &str) -> &str {
-    text.lines().find_map(|line| line.strip_prefix("Request-Id: ")).unwrap_or_default()
-}
-
-/// Asks for something without waiting for the answer.
-fn asks(proxy: &Proxy, text: &str) -> TcpStream {
-    let mut client = proxy.connect();
-    write(&mut client, text);
-    client
-}
-
 /// Requests up to the limit, each on its way at the backend, so that what comes next waits.
 fn busy(proxy: &Proxy, backend: &TcpListener) -> Vec<(TcpStream, TcpStream)> {
     let mut out = Vec::new();
--- a/crates/proxy/tests/evicting.rs
+++ b/crates/proxy/tests/evicting.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use helper::{accept, answer, backend, message, request, settings, write, Proxy};
+use helper::{accept, answer, backend, kept, message, settings, write, Proxy};
 
 const SOCKETS: usize = 64;
 
@@ -31,13 +31,12 @@
         resting.push(client);
     }
     std::thread::sleep(Duration::from_millis(2_100)); // until none counts as just used
-    let kept = || request("POST", "/write", "30").replace("Connection: close\r\n", "");
     proxy.hold();
     let mut new: Vec<_> = (0..3).map(|_| proxy.connect()).collect();
     for client in &mut new {
-        write(client, &kept());
+        write(client, &kept("POST", "/write"));
     }
-    write(&mut resting[0], &kept());
+    write(&mut resting[0], &kept("POST", "/write"));
     proxy.go_on();
     for _ in 0..4 {
         let mut conn = accept(&backend);
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -310,6 +310,23 @@
     )
 }
 
+/// The same with much time, on a connection that stays.
+pub fn kept(method: &str, path: &str) -> String {
+    request(method, path, "60").replace("Connection: close\r\n", "")
+}
+
+/// The id that a request bears.
+pub fn id(text: &str) -> &str {
+    text.lines().find_map(|line| line.strip_prefix("Request-Id: ")).unwrap_or_default()
+}
+
+/// Asks for something without waiting for the answer.
+pub fn asks(proxy: &Proxy, text: &str) -> TcpStream {
+    let mut client = proxy.connect();
+    write(&mut client, text);
+    client
+}
+
 pub fn answer(status: &str, more: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len())
 }
--- a/crates/proxy/tests/leaving.rs
+++ b/crates/proxy/tests/leaving.rs
@@ -6,11 +6,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use helper::{accept, answer, backend, close, counted, message, request, settings, write, Proxy};
-
-fn kept(method: &str, path: &str) -> String {
-    request(method, path, "30").replace("Connection: close\r\n", "")
-}
+use helper::{accept, answer, backend, close, counted, kept, message, settings, write, Proxy};
 
 /// A connection on which a request was answered, and that rests.
 fn resting(proxy: &Proxy, backend: &std::net::TcpListener) -> TcpStream {
--- a/crates/proxy/tests/orders.rs
+++ b/crates/proxy/tests/orders.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
-use helper::{accept, answer, backend, close, counted, message, request, settings, write, Proxy};
+use helper::{accept, answer, asks, backend, close, counted, id, message, request, settings, write, Proxy};
 use oorandom::Rand32;
 
 /// By ORDERS_SEEDS more are played.
@@ -19,11 +19,6 @@
 /// So many are on their way at two backends; the rest wait.
 const OUT: usize = 8;
 
-fn id(text: &str) -> String {
-    let line = text.lines().find_map(|line| line.strip_prefix("Request-Id: "));
-    line.unwrap_or_default().to_string()
-}
-
 /// What a backend is to do about a request that it has read.
 #[derive(Clone, Copy, PartialEq)]
 enum Then {
@@ -61,7 +56,7 @@
             return;
         }
         let (lock, changed) = &*self.0;
-        let id = id(&message(&mut conn));
+        let id = id(&message(&mut conn)).to_string();
         let mut said = lock.lock().unwrap();
         said.seen.push((number, id.clone()));
         let then = loop {
@@ -103,9 +98,7 @@
     fn asks(proxy: &Proxy, rng: &mut Rand32) -> Client {
         let once = rng.rand_range(0..2) == 0;
         let text = if once { request("POST", "/write", "30") } else { request("GET", "/read", "30") };
-        let mut stream = proxy.connect();
-        write(&mut stream, &text);
-        Client { stream: Some(stream), id: id(&text), once }
+        Client { stream: Some(asks(proxy, &text)), id: id(&text).to_string(), once }
     }
 }
 
--- a/crates/proxy/tests/tenants.rs
+++ b/crates/proxy/tests/tenants.rs
@@ -2,20 +2,12 @@
 
 mod helper;
 
-use std::net::TcpStream;
-
-use helper::{accept, answer, backend, counted, message, request, settings, write, Proxy};
+use helper::{accept, answer, asks, backend, counted, message, request, settings, write, Proxy};
 
 fn of(tenant: &str) -> String {
     request("GET", "/read", "30").replace("Connection: close\r\n", &format!("Tenant: {tenant}\r\n"))
 }
 
-fn asks(proxy: &Proxy, text: &str) -> TcpStream {
-    let mut client = proxy.connect();
-    write(&mut client, text);
-    client
-}
-
 /// Which tenant's request goes on when a place falls free: one of `floods`, which came first, or one of `waits`.
 fn next(floods: &str, waits: &str) -> String {
     let tenants =
