--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -24,7 +24,6 @@
 const TRUSTED: u32 = 100; // kept connections in a row that held, until such may carry what may run only once
 const BEGIN_AFTER: Span = Span::from_millis(25); // an answer of unknown length goes on as it comes
 const SILENCE: Span = Span::from_millis(10_000); // for a body to go on, in either direction
-const REST: Span = Span::from_millis(10); // in which what an answer should not have had behind it is seen
 const IDLE_PART: f64 = 0.5; // of the backend's idle time, for which an idle connection is kept
 
 /// One run of a backend's process: where it listens, and when it started. Another one shares no connection.
@@ -216,19 +215,11 @@
         Some(slot)
     }
 
-    /// An idle connection that is still good: of those that have rested the last used one, and where none has, the one
-    /// that rests for longest. Guards, where there is a choice, against a second answer, which some backends send some
-    /// milliseconds after the first, passing for that to the next request.
+    /// An idle connection that is still good, the last used one first. Preferring those that had rested was tried
+    /// against a second answer that comes late: what rests is dead more often (`docs/incidents/second-answers.md`).
     fn take_idle(&mut self, backend: BackendId, io: &mut Shared) -> Option<ConnSlot> {
         loop {
-            let place = self.places.get_mut(&backend)?;
-            let rested =
-                |slot: &ConnSlot| self.conns.get(*slot).is_none_or(|conn| io.now >= conn.used + REST);
-            let slot = match place.idle.iter().rposition(rested) {
-                Some(at) => place.idle.remove(at),
-                None if place.idle.is_empty() => return None,
-                None => place.idle.remove(0),
-            };
+            let slot = self.places.get_mut(&backend)?.idle.pop()?;
             let Some(conn) = self.conns.get_mut(slot) else { continue };
             // Guards against writing on a connection that the backend has closed a moment ago, or is about to
             // close because the proxy itself stood still.
