Count failed system calls and unanswered closes; log why requests end

Failures are counted by call and error number, closes with an answer owed by reason; open clients, their limit and whether others wait are gauges; debug lines bear the request's id and the reason (Action::Refuse and Action::Fail name it). Nothing is decided otherwise.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -10,8 +10,10 @@
 use sparlug::time::{Span, Time};
 
 use crate::body::{Body, LONGEST};
+use crate::closing::CloseReason;
 use crate::config::Budgets;
 use crate::deadlines::DeadlineId;
+use crate::failures::SystemCall;
 use crate::http::{self, Bad, RequestHead, BODY_MOST, CALLERS_METHODS, HEAD_MOST, MESSAGE_MOST};
 use crate::link::Link;
 use crate::shared::{ClientSlot, Due, Incoming, Note, OfClient, Owner, Shared};
@@ -158,6 +160,12 @@
         self.clients.iter().filter(|(_, client)| client.open.is_some() && client.upload.is_none()).count()
     }
 
+    /// Connections that are open, how many may be, and whether others wait for one of them to end.
+    pub fn report(&self) -> String {
+        let (open, limit, waiting) = (self.clients.count(), self.budgets.clients, u8::from(self.full));
+        format!("svc.clients.open:{open}|g\nsvc.clients.limit:{limit}|g\nsvc.clients.waiting:{waiting}|g\n")
+    }
+
     pub fn names(&self) -> &[String] {
         &self.classes.names
     }
@@ -197,6 +205,7 @@
                 }
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(e) => {
+                    io.counters.failures.count(SystemCall::Accept, &e);
                     // Guards against idle connections keeping all others out where fewer descriptors are left
                     // than the limits said: the part for callers shrinks, and a quarter goes to backends.
                     self.budgets.clients = (self.clients.count() * 3 / 4).max(1);
@@ -218,7 +227,7 @@
             };
             self.event(slot, io);
             if self.leaver(io.now) == Some(slot) {
-                self.close(slot, io);
+                self.close(slot, CloseReason::MadeRoom, io);
             }
         }
         true
@@ -274,8 +283,10 @@
         let mut stream = Some(stream);
         // The slot is wanted for the token, so the record is made in two steps.
         let (registry, deadlines, now) = (&io.registry, &mut io.deadlines, io.now);
+        let failures = &mut io.counters.failures;
         let slot = self.clients.insert_with(|slot| {
-            let link = Link::new(stream.take()?, registry, Owner::Client(slot).token()).ok()?;
+            let link = Link::new(stream.take()?, registry, Owner::Client(slot).token());
+            let link = link.map_err(|e| failures.count(SystemCall::Register, &e)).ok()?;
             link.set_nodelay();
             let deadline = Some(deadlines.set(now + FIRST_TIME, Due::Client(slot)));
             let (state, head, upload, id, open) = (State::Reading, None, None, None, None);
@@ -302,8 +313,12 @@
         }
     }
 
-    fn close(&mut self, slot: ClientSlot, io: &mut Shared) {
+    fn close(&mut self, slot: ClientSlot, reason: CloseReason, io: &mut Shared) {
         let Some(client) = self.clients.remove(slot) else { return };
+        if client.is_owed() {
+            io.counters.unanswered.count(reason);
+            tracing::debug!(id = client.id, state = ?client.state, ?reason, "closed without a whole answer");
+        }
         io.callers -= 1;
         self.unread -= client.counted;
         if let Some((rank, used)) = client.standing {
@@ -350,7 +365,7 @@
             (State::Waiting(_), Some(_)) => io.window(),
             _ => HEAD_MOST,
         };
-        let broken = client.fill(most, io.now);
+        let read = client.fill(most, io.now);
         if client.state == State::Lingering {
             client.link.input.clear();
             if client.link.unread() {
@@ -358,8 +373,12 @@
             }
         }
         // Guards against a row of requests, more than is read at once, hiding that nobody waits for them.
-        if broken || (client.link.ended || client.hung_up) && client.state != State::Reading {
-            return self.close(slot, io);
+        if let Err(e) = read {
+            io.counters.failures.count(SystemCall::Read, &e);
+            return self.close(slot, CloseReason::ReadFailed, io);
+        }
+        if (client.link.ended || client.hung_up) && client.state != State::Reading {
+            return self.close(slot, CloseReason::ByClient, io);
         }
         match client.state {
             State::Answering { .. } | State::Streaming { .. } => self.write(slot, io),
@@ -375,7 +394,7 @@
     fn read(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         if client.link.ended && client.link.input.is_empty() {
-            return self.close(slot, io);
+            return self.close(slot, CloseReason::ByClient, io);
         }
         match Self::next(client) {
             Err(bad) => {
@@ -383,7 +402,7 @@
                 self.reply(slot, bad.status(), true, io);
             }
             // Guards against waiting for the rest of what a client that is gone will never send.
-            Ok(None) if client.link.ended => self.close(slot, io),
+            Ok(None) if client.link.ended => self.close(slot, CloseReason::ByClient, io),
             // Guards against large requests filling the memory before they are whole.
             Ok(None)
                 if client.link.input.len() > HEAD_MOST
@@ -404,15 +423,16 @@
                 if go_on {
                     client.link.queue(CONTINUE);
                 }
-                if client.link.flush().is_err() {
-                    self.close(slot, io);
+                if let Err(e) = client.link.flush() {
+                    io.counters.failures.count(SystemCall::Write, &e);
+                    self.close(slot, CloseReason::WriteFailed, io);
                 }
             }
             Ok(Some((head, message, whole))) => {
                 io.deadlines.call_off(client.deadline.take());
                 (client.used, client.begun, client.upload) = (io.now, false, None);
                 if client.link.ended || client.hung_up {
-                    return self.close(slot, io);
+                    return self.close(slot, CloseReason::ByClient, io);
                 }
                 if !whole {
                     client.await_body(slot, Some(head.body), io);
@@ -515,7 +535,7 @@
     pub fn pull(&mut self, slot: ClientSlot, room: usize, io: &mut Shared) -> Result<(Vec<u8>, bool), Bad> {
         let Some(client) = self.clients.get_mut(slot) else { return Ok((Vec::new(), false)) };
         if client.link.input.is_empty() && client.link.unread() {
-            client.fill(io.window(), io.now);
+            let _ = client.fill(io.window(), io.now);
             if client.link.ended {
                 io.deadlines.set(io.now, Due::Read(slot));
             }
@@ -571,8 +591,9 @@
     pub fn cut(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         io.counters.answered(client.open.take(), 502);
+        io.counters.unanswered.count(CloseReason::AnswerBroke);
         client.state = State::Lingering;
-        self.close(slot, io);
+        self.close(slot, CloseReason::AnswerBroke, io);
     }
 
     pub fn reply(&mut self, slot: ClientSlot, status: u16, close: bool, io: &mut Shared) {
@@ -598,7 +619,13 @@
     fn write(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         let before = client.link.pending();
-        let Ok(all) = client.link.flush() else { return self.close(slot, io) };
+        let all = match client.link.flush() {
+            Ok(all) => all,
+            Err(e) => {
+                io.counters.failures.count(SystemCall::Write, &e);
+                return self.close(slot, CloseReason::WriteFailed, io);
+            }
+        };
         let pending = client.link.pending();
         if pending < before {
             client.used = io.now;
@@ -686,7 +713,10 @@
                 self.reply(slot, 408, true, io);
             }
             State::Reading => self.end(slot, io),
-            _ => self.close(slot, io),
+            State::Lingering => self.close(slot, CloseReason::Done, io),
+            State::Answering { .. } | State::Streaming { .. } => {
+                self.close(slot, CloseReason::AnswerNotTaken, io);
+            }
         }
     }
 
@@ -717,15 +747,27 @@
 }
 
 impl Client {
-    /// Reads, and notes how a body that is not whole comes; whether the connection broke.
-    fn fill(&mut self, most: usize, now: Time) -> bool {
+    /// Whether a request that was read, or a part of one, has no whole answer yet.
+    fn is_owed(&self) -> bool {
+        match self.state {
+            State::Reading => !self.link.input.is_empty(),
+            State::Waiting(_) => true,
+            State::Answering { .. } | State::Streaming { .. } => {
+                self.link.pending() > 0 || self.open.is_some()
+            }
+            State::Lingering => false,
+        }
+    }
+
+    /// Reads, and notes how a body that is not whole comes; an error if the connection broke.
+    fn fill(&mut self, most: usize, now: Time) -> std::io::Result<()> {
         let before = self.link.input.len();
-        let broken = self.link.fill(most).is_err();
+        let read = self.link.fill(most);
         let came = self.link.input.len() - before;
         if let (Some(upload), true) = (&mut self.upload, came > 0) {
             (upload.heard, upload.bytes) = (now, upload.bytes + came);
         }
-        broken
+        read
     }
 
     /// A body begins to come, which is passed on as it does if it is known where it ends.
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -4,6 +4,9 @@
 
 use sparlug::event::Outcome;
 
+use crate::closing::Unanswered;
+use crate::failures::Failures;
+
 #[derive(Default)]
 pub struct Counters {
     pub connections: u64,
@@ -27,6 +30,8 @@
     pub lists_odd: u64,
     /// Forwards whose last byte was written.
     pub attempts: u64,
+    pub failures: Failures,
+    pub unanswered: Unanswered,
     outcomes: [u64; 11],
     /// How callers' requests ended, by class: served, refused, failed.
     classes: Vec<[u64; 3]>,
@@ -57,7 +62,7 @@
             }
         }
         let _ = writeln!(text, "svc.attempts:{}|c", self.attempts);
-        text
+        text + &self.unanswered.report() + &self.failures.report()
     }
 
     pub fn ended(&mut self, outcome: Outcome) {
@@ -73,7 +78,7 @@
         write!(f, "forwards={} dialled={} reused={} ", self.forwards, self.dialled, self.reused)?;
         write!(f, "checks={} heard={} ", self.checks, self.heard)?;
         write!(f, "lists={} lists_failed={} ", self.lists, self.lists_failed)?;
-        write!(f, "lists_odd={}", self.lists_odd)?;
+        write!(f, "lists_odd={}{}{}", self.lists_odd, self.unanswered, self.failures)?;
         let names = [
             "honoured",
             "error",
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -3,11 +3,13 @@
 
 pub mod body;
 pub mod clients;
+pub mod closing;
 pub mod config;
 pub mod counters;
 pub mod deadlines;
 pub mod discovery;
 pub mod ending;
+pub mod failures;
 pub mod fleet;
 pub mod handover;
 pub mod http;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -13,6 +13,7 @@
 use crate::config::Budgets;
 use crate::deadlines::DeadlineId;
 use crate::ending::Ending;
+use crate::failures::SystemCall;
 use crate::http::{self, AnswerHead, Bad, BODY_MOST, MESSAGE_MOST};
 use crate::link::Link;
 use crate::listing::{Entry, HandedHost};
@@ -248,7 +249,11 @@
         let mut failed = Ending::NoRoom;
         let slot = self.conns.insert_with(|slot| {
             let link = Link::dial(life.dial, &io.registry, Owner::Conn(slot).token());
-            let link = link.map_err(|e| failed = refusal(&e)).ok()?;
+            let mut count = |e: std::io::Error| {
+                io.counters.failures.count(SystemCall::Connect, &e);
+                refusal(&e)
+            };
+            let link = link.map_err(|e| failed = count(e)).ok()?;
             let deadline = Some(io.deadlines.set(until, Due::Dial(slot)));
             let (stage, job, head, words, used) = (Stage::Dialling, None, None, 0, io.now);
             let (kept, streams, told) = (false, false, None);
@@ -281,7 +286,10 @@
         if matches!(conn.stage, Stage::Dialling) {
             match conn.link.up() {
                 Ok(false) => return,
-                Err(e) => return self.close(slot, refusal(&e), io),
+                Err(e) => {
+                    io.counters.failures.count(SystemCall::Connect, &e);
+                    return self.close(slot, refusal(&e), io);
+                }
                 Ok(true) => {
                     if conn.by.is_some_and(|by| io.now >= by) {
                         return self.close(slot, Ending::TooLate, io);
@@ -323,6 +331,11 @@
         }
         let written = *written;
         let read = conn.link.fill(if conn.streams { io.window() } else { MESSAGE_MOST });
+        for (call, failed) in
+            [(SystemCall::Write, sent.as_ref().err()), (SystemCall::Read, read.as_ref().err())]
+        {
+            failed.into_iter().for_each(|e| io.counters.failures.count(call, e));
+        }
         if let (true, Some(Job { purpose: Purpose::Attempt(request, _), .. })) = (conn.streams, &conn.job) {
             return io.notes.push_back(Note::Down(*request));
         }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -9,7 +9,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 use socket2::{Domain, Socket, Type};
-use sparlug::event::{Action, Ended, Event, Listing, Outcome, Request};
+use sparlug::event::{Action, Ended, Event, Listing, Outcome, Reason, Request};
 use sparlug::id::{AttemptNo, BackendId, ClassId, RequestId};
 use sparlug::policy::Balancer;
 use sparlug::settings::Effect;
@@ -518,8 +518,8 @@
         let counts = self.io.counters.report(self.clients.names());
         let (in_flight, known) = (self.clients.in_flight(), self.pool.listed());
         let out = self.balancer.left_out();
-        let fleet = self.fleet.figures(self.io.now);
-        format!("{counts}{fleet}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{out}|g\n")
+        let (fleet, clients) = (self.fleet.figures(self.io.now), self.clients.report());
+        format!("{counts}{fleet}{clients}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{out}|g\n")
     }
 
     /// Leaves a backend out, or lets it serve again, in the process beside this one too.
@@ -562,12 +562,14 @@
                 Action::Attempt { request, backend, time_out, by } => {
                     self.attempt(request, backend, time_out, by);
                 }
-                Action::Refuse { request, backoff } => {
+                Action::Refuse { request, backoff, reason } => {
                     self.io.counters.refused += 1;
+                    self.say_unserved(request, reason);
                     self.answer(request, 503, backoff);
                 }
-                Action::Fail { request } => {
+                Action::Fail { request, reason } => {
                     self.io.counters.failed += 1;
+                    self.say_unserved(request, reason);
                     self.answer(request, 502, None);
                 }
                 Action::Cancel { request, attempt } => {
@@ -650,8 +652,12 @@
         };
         self.io.counters.forwards += 1;
         let id = held.incoming.head.id.as_deref();
-        tracing::trace!(id, request = request.0, host = self.pool.host(backend), "forward");
-        let number = AttemptNo(held.attempts.len() as u16);
+        let (number, host) = (AttemptNo(held.attempts.len() as u16), self.pool.host(backend));
+        if number.0 == 0 {
+            tracing::trace!(id, request = request.0, host, "forward");
+        } else {
+            tracing::debug!(id, request = request.0, attempt = number.0, host, "retry");
+        }
         held.attempts.push(None);
         let (incoming, window) = (&held.incoming, self.io.window());
         let (mut end, mut left, mut whole) = (incoming.message.len(), time_out, true);
@@ -861,6 +867,14 @@
         self.forget(request);
     }
 
+    /// Logs why a request gets no backend's answer.
+    fn say_unserved(&self, request: RequestId, reason: Reason) {
+        let held = self.held.get(HeldSlot::from_number(request.0));
+        let id = held.and_then(|held| held.incoming.head.id.as_deref());
+        let attempts = held.map(|held| held.attempts.len());
+        tracing::debug!(id, request = request.0, attempts, ?reason, "given up");
+    }
+
     /// Gives the proxy's own answer to a request, if it has none yet.
     fn answer(&mut self, request: RequestId, status: u16, backoff: Option<Span>) {
         let Some(held) = self.held.get(HeldSlot::from_number(request.0)) else { return };
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -256,12 +256,12 @@
                 put_backend(record, *backend);
                 record.extend(time_out.ms().to_le_bytes());
             }
-            Action::Refuse { request, backoff } => {
+            Action::Refuse { request, backoff, .. } => {
                 let record = self.begin(10, instance);
                 record.extend(wire_id(request).to_le_bytes());
                 record.extend(backoff.unwrap_or_default().ms().to_le_bytes());
             }
-            Action::Fail { request } => self.begin(20, instance).extend(wire_id(request).to_le_bytes()),
+            Action::Fail { request, .. } => self.begin(20, instance).extend(wire_id(request).to_le_bytes()),
             Action::Cancel { request, attempt } => {
                 let record = self.begin(60, instance);
                 record.extend(wire_id(request).to_le_bytes());
--- a/src/event.rs
+++ b/src/event.rs
@@ -188,9 +188,11 @@
     Refuse {
         request: RequestId,
         backoff: Option<Span>,
+        reason: Reason,
     },
     Fail {
         request: RequestId,
+        reason: Reason,
     },
     Cancel {
         request: RequestId,
@@ -228,6 +230,25 @@
     Log(String),
 }
 
+/// Why a request gets no backend's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The limit has no room for it, nor for it to wait.
+    Overloaded,
+    /// No answer can be expected in the time that is left.
+    TooLate,
+    /// Its time is over.
+    OutOfTime,
+    /// Staff have disabled every backend.
+    AllDisabled,
+    /// The proxy itself could not send the attempt.
+    NotSent,
+    /// An attempt failed which may have run, and the request may run only once.
+    MayHaveRun,
+    /// An attempt failed, and no further one is allowed or paid for.
+    AttemptsSpent,
+}
+
 /// What a backend's actor finds in its inbox.
 pub(crate) enum BackendNote {
     Listed(Listing),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,7 +10,9 @@
 
 use oorandom::Rand32;
 
-use crate::event::{Action, BackendNote, Condition, Ended, Event, Listing, Outcome, Request, TierNote};
+use crate::event::{
+    Action, BackendNote, Condition, Ended, Event, Listing, Outcome, Reason, Request, TierNote,
+};
 use crate::id::{AttemptNo, BackendId, PeerId, RequestId, TimerMark};
 use crate::roster::Roster;
 use crate::settings::{Effect, Group, Settings};
@@ -452,7 +454,7 @@
                 let id = RequestId(mark.0);
                 let up = |held: &Held| held.due <= self.now && (held.whole || held.out.is_none());
                 if self.desk.held.get(&id).is_some_and(up) {
-                    self.give_up(id, out);
+                    self.give_up(id, Reason::OutOfTime, out);
                 }
             }
         }
@@ -500,7 +502,7 @@
         if chance > self.rng.rand_float().into() {
             // Guards against one tenant's flood: within the band, what lies beyond a share goes first.
             let beyond = self.desk.first.iter().find(|id| self.desk.held[id].beyond_share);
-            self.give_up(beyond.copied().unwrap_or(id), out);
+            self.give_up(beyond.copied().unwrap_or(id), Reason::Overloaded, out);
         }
     }
 
@@ -523,7 +525,12 @@
             self.desk.retry_budget -= cost;
             self.desk.further.push(e.request);
         } else {
-            self.give_up(e.request, out);
+            let reason = match e.outcome {
+                Outcome::NotSent => Reason::NotSent,
+                _ if !allowed => Reason::MayHaveRun,
+                _ => Reason::AttemptsSpent,
+            };
+            self.give_up(e.request, reason, out);
         }
     }
 
@@ -538,20 +545,20 @@
     }
 
     /// The final answer, at once: a refusal where the class allows it, else a failure.
-    fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn give_up(&mut self, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         let Some(held) = self.release(id, out) else { return };
         let harmless = match held.class.effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Keyed { .. } | Effect::AtMostOnce => held.ran.is_none() && held.out.is_none(),
         };
         if !harmless {
-            return out.push(Action::Fail { request: id });
+            return out.push(Action::Fail { request: id, reason });
         }
         let took = Span::from_ms(self.tier.took.or(0.0));
         let soon = took.scaled(0.5 + f64::from(self.rng.rand_float()));
         let soon = if self.now + took < held.target { soon } else { held.class.deadline };
         let backoff = self.settings.max_backoff.map(|most| soon.min(most));
-        out.push(Action::Refuse { request: id, backoff });
+        out.push(Action::Refuse { request: id, backoff, reason });
     }
 
     /// Sends the next request that waits, if the limit has room; first attempts before further ones.
@@ -565,7 +572,7 @@
             none || self.now + need.min(held.target.since(held.arrived).scaled(0.9)) >= held.target
         };
         for id in self.desk.first.iter().chain(&self.desk.further).filter(late).copied().collect::<Vec<_>>() {
-            self.give_up(id, out);
+            self.give_up(id, if none { Reason::AllDisabled } else { Reason::TooLate }, out);
         }
         for id in self.desk.asking.clone() {
             let Some(backend) = self.answered(id) else { continue };
