Accept on after a momentary failure instead of shrinking the number of clients

What callers saw: connected, wrote a request, and got nothing until their own time was over; open connections were served.

Cause: clients.rs, accept(): every error but EINTR and ECONNABORTED set budgets.clients to three quarters of the connections then open. Nothing but SIGHUP raised it again, and later failures lowered it further. One failed call was read as a lasting want of descriptors.

Change: the listening socket has a module of its own (acceptor.rs). Where EMFILE is real, by the kernel's own RLIMIT_NOFILE and the connections that are open, three quarters of that are for clients, as before.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -2,18 +2,19 @@
 //! them and the answers that go out.
 
 use std::collections::BTreeSet;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use mio::net::{TcpListener, TcpStream};
+use rustix::process::{getrlimit, Resource};
 use sparlug::id::{RequestId, TenantId};
 use sparlug::time::{Span, Time};
 
+use crate::acceptor::{Acceptor, Next};
 use crate::body::{Body, LONGEST};
 use crate::closing::CloseReason;
-use crate::config::Budgets;
+use crate::config::{Budgets, OWN_SOCKETS};
 use crate::deadlines::DeadlineId;
-use crate::failures::SystemCall;
+use crate::failures::{is_descriptor_limit, SystemCall};
 use crate::http::{self, Bad, RequestHead, BODY_MOST, CALLERS_METHODS, HEAD_MOST, MESSAGE_MOST};
 use crate::link::Link;
 use crate::shared::{ClientSlot, Due, Incoming, Note, OfClient, Owner, Shared};
@@ -28,7 +29,6 @@
 const IDLE_TIME: Span = Span::from_millis(15_000); // between requests
 const ANSWER_TIME: Span = Span::from_millis(10_000); // for the client to take an answer
 const LINGER: Span = Span::from_millis(1_000); // for the client to read a last answer
-const ACCEPT_AGAIN: Span = Span::from_millis(20); // after running out of descriptors
 const FRESH: Span = Span::from_millis(2_000); // a connection used no longer ago is not closed to make room
 const LINGERING: usize = 0; // the first rank of those that may have to leave
 const GONE: u16 = 499; // how a request counts whose client left
@@ -98,7 +98,7 @@
 }
 
 pub struct Clients {
-    listener: Option<TcpListener>,
+    acceptor: Acceptor,
     /// Another process accepts there too.
     joined: bool,
     clients: Slots<OfClient, Client>,
@@ -111,9 +111,8 @@
     ids: BTreeSet<String>,
     classes: Classes,
     pub budgets: Budgets,
-    /// Connections may be waiting to be accepted.
-    waiting: bool,
-    again: Option<DeadlineId>,
+    /// How many may be open where the process has fewer descriptors than the configuration says.
+    descriptor_bound: Option<usize>,
     full: bool,
     pub ready: bool,
     /// The proxy is going down: answers say that the connection ends.
@@ -123,9 +122,9 @@
 impl Clients {
     /// `joined` tells that another process accepts at the same listener.
     pub fn new(listener: Option<TcpListener>, joined: bool, classes: Classes, budgets: Budgets) -> Clients {
-        let (clients, leavers, unread, ids, waiting, again, full, ready, leaving) = Default::default();
+        let (clients, leavers, unread, ids, full, ready, leaving) = Default::default();
         Clients {
-            listener,
+            acceptor: Acceptor::new(listener),
             joined,
             clients,
             leavers,
@@ -133,8 +132,7 @@
             ids,
             classes,
             budgets,
-            waiting,
-            again,
+            descriptor_bound: None,
             full,
             ready,
             leaving,
@@ -143,6 +141,12 @@
 
     pub fn set_budgets(&mut self, budgets: Budgets) {
         self.budgets = budgets;
+        self.descriptor_bound = None;
+    }
+
+    /// How many connections may be open.
+    fn limit(&self) -> usize {
+        self.descriptor_bound.map_or(self.budgets.clients, |bound| bound.min(self.budgets.clients))
     }
 
     /// Nobody is connected: all have had their answers, and read them or had time to.
@@ -162,7 +166,7 @@
 
     /// Connections that are open, how many may be, and whether others wait for one of them to end.
     pub fn report(&self) -> String {
-        let (open, limit, waiting) = (self.clients.count(), self.budgets.clients, u8::from(self.full));
+        let (open, limit, waiting) = (self.clients.count(), self.limit(), u8::from(self.full));
         format!("svc.clients.open:{open}|g\nsvc.clients.limit:{limit}|g\nsvc.clients.waiting:{waiting}|g\n")
     }
 
@@ -171,7 +175,7 @@
     }
 
     pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref()?.local_addr().ok()
+        self.acceptor.address()
     }
 
     /// It can serve from here on.
@@ -182,7 +186,7 @@
     }
 
     pub fn listener(&self) -> Option<&TcpListener> {
-        self.listener.as_ref()
+        self.acceptor.listener()
     }
 
     pub fn accept(&mut self, io: &mut Shared) {
@@ -190,40 +194,42 @@
         if self.joined && !self.ready {
             return;
         }
-        self.waiting = true;
-        while self.waiting {
+        loop {
             if !self.make_room(io) {
                 self.say_full(true);
-                return self.accept_again(io);
+                return self.acceptor.is_full(io);
             }
-            let Some(listener) = &self.listener else { return };
-            match listener.accept() {
-                Ok((stream, _)) => self.add(stream, io),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.waiting = false;
-                    self.say_full(false);
-                }
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(e) => {
-                    io.counters.failures.count(SystemCall::Accept, &e);
-                    // Guards against idle connections keeping all others out where fewer descriptors are left
-                    // than the limits said: the part for callers shrinks, and a quarter goes to backends.
-                    self.budgets.clients = (self.clients.count() * 3 / 4).max(1);
-                    tracing::warn!(error = %e, budget = self.budgets.clients, "cannot accept");
-                    return self.accept_again(io);
-                }
+            match self.acceptor.next(io) {
+                Next::Connection(stream) => self.add(stream, io),
+                Next::Empty => return self.say_full(false),
+                Next::Failed(error) if is_descriptor_limit(&error) => return self.bound_by_descriptors(io),
+                Next::Failed(_) | Next::Closed => return,
             }
         }
     }
 
+    /// Guards against idle connections keeping all others out where the process has fewer descriptors than the
+    /// configuration says. Whether it has is asked of the kernel: one failure proves nothing.
+    fn bound_by_descriptors(&mut self, io: &Shared) {
+        let Some(descriptors) = getrlimit(Resource::Nofile).current else { return };
+        let room = usize::try_from(descriptors).unwrap_or(usize::MAX).saturating_sub(OWN_SOCKETS);
+        if self.clients.count() + io.backend_connections < room {
+            return;
+        }
+        let bound = (room * 3 / 4).max(1);
+        if self.descriptor_bound.replace(bound) != Some(bound) {
+            tracing::warn!(descriptors, clients = bound, "fewer descriptors than the configuration says");
+        }
+    }
+
     /// Whether one more can be accepted. A connection that is owed nothing may have to leave for it: one that
     /// only lingers, then an idle one, then one whose request does not come to its end.
     fn make_room(&mut self, io: &mut Shared) -> bool {
-        while self.clients.count() >= self.budgets.clients {
+        while self.clients.count() >= self.limit() {
             // Guards against closing on a request that is on its way: a new connection is there to bring one.
             let Some(slot) = self.leaver(io.now) else {
                 // Guards against leaving unread what was sent on connections that the kernel has accepted.
-                return self.clients.count() < self.budgets.clients + self.budgets.clients / 8;
+                return self.clients.count() < self.limit() + self.limit() / 8;
             };
             self.event(slot, io);
             if self.leaver(io.now) == Some(slot) {
@@ -273,12 +279,6 @@
         }
     }
 
-    /// Guards against spinning when there is no room or no descriptor: the next try is a deadline's.
-    fn accept_again(&mut self, io: &mut Shared) {
-        io.deadlines.call_off(self.again.take());
-        self.again = Some(io.deadlines.set(io.now + ACCEPT_AGAIN, Due::Accept));
-    }
-
     fn add(&mut self, stream: TcpStream, io: &mut Shared) {
         let mut stream = Some(stream);
         // The slot is wanted for the token, so the record is made in two steps.
@@ -334,7 +334,7 @@
             io.notes.push_back(Note::Left(request));
         }
         client.link.close(&io.registry);
-        if self.waiting {
+        if self.acceptor.waiting {
             io.deadlines.set(io.now, Due::Accept);
         }
     }
@@ -479,7 +479,7 @@
         if head.path == "/ready" {
             let ready = self.ready && !self.leaving;
             // Guards against a crowd that asks once and stays in the place of callers that bring requests.
-            let close = head.close || self.clients.count() > self.budgets.clients / 2;
+            let close = head.close || self.clients.count() > self.limit() / 2;
             return self.reply(slot, if ready { 200 } else { 503 }, close, io);
         }
         let first = head.path[1..].split('/').next().unwrap_or_default();
@@ -528,7 +528,7 @@
     /// Whether a connection ends with its answer: the proxy goes, there are too many, or a body is left unread.
     pub fn ends(&self, slot: ClientSlot) -> bool {
         let unread = self.clients.get(slot).is_some_and(|client| client.upload.is_some());
-        self.leaving || unread || self.clients.count() > self.budgets.clients
+        self.leaving || unread || self.clients.count() > self.limit()
     }
 
     /// The next bytes of a body that is passed on as it comes, `room` at the most, and whether it ends with them.
@@ -725,9 +725,7 @@
         if !succeeded {
             self.accept(io);
         }
-        if let Some(mut listener) = self.listener.take() {
-            let _ = io.registry.deregister(&mut listener);
-        }
+        self.acceptor.close(io);
     }
 
     /// Closes the connections on which nothing is owed. A request that is not whole yet is refused: what
--- a/crates/proxy/src/failures.rs
+++ b/crates/proxy/src/failures.rs
@@ -4,6 +4,47 @@
 use std::fmt;
 use std::io;
 
+use rustix::io::Errno;
+
+/// What to do about a call that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Remedy {
+    /// Make it again at once: it was interrupted, or the failure was that of a single connection.
+    Now,
+    /// Make it again after a pause: something is short for the moment.
+    Later,
+}
+
+/// What accept(2) documents as pending errors of the connection that was taken, which is gone then.
+const OF_ONE_CONNECTION: [Errno; 13] = [
+    Errno::INTR,
+    Errno::CONNABORTED,
+    Errno::CONNRESET,
+    Errno::PROTO,
+    Errno::PERM,
+    Errno::NETDOWN,
+    Errno::NOPROTOOPT,
+    Errno::HOSTDOWN,
+    Errno::NONET,
+    Errno::HOSTUNREACH,
+    Errno::OPNOTSUPP,
+    Errno::NETUNREACH,
+    Errno::TIMEDOUT,
+];
+
+/// What a failure of `accept` asks for.
+pub fn accept_remedy(error: &io::Error) -> Remedy {
+    match Errno::from_io_error(error) {
+        Some(errno) if OF_ONE_CONNECTION.contains(&errno) => Remedy::Now,
+        _ => Remedy::Later,
+    }
+}
+
+/// Whether the process has no descriptor left, of as many as its own limit allows.
+pub fn is_descriptor_limit(error: &io::Error) -> bool {
+    Errno::from_io_error(error) == Some(Errno::MFILE)
+}
+
 /// The calls whose failures are told apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SystemCall {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,6 +1,7 @@
 //! The proxy on sockets round sparlug's decisions, a part a file. `proxy` holds the one loop; `clients`,
 //! `pool` and `discovery` are the sides that it serves; the rest is what they share. Nothing here decides.
 
+pub mod acceptor;
 pub mod body;
 pub mod clients;
 pub mod closing;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -275,6 +275,7 @@
         });
         let slot = slot.ok_or(failed)?;
         self.places.entry(backend).and_modify(|place| place.conns += 1);
+        io.backend_connections += 1;
         io.counters.dialled += 1;
         tracing::trace!(host = self.host(backend), "dialled");
         Ok(slot)
@@ -492,6 +493,7 @@
     /// Every end of a connection, and of what it carried, comes through here.
     fn close(&mut self, slot: ConnSlot, ending: Ending, io: &mut Shared) {
         let Some(mut conn) = self.conns.remove(slot) else { return };
+        io.backend_connections -= 1;
         if matches!(ending, Ending::KeptBroke { .. }) {
             if self.held_up >= TRUSTED {
                 tracing::info!("kept connections break, what may run once goes on new ones");
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -158,10 +158,20 @@
 
         let clock = Clock::start();
         let (now, deadlines, counters) = (clock.now(), Deadlines::default(), Counters::default());
-        let (callers, notes) = Default::default();
+        let (callers, backend_connections, notes) = Default::default();
         let (streams, stream_bytes) = (0, config.budgets.bytes / 2);
-        let mut io =
-            Shared { registry, now, since: now, deadlines, counters, callers, notes, streams, stream_bytes };
+        let mut io = Shared {
+            registry,
+            now,
+            since: now,
+            deadlines,
+            counters,
+            callers,
+            backend_connections,
+            notes,
+            streams,
+            stream_bytes,
+        };
         let management = Management::new(config.management, &io)?;
         let handover = Handover::new(path, wanted, before, &mut io);
         let budgets = [config.budgets, config.halved];
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -43,6 +43,8 @@
     pub counters: Counters,
     /// Connections from callers.
     pub callers: usize,
+    /// Connections to backends.
+    pub backend_connections: usize,
     pub notes: VecDeque<Note>,
     /// Requests with bodies that are passed on as they come, and the bytes that those in each direction may hold.
     pub streams: usize,
