--- a/crates/proxy/tests/accept_failures.rs
+++ b/crates/proxy/tests/accept_failures.rs
@@ -2,11 +2,11 @@
 
 mod helper;
 
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use helper::shim::{errno, Call, Fault, Shim};
-use helper::{answer, backend, kept, message, settings, write, Proxy};
+use helper::{backend, kept, message, serve, settings, write, Proxy};
 
 /// Everything that `accept` can fail with by accept(2), for a moment.
 const ERRORS: [u32; 15] = [
@@ -30,19 +30,6 @@
 /// Far less than the 2 s after which a client connection may be closed for its silence.
 const SOON: Duration = Duration::from_millis(500);
 
-/// Answers every request on every connection.
-fn serve(backend: TcpListener) {
-    std::thread::spawn(move || {
-        while let Ok((mut conn, _)) = backend.accept() {
-            std::thread::spawn(move || {
-                while !message(&mut conn).is_empty() {
-                    write(&mut conn, &answer("200 OK", "", "fine"));
-                }
-            });
-        }
-    });
-}
-
 fn ask(client: &mut TcpStream) -> String {
     write(client, &kept("GET", "/read"));
     message(client)
@@ -82,3 +69,58 @@
         }
     }
 }
+
+/// Guards against an accepted connection being dropped unanswered where it cannot be watched at once.
+#[test]
+fn an_accepted_connection_is_served_though_the_event_queue_takes_it_later() {
+    for error in [errno::ENOMEM, errno::ENOSPC] {
+        for times in [1, 5] {
+            let listener = backend();
+            let (proxy, shim) = Shim::start(&[&listener], &settings(5000, ""));
+            serve(listener);
+            let port = proxy.address.rsplit(':').next().unwrap().parse().unwrap();
+            shim.fail(Fault::of(Call::EpollAdd, error, times).at(port));
+            let mut new = proxy.connect();
+            write(&mut new, &kept("GET", "/read"));
+            new.set_read_timeout(Some(SOON)).unwrap();
+            let case = format!("{times} times error {error}");
+            assert_eq!(new.peek(&mut [0]).ok(), Some(1), "not served: {case}");
+            assert!(message(&mut new).ends_with("fine"), "{case}");
+            assert_eq!(shim.hits(Call::EpollAdd), times, "{case}");
+        }
+    }
+}
+
+/// Guards against connections that the kernel has taken being reset with the listener, where `accept` fails in the
+/// moment in which the proxy stops listening.
+#[test]
+fn connections_in_the_queue_are_served_when_accept_fails_as_the_proxy_goes_down() {
+    let listener = backend();
+    let (proxy, shim) = Shim::start(&[&listener], &settings(500, ""));
+    serve(listener);
+    proxy.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(450));
+    shim.fail(Fault::of(Call::Accept, errno::ENFILE, 60));
+    let mut clients: Vec<_> = (0..4).map(|_| proxy.connect()).collect();
+    clients.iter_mut().for_each(|client| write(client, &kept("GET", "/read")));
+    for client in &mut clients {
+        assert_eq!(client.peek(&mut [0]).ok(), Some(1), "not answered");
+        assert!(message(client).contains("Connection: close"));
+    }
+    drop(clients);
+    assert_eq!(proxy.end(), Some(0));
+}
+
+/// Guards against operators that wait until the next one calls.
+#[test]
+fn operators_are_answered_once_accept_succeeds_again() {
+    let listener = backend();
+    let (proxy, shim) = Shim::start(&[&listener], &settings(500, ""));
+    for error in ERRORS {
+        shim.fail(Fault::of(Call::Accept, error, 2));
+        let mut operator = TcpStream::connect(&proxy.management).unwrap();
+        write(&mut operator, "GET /ready HTTP/1.1\r\n\r\n");
+        operator.set_read_timeout(Some(SOON)).unwrap();
+        assert_eq!(operator.peek(&mut [0]).ok(), Some(1), "error {error}");
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/dial_failures.rs
@@ -0,0 +1,102 @@
+//! Connecting to backends fails for a moment for the proxy's own reasons: what nothing was sent of is tried again
+//! within its time, and no backend is blamed.
+
+mod helper;
+
+use std::time::{Duration, Instant};
+
+use helper::shim::{errno, Call, Fault, Shim};
+use helper::{accept, answer, backend, kept, message, request, serve, settings, write};
+
+const SOON: Duration = Duration::from_millis(500);
+/// What a client waits at the most.
+const TARGET_MS: u32 = 500;
+
+/// A moment's failures: of socket(2), connect(2) and epoll_ctl(2).
+const FAILURES: [(Call, u32); 18] = [
+    (Call::Socket, errno::EMFILE),
+    (Call::Socket, errno::ENFILE),
+    (Call::Socket, errno::ENOBUFS),
+    (Call::Socket, errno::ENOMEM),
+    (Call::Connect, errno::EINTR),
+    (Call::Connect, errno::EAGAIN),
+    (Call::Connect, errno::EADDRNOTAVAIL),
+    (Call::Connect, errno::ENETUNREACH),
+    (Call::Connect, errno::ENETDOWN),
+    (Call::Connect, errno::ECONNABORTED),
+    (Call::Connect, errno::ENFILE),
+    (Call::Connect, errno::ENOBUFS),
+    (Call::Connect, errno::ENOMEM),
+    (Call::Connect, errno::EPERM),
+    (Call::EpollAdd, errno::ENOMEM),
+    (Call::EpollAdd, errno::ENOSPC),
+    (Call::PeerName, errno::ENOBUFS),
+    (Call::SocketError, errno::ENOBUFS),
+];
+
+#[test]
+fn requests_are_sent_once_connecting_succeeds_again() {
+    for (call, error) in FAILURES {
+        for (method, path) in [("GET", "/read"), ("POST", "/write")] {
+            let listeners = [backend(), backend()];
+            let ports = listeners.each_ref().map(|listener| listener.local_addr().unwrap().port());
+            let (proxy, shim) = Shim::start(&[&listeners[0], &listeners[1]], &settings(TARGET_MS, ""));
+            let arrivals = listeners.map(serve);
+            let mut client = proxy.connect();
+            // Only one backend's port can be named; where none can, discovery's calls fail as well.
+            let by_port = !matches!(call, Call::Socket);
+            let times = 8;
+            let fault = Fault::of(call, error, times);
+            shim.fail(if by_port { fault.at(ports[0]) } else { fault });
+            for _ in 0..6 {
+                let text = kept(method, path).replace("Request-Timeout: 60", "Request-Timeout: 1");
+                let start = Instant::now();
+                write(&mut client, &text);
+                let answered = message(&mut client);
+                let case =
+                    format!("{call:?} error {error} {method}: {answered:?} after {:?}", start.elapsed());
+                assert!(answered.ends_with("fine"), "{case}");
+                assert!(start.elapsed() < SOON, "{case}");
+                let runs: usize = arrivals.iter().map(|all| all.of(helper::id(&text)).len()).sum();
+                assert_eq!(runs, 1, "{case}");
+            }
+            let out = proxy.figure("svc.backends_excluded");
+            assert_eq!(out, Some(0), "no backend is blamed: {call:?} error {error}");
+        }
+    }
+}
+
+/// Guards against waiting on where the time is over: the answer comes by the deadline all the same.
+#[test]
+fn a_request_that_cannot_be_sent_at_all_is_answered_in_its_time() {
+    for (call, error) in [(Call::Socket, errno::ENFILE), (Call::Connect, errno::ENETUNREACH)] {
+        let listener = backend();
+        let (proxy, shim) = Shim::start(&[&listener], &settings(5000, ""));
+        shim.fail(Fault::of(call, error, u32::MAX));
+        let start = Instant::now();
+        let answered = proxy.ask(&request("POST", "/write", "0.3"));
+        assert!(answered.starts_with("HTTP/1.1 50"), "{call:?}: {answered:?}");
+        assert!(start.elapsed() < Duration::from_millis(350), "{call:?}: after {:?}", start.elapsed());
+    }
+}
+
+/// Guards against telling a backend a time of which a failing write has used up a part.
+#[test]
+fn the_time_told_to_a_backend_is_what_is_left_when_writing_succeeds() {
+    let listener = backend();
+    let port = listener.local_addr().unwrap().port();
+    let (proxy, shim) = Shim::start(&[&listener], &settings(5000, ""));
+    shim.fail(Fault::of(Call::Write, errno::ENOBUFS, u32::MAX).at(port));
+    let mut client = proxy.connect();
+    let start = Instant::now();
+    write(&mut client, &request("GET", "/read", "2"));
+    let mut conn = accept(&listener);
+    std::thread::sleep(Duration::from_millis(600));
+    shim.clear(Call::Write);
+    let text = message(&mut conn);
+    let told = text.lines().find_map(|line| line.strip_prefix("Request-Timeout: ")).unwrap();
+    let left = 2.0 - start.elapsed().as_secs_f64();
+    assert!(told.parse::<f64>().unwrap() <= left + 0.15, "told {told}, left {left}");
+    write(&mut conn, &answer("200 OK", "", "fine"));
+    assert!(message(&mut client).ends_with("fine"));
+}
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -332,3 +332,56 @@
 pub fn answer(status: &str, more: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len())
 }
+
+/// A request as a backend read it.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub id: String,
+    pub at: std::time::Instant,
+    /// The time that it says is left, in seconds.
+    pub time_out: f64,
+}
+
+/// What backends have read so far.
+#[derive(Clone, Default)]
+pub struct Arrivals(std::sync::Arc<std::sync::Mutex<Vec<Arrival>>>);
+
+impl Arrivals {
+    pub fn all(&self) -> Vec<Arrival> {
+        self.0.lock().unwrap().clone()
+    }
+
+    pub fn of(&self, id: &str) -> Vec<Arrival> {
+        self.all().into_iter().filter(|arrival| arrival.id == id).collect()
+    }
+
+    pub fn add(&self, text: &str) {
+        let line = |name: &str| text.lines().find_map(|line| line.strip_prefix(name));
+        let time_out = line("Request-Timeout: ").and_then(|time| time.parse().ok()).unwrap_or(f64::INFINITY);
+        let arrival = Arrival { id: id(text).to_string(), at: std::time::Instant::now(), time_out };
+        self.0.lock().unwrap().push(arrival);
+    }
+}
+
+/// Answers every request on every connection of a backend.
+pub fn serve(backend: TcpListener) -> Arrivals {
+    let arrivals = Arrivals::default();
+    let all = arrivals.clone();
+    std::thread::spawn(move || {
+        while let Ok((mut conn, _)) = backend.accept() {
+            let all = all.clone();
+            std::thread::spawn(move || loop {
+                let text = message(&mut conn);
+                if text.is_empty() {
+                    return;
+                }
+                all.add(&text);
+                let answer = answer("200 OK", "", "fine");
+                if conn.write_all(answer.as_bytes()).is_err() {
+                    return;
+                }
+            });
+        }
+    });
+    arrivals
+}
--- a/crates/proxy/tests/helper/shim.rs
+++ b/crates/proxy/tests/helper/shim.rs
@@ -118,9 +118,16 @@
 impl Shim {
     /// Starts a proxy under the library; nothing fails yet.
     pub fn start(backends: &[&TcpListener], settings: &str) -> (Proxy, Shim) {
+        Shim::start_failing(backends, settings, &[])
+    }
+
+    /// The same where calls fail from the first moment on.
+    pub fn start_failing(backends: &[&TcpListener], settings: &str, faults: &[Fault]) -> (Proxy, Shim) {
         let path = new_path().with_extension("faults");
         let control = OpenOptions::new().read(true).write(true).create_new(true).open(&path).unwrap();
         control.set_len((CALLS * RULE_BYTES + 8) as u64).unwrap();
+        let shim = Shim { control, path: path.clone() };
+        faults.iter().for_each(|fault| shim.fail(*fault));
         let environment = [
             ("LD_PRELOAD", library().to_str().unwrap()),
             ("SHIM_CONTROL", path.to_str().unwrap()),
@@ -128,7 +135,7 @@
         ];
         let addresses = r#""listen":"127.0.0.1:0","management":"127.0.0.1:0""#;
         let proxy = Proxy::run(config(backends, 1024, settings, addresses), 1024, &environment);
-        (proxy, Shim { control, path })
+        (proxy, shim)
     }
 
     /// From now on calls fail so.
--- /dev/null
+++ b/crates/proxy/tests/transfer_failures.rs
@@ -0,0 +1,105 @@
+//! Reads and writes fail, are interrupted or move little: no request is lost, and none runs twice.
+
+mod helper;
+
+use std::time::{Duration, Instant};
+
+use helper::shim::{errno, Call, Fault, Shim};
+use helper::{backend, kept, message, serve, settings, write};
+
+const SOON: Duration = Duration::from_millis(500);
+const REQUESTS: usize = 6;
+
+/// Asks on one connection while the fault lasts, at the clients' side or the backends', and counts the runs.
+fn every_request_is_answered_and_runs_once(fault: Fault, at_backend: bool) {
+    for (method, path) in [("GET", "/read"), ("POST", "/write")] {
+        let listener = backend();
+        let backend_port = listener.local_addr().unwrap().port();
+        let (proxy, shim) = Shim::start(&[&listener], &settings(1000, ""));
+        let arrivals = serve(listener);
+        let client_port = proxy.address.rsplit(':').next().unwrap().parse().unwrap();
+        shim.fail(fault.at(if at_backend { backend_port } else { client_port }));
+        let mut client = proxy.connect();
+        for _ in 0..REQUESTS {
+            let text = kept(method, path);
+            let start = Instant::now();
+            write(&mut client, &text);
+            let answered = message(&mut client);
+            let case = format!("{fault:?} {method}: {answered:?} after {:?}", start.elapsed());
+            assert!(answered.ends_with("fine"), "{case}");
+            assert!(start.elapsed() < SOON, "{case}");
+            assert_eq!(arrivals.of(helper::id(&text)).len(), 1, "{case}");
+        }
+        assert!(shim.hits(fault.call) > 0, "{fault:?}");
+    }
+}
+
+#[test]
+fn a_call_that_fails_for_want_of_memory_is_made_again() {
+    for error in [errno::ENOBUFS, errno::ENOMEM] {
+        for call in [Call::Read, Call::Write] {
+            for at_backend in [false, true] {
+                every_request_is_answered_and_runs_once(Fault::of(call, error, 12).every(2), at_backend);
+            }
+        }
+    }
+}
+
+#[test]
+fn interrupted_calls_are_made_again() {
+    for call in [Call::Read, Call::Write] {
+        for at_backend in [false, true] {
+            every_request_is_answered_and_runs_once(Fault::of(call, errno::EINTR, 200).every(2), at_backend);
+        }
+    }
+    every_request_is_answered_and_runs_once(Fault::of(Call::EpollWait, errno::EINTR, 2000), false);
+}
+
+#[test]
+fn short_reads_and_writes_lose_nothing() {
+    for call in [Call::Read, Call::Write] {
+        for at_backend in [false, true] {
+            for bytes in [1, 7] {
+                every_request_is_answered_and_runs_once(Fault::short(call, bytes, u32::MAX), at_backend);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_log_that_cannot_be_written_costs_no_request() {
+    for error in [errno::ENOSPC, errno::EIO, errno::EINTR, errno::EAGAIN, errno::EPIPE] {
+        let listener = backend();
+        let (proxy, shim) = Shim::start(&[&listener], &settings(1000, ""));
+        serve(listener);
+        shim.fail(Fault::of(Call::LogWrite, error, 10));
+        proxy.signal("-USR1"); // prints the counters
+        shim.wait_for_hits(Call::LogWrite, 1);
+        let mut client = proxy.connect();
+        for _ in 0..REQUESTS {
+            write(&mut client, &kept("GET", "/read"));
+            assert!(message(&mut client).ends_with("fine"), "error {error}");
+        }
+        shim.clear(Call::LogWrite);
+        proxy.signal("-USR1");
+        proxy.logged("counters=");
+    }
+}
+
+/// Guards against missing the end of a client behind a read that failed for a moment.
+#[test]
+fn a_client_that_leaves_while_reads_fail_has_left() {
+    let listener = backend();
+    let (proxy, shim) = Shim::start(&[&listener], &settings(5000, ""));
+    let client_port = proxy.address.rsplit(':').next().unwrap().parse().unwrap();
+    let mut client = proxy.connect();
+    write(&mut client, &kept("GET", "/read"));
+    let mut conn = helper::accept(&listener);
+    message(&mut conn);
+    shim.fail(Fault::of(Call::Read, errno::ENOMEM, 4).at(client_port));
+    helper::close(client);
+    // Its attempt is cancelled, which closes the connection to the backend.
+    conn.set_read_timeout(Some(SOON)).unwrap();
+    assert_eq!(std::io::Read::read(&mut conn, &mut [0]).ok(), Some(0), "the attempt goes on");
+    assert_eq!(helper::counted(&proxy, "left"), 1);
+}
