Make calls on a connection again that fail for want of memory

What callers saw: a connection that ended with no answer, or with none to what they had sent, because one recv, send or epoll_ctl failed with ENOBUFS, ENOMEM or ENOSPC; to backends the same cut attempts off, of which some may have run.

Cause: link.rs took every error but EINTR and EAGAIN for the end of the connection, and clients.rs, handover.rs and management.rs dropped what the event queue did not take at once. Both say nothing of the connection, which is sound.

Change: a link keeps its stream, remembers that a call is to be made again, and is looked at 5 ms later without an event (Shared::settle); what is not watched yet is served by those looks. Due::Again(owner) takes the place of five kinds of deadline.

--- a/crates/proxy/src/acceptor.rs
+++ b/crates/proxy/src/acceptor.rs
@@ -8,7 +8,7 @@
 
 use crate::deadlines::DeadlineId;
 use crate::failures::{accept_remedy, Remedy, SystemCall};
-use crate::shared::{Due, Shared};
+use crate::shared::{Due, Owner, Shared};
 
 const FULL_PAUSE: Span = Span::from_millis(20); // while there is no room for one more
 const FAILURE_PAUSE: Span = Span::from_millis(5); // after a failure for want of something
@@ -97,7 +97,7 @@
 
     fn look_again(&mut self, pause: Span, io: &mut Shared) {
         io.deadlines.call_off(self.retry.take());
-        self.retry = Some(io.deadlines.set(io.now + pause, Due::Accept));
+        self.retry = Some(io.deadlines.set(io.now + pause, Due::Again(Owner::Listener)));
     }
 
     /// Listens no more.
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -181,7 +181,7 @@
     /// It can serve from here on.
     pub fn set_ready(&mut self, io: &mut Shared) {
         if !std::mem::replace(&mut self.ready, true) {
-            io.deadlines.set(io.now, Due::Accept);
+            io.deadlines.set(io.now, Due::Again(Owner::Listener));
         }
     }
 
@@ -249,8 +249,9 @@
     }
 
     /// Brings the sums and orders over all callers up to how one of them stands now.
-    fn settle(&mut self, slot: ClientSlot) {
+    fn settle(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
+        io.settle(&mut client.link, Owner::Client(slot));
         let length = client.link.input.len();
         self.unread = self.unread + length - std::mem::replace(&mut client.counted, length);
         let rank = match client.state {
@@ -282,11 +283,9 @@
     fn add(&mut self, stream: TcpStream, io: &mut Shared) {
         let mut stream = Some(stream);
         // The slot is wanted for the token, so the record is made in two steps.
-        let (registry, deadlines, now) = (&io.registry, &mut io.deadlines, io.now);
-        let failures = &mut io.counters.failures;
+        let (deadlines, now) = (&mut io.deadlines, io.now);
         let slot = self.clients.insert_with(|slot| {
-            let link = Link::new(stream.take()?, registry, Owner::Client(slot).token());
-            let link = link.map_err(|e| failures.count(SystemCall::Register, &e)).ok()?;
+            let link = Link::new(stream.take()?);
             link.set_nodelay();
             let deadline = Some(deadlines.set(now + FIRST_TIME, Due::Client(slot)));
             let (state, head, upload, id, open) = (State::Reading, None, None, None, None);
@@ -335,7 +334,7 @@
         }
         client.link.close(&io.registry);
         if self.acceptor.waiting {
-            io.deadlines.set(io.now, Due::Accept);
+            io.deadlines.set(io.now, Due::Again(Owner::Listener));
         }
     }
 
@@ -354,7 +353,7 @@
     /// Something can be read or written, or the connection has ended.
     pub fn event(&mut self, slot: ClientSlot, io: &mut Shared) {
         self.go_on(slot, io);
-        self.settle(slot);
+        self.settle(slot, io);
     }
 
     fn go_on(&mut self, slot: ClientSlot, io: &mut Shared) {
@@ -369,7 +368,7 @@
         if client.state == State::Lingering {
             client.link.input.clear();
             if client.link.unread() {
-                io.deadlines.set(io.now, Due::Read(slot));
+                io.deadlines.set(io.now, Due::Again(Owner::Client(slot)));
             }
         }
         // Guards against a row of requests, more than is read at once, hiding that nobody waits for them.
@@ -537,7 +536,7 @@
         if client.link.input.is_empty() && client.link.unread() {
             let _ = client.fill(io.window(), io.now);
             if client.link.ended {
-                io.deadlines.set(io.now, Due::Read(slot));
+                io.deadlines.set(io.now, Due::Again(Owner::Client(slot)));
             }
         }
         let Some(body) = client.upload.as_mut().and_then(|upload| upload.body.as_mut()) else {
@@ -551,7 +550,7 @@
             client.upload = None;
             io.deadlines.call_off(client.deadline.take());
         }
-        self.settle(slot);
+        self.settle(slot, io);
         Ok((bytes, over))
     }
 
@@ -584,6 +583,7 @@
             *done = over;
             client.link.queue(bytes);
             self.write(slot, io);
+            self.settle(slot, io);
         }
     }
 
@@ -613,7 +613,7 @@
         client.link.queue(bytes);
         client.deadline = Some(io.deadlines.set(io.now + ANSWER_TIME, Due::Client(slot)));
         self.write(slot, io);
-        self.settle(slot);
+        self.settle(slot, io);
     }
 
     fn write(&mut self, slot: ClientSlot, io: &mut Shared) {
@@ -656,7 +656,7 @@
         // What came behind the request is there already, and brings no event of its own. It waits for the
         // next round, which guards against one client's long row of requests holding up all others.
         if client.link.unread() || !client.link.input.is_empty() {
-            io.deadlines.set(io.now, Due::Read(slot));
+            io.deadlines.set(io.now, Due::Again(Owner::Client(slot)));
         }
     }
 
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -171,6 +171,13 @@
     }
 
     fn go_on(&mut self, io: &mut Shared) {
+        self.advance(io);
+        if let Some(link) = &mut self.link {
+            io.settle(link, Owner::Discovery(self.turn));
+        }
+    }
+
+    fn advance(&mut self, io: &mut Shared) {
         let Some(link) = &mut self.link else { return };
         match link.up() {
             Ok(true) => {}
--- a/crates/proxy/src/failures.rs
+++ b/crates/proxy/src/failures.rs
@@ -40,6 +40,11 @@
     }
 }
 
+/// Whether a read or write failed for want of memory, which says nothing of the connection.
+pub fn is_shortage(error: &io::Error) -> bool {
+    matches!(Errno::from_io_error(error), Some(Errno::NOBUFS | Errno::NOMEM))
+}
+
 /// Whether the process has no descriptor left, of as many as its own limit allows.
 pub fn is_descriptor_limit(error: &io::Error) -> bool {
     Errno::from_io_error(error) == Some(Errno::MFILE)
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -228,7 +228,7 @@
                 Err(_) => {}
             }
         }
-        io.deadlines.set(io.now, Due::FleetHear);
+        io.deadlines.set(io.now, Due::Again(Owner::Fleet));
         told
     }
 
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -174,12 +174,11 @@
     }
 
     fn add(&mut self, stream: UnixStream, successor: bool, io: &mut Shared) -> Option<PeerSlot> {
-        let mut stream = Some(stream);
-        let registry = &io.registry;
-        self.peers.insert_with(|slot| {
-            let link = Link::new(stream.take()?, registry, Owner::Peer(slot).token()).ok()?;
-            Some(Peer { link, successor })
-        })
+        let slot = self.peers.insert_with(|_| Some(Peer { link: Link::new(stream), successor }))?;
+        if let Some(peer) = self.peers.get_mut(slot) {
+            io.settle(&mut peer.link, Owner::Peer(slot));
+        }
+        Some(slot)
     }
 
     /// Hands the state and the listening socket to those that have come.
@@ -236,7 +235,7 @@
             }
         };
         if why.is_none() && !peer.link.ended {
-            return;
+            return io.settle(&mut peer.link, Owner::Peer(slot));
         }
         let (successor, why) = (peer.successor, why.unwrap_or_else(|| "it ended".to_string()));
         if let Some(peer) = self.peers.remove(slot) {
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -1,16 +1,21 @@
 //! One non-blocking stream with what was read and not used, and what is to be written. Readiness is
-//! edge-triggered, so it remembers when it stopped reading with more to come.
+//! edge-triggered, so it remembers when it stopped reading with more to come, and when a call failed that is to be
+//! made again.
 
 use std::cell::RefCell;
-use std::io::{ErrorKind, Read, Result, Write};
+use std::io::{self, ErrorKind, Read, Result, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::ops::Range;
 
 use mio::event::Source;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
+use sparlug::time::{Span, Time};
+
+use crate::failures::is_shortage;
 
 const PIECE: usize = 16 * 1024; // read at once
+const RETRY_PAUSE: Span = Span::from_millis(5); // before a call is made again that failed for want of something
 
 thread_local! {
     /// Where a read puts its bytes first. Guards against a large buffer for each of many connections that stand
@@ -19,22 +24,76 @@
 }
 
 pub struct Link<S = TcpStream> {
-    stream: S,
+    /// `None` until a socket could be made.
+    stream: Option<S>,
+    /// The event queue has it.
+    watched: bool,
     pub input: Vec<u8>,
     output: Vec<u8>,
     written: usize,
+    /// Something of what was queued last has been written.
+    begun: bool,
     /// Reading stopped at its bound, not because there was nothing more.
     unread: bool,
+    /// A call failed for want of memory: it is to be made again, and no event will tell when.
+    stalled: bool,
+    /// When it is looked at again without an event.
+    look_at: Option<Time>,
     pub ended: bool,
     /// It ended with an error.
     pub broken: bool,
 }
 
 impl<S: Read + Write + Source> Link<S> {
-    pub fn new(mut stream: S, registry: &Registry, token: Token) -> Result<Link<S>> {
-        registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
+    /// A link on a stream, which is to be watched.
+    pub fn new(stream: S) -> Link<S> {
+        Link { stream: Some(stream), ..Link::unconnected() }
+    }
+
+    /// A link whose stream is still to be made.
+    pub fn unconnected() -> Link<S> {
         let (input, output) = (Vec::new(), Vec::new());
-        Ok(Link { stream, input, output, written: 0, unread: true, ended: false, broken: false })
+        Link {
+            stream: None,
+            watched: false,
+            input,
+            output,
+            written: 0,
+            begun: false,
+            unread: true,
+            stalled: false,
+            look_at: None,
+            ended: false,
+            broken: false,
+        }
+    }
+
+    /// Has the event queue tell what happens on it, unless it does so already.
+    pub fn watch(&mut self, registry: &Registry, token: Token) -> Result<()> {
+        let Some(stream) = self.stream.as_mut().filter(|_| !self.watched) else { return Ok(()) };
+        let watched = registry.register(stream, token, Interest::READABLE | Interest::WRITABLE);
+        self.watched = watched.is_ok();
+        if watched.is_err() {
+            // In debug builds mio refuses to register anew what it has not been told to forget.
+            let _ = registry.deregister(stream);
+        }
+        watched
+    }
+
+    pub fn is_connected(&self) -> bool {
+        self.stream.is_some()
+    }
+
+    /// When it is to be looked at again without an event, if a call that failed asks for that and no earlier time is
+    /// set. An error tells that the event queue did not take it.
+    pub fn settle(&mut self, now: Time, registry: &Registry, token: Token) -> (Option<Time>, Result<()>) {
+        let watched = self.watch(registry, token);
+        let wanted = std::mem::take(&mut self.stalled) || watched.is_err();
+        if !wanted || self.look_at.is_some_and(|at| at > now) {
+            return (None, watched);
+        }
+        self.look_at = Some(now + RETRY_PAUSE);
+        (self.look_at, watched)
     }
 
     /// Reads what there is, until `most` bytes are waiting to be used.
@@ -43,10 +102,11 @@
     }
 
     fn fill_by(&mut self, piece: &mut [u8; PIECE], most: usize) -> Result<()> {
+        let Some(stream) = &mut self.stream else { return Ok(()) };
         self.unread = true;
         while self.input.len() < most && !self.ended {
             let room = PIECE.min(most - self.input.len());
-            match self.stream.read(&mut piece[..room]) {
+            match stream.read(&mut piece[..room]) {
                 Ok(0) => self.ended = true,
                 Ok(read) => {
                     self.input.reserve_exact(read);
@@ -57,6 +117,10 @@
                     self.unread = false;
                     return Ok(());
                 }
+                Err(e) if is_shortage(&e) => {
+                    (self.unread, self.stalled) = (false, true);
+                    return Ok(());
+                }
                 Err(e) => {
                     (self.ended, self.broken) = (true, true);
                     return Err(e);
@@ -71,6 +135,11 @@
         self.output.len() - self.written
     }
 
+    /// Whether something of what was queued last has been written.
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+
     /// Whether reading should go on without a new event.
     pub fn unread(&self) -> bool {
         self.unread && !self.ended
@@ -83,24 +152,27 @@
     }
 
     pub fn queue(&mut self, bytes: &[u8]) {
+        self.begun &= !self.output.is_empty();
         self.output.extend_from_slice(bytes);
     }
 
     /// Puts other bytes in the place of some that are to be written, unless writing has begun.
     pub fn rewrite(&mut self, place: Range<usize>, bytes: &[u8]) {
-        if self.written == 0 && place.end <= self.output.len() {
+        if !self.begun && place.end <= self.output.len() {
             self.output.splice(place, bytes.iter().copied());
         }
     }
 
     /// Writes what can be written now, and tells whether that was all.
     pub fn flush(&mut self) -> Result<bool> {
+        let Some(stream) = &mut self.stream else { return Ok(self.output.is_empty()) };
         while self.written < self.output.len() {
-            match self.stream.write(&self.output[self.written..]) {
+            match stream.write(&self.output[self.written..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => self.written += n,
+                Ok(n) => (self.written, self.begun) = (self.written + n, true),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                Err(e) if e.kind() == ErrorKind::WouldBlock || is_shortage(&e) => {
+                    self.stalled |= e.kind() != ErrorKind::WouldBlock;
                     // Guards against a stream whose other side is never quite done with keeping all it wrote.
                     if self.written >= PIECE {
                         self.output.drain(..self.written);
@@ -117,23 +189,44 @@
     }
 
     pub fn close(mut self, registry: &Registry) {
-        let _ = registry.deregister(&mut self.stream);
+        if let Some(stream) = self.stream.as_mut().filter(|_| self.watched) {
+            let _ = registry.deregister(stream);
+        }
     }
 }
 
 impl Link {
     pub fn dial(to: SocketAddr, registry: &Registry, token: Token) -> Result<Link> {
-        Link::new(TcpStream::connect(to)?, registry, token)
+        let mut link = Link::unconnected();
+        link.connect(to)?;
+        link.watch(registry, token)?;
+        Ok(link)
+    }
+
+    /// Makes a socket that connects to an address, in the place of an earlier one.
+    pub fn connect(&mut self, to: SocketAddr) -> Result<()> {
+        (self.stream, self.watched) = (None, false);
+        self.stream = Some(TcpStream::connect(to)?);
+        Ok(())
+    }
+
+    /// Gives up a socket that did not come up.
+    pub fn disconnect(&mut self, registry: &Registry) {
+        if let Some(stream) = self.stream.as_mut().filter(|_| self.watched) {
+            let _ = registry.deregister(stream);
+        }
+        (self.stream, self.watched) = (None, false);
     }
 
     /// Whether a dialled connection is up; an error if it failed.
     pub fn up(&self) -> Result<bool> {
-        if let Some(e) = self.stream.take_error()? {
+        let Some(stream) = &self.stream else { return Ok(false) };
+        if let Some(e) = stream.take_error()? {
             return Err(e);
         }
-        match self.stream.peer_addr() {
+        match stream.peer_addr() {
             Ok(_) => {
-                let _ = self.stream.set_nodelay(true);
+                let _ = stream.set_nodelay(true);
                 Ok(true)
             }
             Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
@@ -142,11 +235,15 @@
     }
 
     pub fn set_nodelay(&self) {
-        let _ = self.stream.set_nodelay(true);
+        if let Some(stream) = &self.stream {
+            let _ = stream.set_nodelay(true);
+        }
     }
 
     /// Ends the sending, so that the other side sees the end of what was written.
     pub fn end_sending(&mut self) {
-        let _ = self.stream.shutdown(Shutdown::Write);
+        if let Some(stream) = &self.stream {
+            let _: io::Result<()> = stream.shutdown(Shutdown::Write);
+        }
     }
 }
--- a/crates/proxy/src/management.rs
+++ b/crates/proxy/src/management.rs
@@ -63,9 +63,9 @@
                 self.close(slot, io);
             }
             let mut stream = Some(stream);
-            let (registry, deadlines, now) = (&io.registry, &mut io.deadlines, io.now);
+            let (deadlines, now) = (&mut io.deadlines, io.now);
             let slot = self.callers.insert_with(|slot| {
-                let link = Link::new(stream.take()?, registry, Owner::Call(slot).token()).ok()?;
+                let link = Link::new(stream.take()?);
                 let deadline = deadlines.set(now + CALL_TIME, Due::Call(slot));
                 Some(Caller { link, since: now, deadline, called: false })
             });
@@ -76,6 +76,13 @@
     }
 
     pub fn event(&mut self, slot: CallSlot, io: &mut Shared) {
+        self.go_on(slot, io);
+        if let Some(caller) = self.callers.get_mut(slot) {
+            io.settle(&mut caller.link, Owner::Call(slot));
+        }
+    }
+
+    fn go_on(&mut self, slot: CallSlot, io: &mut Shared) {
         let Some(caller) = self.callers.get_mut(slot) else { return };
         let read = caller.link.fill(CALL_BYTES);
         if caller.called {
@@ -87,7 +94,7 @@
             if read.is_err() || flushed.is_err() || caller.link.ended {
                 self.close(slot, io);
             } else if caller.link.unread() {
-                io.deadlines.set(io.now, Due::CallRead(slot));
+                io.deadlines.set(io.now, Due::Again(Owner::Call(slot)));
             }
             return;
         }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -283,6 +283,17 @@
 
     /// Does all that the connection is ready for.
     pub fn go_on(&mut self, slot: ConnSlot, io: &mut Shared) {
+        self.advance(slot, io);
+        self.settle(slot, io);
+    }
+
+    fn settle(&mut self, slot: ConnSlot, io: &mut Shared) {
+        if let Some(conn) = self.conns.get_mut(slot) {
+            io.settle(&mut conn.link, Owner::Conn(slot));
+        }
+    }
+
+    fn advance(&mut self, slot: ConnSlot, io: &mut Shared) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
         if matches!(conn.stage, Stage::Dialling) {
             match conn.link.up() {
@@ -352,7 +363,7 @@
                     self.close(slot, Ending::Garbled, io);
                 } else if conn.link.unread() {
                     // Room was made by words on the way. They are bounded, and so is this.
-                    self.go_on(slot, io);
+                    self.advance(slot, io);
                 } else if unknown && conn.deadline.is_none() {
                     conn.deadline = Some(io.deadlines.set(io.now + BEGIN_AFTER, Due::Begin(slot)));
                 }
@@ -439,6 +450,7 @@
         let Some(head) = &mut conn.head else { return nothing };
         if conn.link.input.is_empty() && conn.link.unread() {
             let _ = conn.link.fill(window);
+            io.settle(&mut conn.link, Owner::Conn(slot));
         }
         let most = conn.link.input.len().min(room);
         let Ok(length) = head.body.take(&conn.link.input[..most]) else {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -336,22 +336,18 @@
             Due::Timer(mark) => self.decide(Event::Timer(mark)),
             Due::Deadline(request) => self.deadline_passed(request),
             Due::Client(slot) => self.clients.due(slot, &mut self.io),
-            Due::Read(slot) => self.clients.event(slot, &mut self.io),
+            Due::Again(owner) => self.event(owner),
             Due::Dial(slot) => self.pool.dial_late(slot, &mut self.io),
             Due::Begin(slot) => self.pool.begin_due(slot, &mut self.io),
             Due::Attempt(slot) => self.pool.late(slot, &mut self.io),
             Due::Idle(slot) => self.pool.idle_over(slot, &mut self.io),
             Due::List => self.discovery.due(&mut self.io),
-            Due::Accept => self.clients.accept(&mut self.io),
             Due::Leave => self.leave(),
             Due::Call(slot) => self.management.close(slot, &mut self.io),
-            Due::CallRead(slot) => self.management.event(slot, &mut self.io),
-            Due::Hear => self.hear(),
             Due::Fleet => {
                 let told = self.fleet.due(&mut self.io);
                 self.told(told);
             }
-            Due::FleetHear => self.fleet_hear(),
             Due::Duties => self.fleet.duties_due(&mut self.io),
         }
     }
@@ -364,7 +360,7 @@
             self.decide(Event::PeerSaid { from, bytes });
         }
         if more {
-            self.io.deadlines.set(self.io.now, Due::Hear);
+            self.io.deadlines.set(self.io.now, Due::Again(Owner::Peers));
         }
     }
 
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -2,7 +2,9 @@
 //! which the parts tell the loop what has happened.
 
 use std::collections::VecDeque;
+use std::io::{Read, Write};
 
+use mio::event::Source;
 use mio::{Registry, Token};
 use sparlug::event::Load;
 use sparlug::id::{AttemptNo, BackendId, RequestId, TenantId, TimerMark};
@@ -11,7 +13,9 @@
 use crate::counters::Counters;
 use crate::deadlines::Deadlines;
 use crate::ending::Ending;
+use crate::failures::SystemCall;
 use crate::http::{AnswerHead, RequestHead};
+use crate::link::Link;
 use crate::listing::List;
 use crate::said::{Call, Word};
 use crate::slots::Slot;
@@ -51,6 +55,19 @@
     pub stream_bytes: usize,
 }
 
+impl Shared {
+    /// Has a link looked at again where a call failed and no event will tell when it may succeed.
+    pub fn settle<S: Read + Write + Source>(&mut self, link: &mut Link<S>, owner: Owner) {
+        let (at, watched) = link.settle(self.now, &self.registry, owner.token());
+        if let Err(e) = watched {
+            self.counters.failures.count(SystemCall::Register, &e);
+        }
+        if let Some(at) = at {
+            self.deadlines.set(at, Due::Again(owner));
+        }
+    }
+}
+
 const WINDOW_LEAST: usize = 8 * 1024;
 const WINDOW_MOST: usize = 128 * 1024;
 
@@ -70,8 +87,8 @@
     Deadline(RequestId),
     /// A client's message that has begun and does not come to its end, or its connection's last moments.
     Client(ClientSlot),
-    /// More of a client's bytes are there to be read.
-    Read(ClientSlot),
+    /// Something is to be looked at without an event: more may be there than was read, or a call failed.
+    Again(Owner),
     /// A connection that should be up.
     Dial(ConnSlot),
     /// The end of the time for what a connection carries.
@@ -82,21 +99,14 @@
     Idle(ConnSlot),
     /// The answer of discovery, or the next call to it.
     List,
-    /// More of what peers say is there to be read.
-    Hear,
-    /// The fleet's members have something to do, or more of what they say is there to be read.
+    /// The fleet's members have something to do.
     Fleet,
-    FleetHear,
     /// A duty is to be asked for, renewed or given away.
     Duties,
-    /// Connections are to be accepted again.
-    Accept,
     /// The next step of going down.
     Leave,
     /// The end of the time for an operator's call.
     Call(CallSlot),
-    /// More of an operator's bytes are there to be read.
-    CallRead(CallSlot),
 }
 
 /// A request as it came, with the few things that were taken out.
