Answer operators and successors once accept succeeds again

What operators saw: a call to /ready or /metrics stayed unanswered until somebody else connected; a process that came to take over found nobody. Cause: management.rs and handover.rs left their loop at the first error of accept, and readiness is edge-triggered, so the connection in the queue had no further event. All three listeners take connections by one Acceptor now.

--- a/crates/proxy/src/acceptor.rs
+++ b/crates/proxy/src/acceptor.rs
@@ -1,9 +1,10 @@
-//! The listening socket: takes connections out of its queue one by one, and goes on after calls that failed.
+//! A listening socket: takes connections out of its queue one by one, and goes on after calls that failed.
 
 use std::io::{self, ErrorKind};
-use std::net::SocketAddr;
 
-use mio::net::{TcpListener, TcpStream};
+use mio::event::Source;
+use mio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
+use mio::{Interest, Registry};
 use sparlug::time::{Span, Time};
 
 use crate::deadlines::DeadlineId;
@@ -14,9 +15,32 @@
 const FAILURE_PAUSE: Span = Span::from_millis(5); // after a failure for want of something
 const FAILURES_MOST: usize = 64; // failures of single connections in a row, before others have their turn
 
+/// A socket that connections can be taken from.
+pub trait Listener: Source {
+    type Stream;
+
+    fn accept_stream(&self) -> io::Result<Self::Stream>;
+}
+
+impl Listener for TcpListener {
+    type Stream = TcpStream;
+
+    fn accept_stream(&self) -> io::Result<TcpStream> {
+        Ok(self.accept()?.0)
+    }
+}
+
+impl Listener for UnixListener {
+    type Stream = UnixStream;
+
+    fn accept_stream(&self) -> io::Result<UnixStream> {
+        Ok(self.accept()?.0)
+    }
+}
+
 /// What a look into the queue brought.
-pub enum Next {
-    Connection(TcpStream),
+pub enum Next<S> {
+    Connection(S),
     /// The queue is empty.
     Empty,
     /// The call failed and is made again later.
@@ -25,8 +49,10 @@
     Closed,
 }
 
-pub struct Acceptor {
-    listener: Option<TcpListener>,
+pub struct Acceptor<L = TcpListener> {
+    listener: Option<L>,
+    /// Whose events tell that connections are in the queue.
+    owner: Owner,
     /// Connections may be waiting in the queue.
     pub waiting: bool,
     retry: Option<DeadlineId>,
@@ -34,27 +60,30 @@
     failing: Option<Time>,
 }
 
-impl Acceptor {
-    pub fn new(listener: Option<TcpListener>) -> Acceptor {
-        Acceptor { listener, waiting: false, retry: None, failing: None }
+impl<L: Listener> Acceptor<L> {
+    /// Takes connections from a listener that the event queue has.
+    pub fn new(listener: Option<L>, owner: Owner) -> Acceptor<L> {
+        Acceptor { listener, owner, waiting: false, retry: None, failing: None }
     }
 
-    pub fn listener(&self) -> Option<&TcpListener> {
-        self.listener.as_ref()
+    /// Takes connections from a listener that the event queue does not have yet.
+    pub fn watch(mut listener: L, owner: Owner, registry: &Registry) -> io::Result<Acceptor<L>> {
+        registry.register(&mut listener, owner.token(), Interest::READABLE)?;
+        Ok(Acceptor::new(Some(listener), owner))
     }
 
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref()?.local_addr().ok()
+    pub fn listener(&self) -> Option<&L> {
+        self.listener.as_ref()
     }
 
     /// Takes the next connection out of the queue. A failure says nothing of the calls that follow: those are made
     /// until one succeeds.
-    pub fn next(&mut self, io: &mut Shared) -> Next {
+    pub fn next(&mut self, io: &mut Shared) -> Next<L::Stream> {
         self.waiting = true;
         for _ in 0..FAILURES_MOST {
             let Some(listener) = &self.listener else { return Next::Closed };
-            let error = match listener.accept() {
-                Ok((stream, _)) => {
+            let error = match listener.accept_stream() {
+                Ok(stream) => {
                     self.succeeded(io.now);
                     return Next::Connection(stream);
                 }
@@ -77,14 +106,14 @@
 
     fn succeeded(&mut self, now: Time) {
         if let Some(since) = self.failing.take() {
-            tracing::info!(for_ms = now.since(since).ms(), "accepting connections again");
+            tracing::info!(for_ms = now.since(since).ms(), at = ?self.owner, "accepting connections again");
         }
     }
 
     fn failed(&mut self, error: &io::Error, io: &mut Shared) {
         if self.failing.is_none() {
             self.failing = Some(io.now);
-            tracing::warn!(%error, "cannot accept");
+            tracing::warn!(%error, at = ?self.owner, "cannot accept");
         }
         self.look_again(FAILURE_PAUSE, io);
     }
@@ -97,7 +126,7 @@
 
     fn look_again(&mut self, pause: Span, io: &mut Shared) {
         io.deadlines.call_off(self.retry.take());
-        self.retry = Some(io.deadlines.set(io.now + pause, Due::Again(Owner::Listener)));
+        self.retry = Some(io.deadlines.set(io.now + pause, Due::Again(self.owner)));
     }
 
     /// Listens no more.
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -124,7 +124,7 @@
     pub fn new(listener: Option<TcpListener>, joined: bool, classes: Classes, budgets: Budgets) -> Clients {
         let (clients, leavers, unread, ids, full, ready, leaving) = Default::default();
         Clients {
-            acceptor: Acceptor::new(listener),
+            acceptor: Acceptor::new(listener, Owner::Listener),
             joined,
             clients,
             leavers,
@@ -175,7 +175,7 @@
     }
 
     pub fn address(&self) -> Option<SocketAddr> {
-        self.acceptor.address()
+        self.listener()?.local_addr().ok()
     }
 
     /// It can serve from here on.
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -12,12 +12,12 @@
 use std::time::{Duration, Instant};
 
 use mio::net::{UnixListener, UnixStream};
-use mio::Interest;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
 
+use crate::acceptor::{Acceptor, Next};
 use crate::link::Link;
 use crate::said::{line, next, State, Word, LINE_MOST};
 use crate::shared::{Note, OfPeer, Owner, PeerSlot, Shared};
@@ -116,8 +116,8 @@
 /// The way to the processes that live beside this one, as the proxy before or after it.
 pub struct Handover {
     path: PathBuf,
-    /// Waits for the next process; `None` where that is not wanted, or not to be had.
-    listener: Option<UnixListener>,
+    /// Waits for the next process, where that is wanted and to be had.
+    acceptor: Acceptor<UnixListener>,
     peers: Slots<OfPeer, Peer>,
 }
 
@@ -129,7 +129,8 @@
         before: Option<(StdUnixStream, Vec<u8>)>,
         io: &mut Shared,
     ) -> Handover {
-        let mut handover = Handover { path, listener: None, peers: Slots::default() };
+        let mut handover =
+            Handover { path, acceptor: Acceptor::new(None, Owner::Handover), peers: Slots::default() };
         if wanted {
             handover.wait(io);
         }
@@ -149,15 +150,10 @@
         if socket {
             let _ = fs::remove_file(&self.path);
         }
-        let listen = || {
-            let mut listener = UnixListener::bind(&self.path)?;
-            io.registry.register(&mut listener, Owner::Handover.token(), Interest::READABLE)?;
-            Ok(listener)
-        };
+        let listen = || Acceptor::watch(UnixListener::bind(&self.path)?, Owner::Handover, &io.registry);
         match listen() {
-            Ok(listener) => self.listener = Some(listener),
+            Ok(acceptor) => self.acceptor = acceptor,
             Err(e) => {
-                let e: io::Error = e;
                 tracing::warn!(path = %self.path.display(), error = %e, "upgrades will hand nothing over");
             }
         }
@@ -183,7 +179,7 @@
 
     /// Hands the state and the listening socket to those that have come.
     pub fn accept(&mut self, listener: Option<impl AsFd>, state: impl Fn() -> State, io: &mut Shared) {
-        while let Some(Ok((stream, _))) = self.listener.as_ref().map(UnixListener::accept) {
+        while let Next::Connection(stream) = self.acceptor.next(io) {
             if !own(&stream) || self.peers.count() >= PEERS_MOST {
                 tracing::warn!("another user's process, or one too many, came for the handover");
                 continue;
@@ -244,14 +240,14 @@
         tracing::info!(successor, why, "the process beside this one is gone");
         io.notes.push_back(Note::Beside);
         // The one that was to come waited in this one's place: guards against the next one finding nobody.
-        if successor && !self.succeeded() && self.listener.is_some() {
+        if successor && !self.succeeded() && self.acceptor.listener().is_some() {
             self.wait(io);
         }
     }
 
     /// Leaves no file behind, unless it is the next process's.
     pub fn end(&self) {
-        if self.listener.is_some() && !self.succeeded() {
+        if self.acceptor.listener().is_some() && !self.succeeded() {
             let _ = fs::remove_file(&self.path);
         }
     }
--- a/crates/proxy/src/management.rs
+++ b/crates/proxy/src/management.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 
 use mio::net::TcpListener;
-use mio::Interest;
 use percent_encoding::percent_decode_str;
 use sparlug::time::{Span, Time};
 
+use crate::acceptor::{Acceptor, Next};
 use crate::deadlines::DeadlineId;
 use crate::http::{self, Bad, OPERATORS_METHODS};
 use crate::link::Link;
@@ -29,7 +29,7 @@
 }
 
 pub struct Management {
-    listener: Option<TcpListener>,
+    acceptor: Acceptor,
     callers: Slots<OfCall, Caller>,
 }
 
@@ -39,23 +39,19 @@
 impl Management {
     /// Listens at an address, if there is one.
     pub fn new(address: Option<SocketAddr>, io: &Shared) -> Result<Management, String> {
-        let listen = |address: SocketAddr| {
-            let mut listener = TcpListener::bind(address)?;
-            io.registry.register(&mut listener, Owner::Management.token(), Interest::READABLE)?;
-            Ok(listener)
-        };
+        let listen = |address| Acceptor::watch(TcpListener::bind(address)?, Owner::Management, &io.registry);
         let fault = |e: std::io::Error| format!("cannot listen for operators on {address:?}: {e}");
-        let listener = address.map(listen).transpose().map_err(fault)?;
-        Ok(Management { listener, callers: Slots::default() })
+        let acceptor = address.map(listen).transpose().map_err(fault)?;
+        let acceptor = acceptor.unwrap_or_else(|| Acceptor::new(None, Owner::Management));
+        Ok(Management { acceptor, callers: Slots::default() })
     }
 
     pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref()?.local_addr().ok()
+        self.acceptor.listener()?.local_addr().ok()
     }
 
     pub fn accept(&mut self, io: &mut Shared) {
-        loop {
-            let Some(Ok((stream, _))) = self.listener.as_ref().map(TcpListener::accept) else { return };
+        while let Next::Connection(stream) = self.acceptor.next(io) {
             while self.callers.count() >= CALLS_MOST {
                 // Guards against callers that never come to their call keeping others from theirs.
                 let oldest = self.callers.iter().min_by_key(|(_, caller)| (!caller.called, caller.since));
