Empty the listener's queue before closing it, also where accept fails

What callers saw: connected and wrote within 0.6 s of SIGTERM, and were reset. Cause: stop_listening took what the queue held in one go and closed the listener whatever came of it; a failed accept, or no room for more, left connections in the queue.

Change: the listener stays until its queue is empty, looked at every 5 ms; what is read late is given no more time than the process has.

--- a/crates/proxy/src/acceptor.rs
+++ b/crates/proxy/src/acceptor.rs
@@ -129,6 +129,11 @@
         self.retry = Some(io.deadlines.set(io.now + pause, Due::Again(self.owner)));
     }
 
+    /// Whether all that was in the queue has been taken out of it.
+    pub fn is_drained(&self) -> bool {
+        self.listener.is_none() || !self.waiting
+    }
+
     /// Listens no more.
     pub fn close(&mut self, io: &mut Shared) {
         if let Some(mut listener) = self.listener.take() {
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -117,12 +117,14 @@
     pub ready: bool,
     /// The proxy is going down: answers say that the connection ends.
     pub leaving: bool,
+    /// When the process ends at the latest, if it is going down.
+    pub ends_at: Option<Time>,
 }
 
 impl Clients {
     /// `joined` tells that another process accepts at the same listener.
     pub fn new(listener: Option<TcpListener>, joined: bool, classes: Classes, budgets: Budgets) -> Clients {
-        let (clients, leavers, unread, ids, full, ready, leaving) = Default::default();
+        let (clients, leavers, unread, ids, full, ready, leaving, ends_at) = Default::default();
         Clients {
             acceptor: Acceptor::new(listener, Owner::Listener),
             joined,
@@ -136,6 +138,7 @@
             full,
             ready,
             leaving,
+            ends_at,
         }
     }
 
@@ -510,6 +513,8 @@
             self.ids.insert(id.clone());
             client.id = Some(id);
         }
+        // Guards against taking on what the end of the process would cut off.
+        let waits = self.ends_at.map_or(waits, |end| waits.min(end.since(io.now)));
         // The client counts from when it sent, which may have been while the loop was busy.
         let (class, deadline) = (class as u16, io.since + waits);
         let tenant = tenant.unwrap_or(TenantId::NONE);
@@ -720,12 +725,19 @@
         }
     }
 
-    /// Accepts what the kernel has accepted, and no more after that; not even that where the next process does.
+    /// Accepts what the kernel has accepted, and no more after that; not even that where the next process does. Goes on
+    /// listening where not all could be accepted: a listener that closes resets the connections in its queue.
     pub fn stop_listening(&mut self, succeeded: bool, io: &mut Shared) {
         if !succeeded {
             self.accept(io);
         }
-        self.acceptor.close(io);
+        if succeeded || self.acceptor.is_drained() {
+            self.acceptor.close(io);
+        }
+    }
+
+    pub fn listens(&self) -> bool {
+        self.acceptor.listener().is_some()
     }
 
     /// Closes the connections on which nothing is owed. A request that is not whole yet is refused: what
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -38,6 +38,7 @@
 const OVERSLEPT: Span = Span::from_millis(3); // more than the timer's own coarseness
 const BACKLOG: i32 = 1024; // connections that may wait to be accepted
 const ACCEPT_ON: Span = Span::from_millis(600); // how long new connections are taken after the word to go
+const DRAIN_PAUSE: Span = Span::from_millis(5); // between looks at a queue that could not be emptied
 const COPY_MOST: usize = 512 * 1024; // of a long request, that is held so that it can go again
 const GONE_BY: Span = Span::from_millis(50); // after the longest deadline from then, nothing is owed any more
 
@@ -405,6 +406,7 @@
             if matches!(signal, SIGTERM | SIGINT) && self.leaving.is_none() {
                 self.leaving = Some(self.io.now);
                 self.clients.leaving = true;
+                self.clients.ends_at = Some(self.io.now + ACCEPT_ON + self.longest);
                 if self.handover.succeeded() {
                     self.clients.stop_listening(true, &mut self.io);
                 } else {
@@ -456,6 +458,9 @@
 
     fn leave(&mut self) {
         self.clients.stop_listening(self.handover.succeeded(), &mut self.io);
+        if self.clients.listens() {
+            self.io.deadlines.set(self.io.now + DRAIN_PAUSE, Due::Leave);
+        }
         self.clients.let_go(&mut self.io);
     }
 
@@ -463,7 +468,7 @@
     fn done(&self) -> bool {
         let Some(since) = self.leaving else { return false };
         let now = self.io.now;
-        now >= since + ACCEPT_ON && self.clients.is_empty()
+        now >= since + ACCEPT_ON && self.clients.is_empty() && !self.clients.listens()
             || now >= since + ACCEPT_ON + self.longest + GONE_BY
     }
 
