Dial again where a socket can't be made for a moment, and tell the time left then

What callers saw: 503 at once for what one failed socket or connect had kept from being sent, and backends put out for ENETUNREACH of this machine's own. Backends: a Request-Timeout that told time which failing writes had used up.

Cause: pool.rs ended the attempt with the first failure of socket, connect, epoll_ctl, getpeername or getsockopt, as if the next call had to fail as well; the time told was written anew only when a dial came up.

Change: a connection may stand without a socket. Want of something (descriptors, ports, memory) is tried again every 5 ms within the attempt's time, no way there (ENETUNREACH and others) within the time to dial, after which another backend has its turn. Until the first byte is written the time left is told anew, and the end of a repeat's window is kept.

--- a/crates/proxy/src/failures.rs
+++ b/crates/proxy/src/failures.rs
@@ -40,6 +40,38 @@
     }
 }
 
+/// What a failure to make a connection says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectFailure {
+    /// The other side, or a host on the way, refused it.
+    Refused,
+    /// There is no way there, which may be so for a moment, for this backend or for all.
+    NoWay,
+    /// This machine is short of something: descriptors, ports, memory.
+    Shortage,
+}
+
+/// What a failure of `socket`, `connect` or a look at their result says.
+pub fn connect_failure(error: &io::Error) -> ConnectFailure {
+    match Errno::from_io_error(error) {
+        Some(
+            Errno::MFILE
+            | Errno::NFILE
+            | Errno::NOBUFS
+            | Errno::NOMEM
+            | Errno::NOSPC
+            | Errno::ADDRNOTAVAIL
+            | Errno::ADDRINUSE
+            | Errno::AGAIN
+            | Errno::INTR,
+        ) => ConnectFailure::Shortage,
+        Some(Errno::NETUNREACH | Errno::NETDOWN | Errno::CONNABORTED | Errno::PERM | Errno::ACCESS) => {
+            ConnectFailure::NoWay
+        }
+        _ => ConnectFailure::Refused,
+    }
+}
+
 /// Whether a read or write failed for want of memory, which says nothing of the connection.
 pub fn is_shortage(error: &io::Error) -> bool {
     matches!(Errno::from_io_error(error), Some(Errno::NOBUFS | Errno::NOMEM))
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -15,7 +15,7 @@
 use crate::failures::is_shortage;
 
 const PIECE: usize = 16 * 1024; // read at once
-const RETRY_PAUSE: Span = Span::from_millis(5); // before a call is made again that failed for want of something
+pub const RETRY_PAUSE: Span = Span::from_millis(5); // before a call is made again that failed for want of something
 
 thread_local! {
     /// Where a read puts its bytes first. Guards against a large buffer for each of many connections that stand
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -13,9 +13,9 @@
 use crate::config::Budgets;
 use crate::deadlines::DeadlineId;
 use crate::ending::Ending;
-use crate::failures::SystemCall;
+use crate::failures::{connect_failure, ConnectFailure, SystemCall};
 use crate::http::{self, AnswerHead, Bad, BODY_MOST, MESSAGE_MOST};
-use crate::link::Link;
+use crate::link::{Link, RETRY_PAUSE};
 use crate::listing::{Entry, HandedHost};
 use crate::patience::{Known, Patience};
 use crate::shared::{Begun, ConnSlot, Done, Due, Note, OfConn, Owner, Purpose, Shared};
@@ -66,10 +66,15 @@
     kept: bool,
     /// Its answer is passed on as it comes.
     streams: bool,
-    /// Of a message that waits for the connection to come up: where it tells the time that is left, and until when that
-    /// is, and when it may no longer begin.
+    /// Of a message of which nothing is written: where it tells the time that is left, and until when that is, and when
+    /// it may no longer begin.
     told: Option<(Range<usize>, Time)>,
     by: Option<Time>,
+    /// When its socket was made.
+    dialled: Time,
+    /// Why it has no socket, if none could be made, and when that is tried again.
+    dial_failure: Option<ConnectFailure>,
+    retry_at: Time,
     /// For the stage: when it must be up, when its answer goes on, or how long it may stand idle.
     deadline: Option<DeadlineId>,
     used: Time,
@@ -197,7 +202,7 @@
         if found.is_some() {
             io.counters.reused += 1;
         }
-        let slot = match found.map_or_else(|| self.dial(backend, message.by, io), Ok) {
+        let slot = match found.map_or_else(|| self.dial(backend, io), Ok) {
             Ok(slot) => slot,
             Err(ending) => {
                 let done =
@@ -211,6 +216,7 @@
         conn.job = Some(Job { purpose, sent: io.now, deadline, whole: message.whole });
         conn.used = io.now;
         conn.told = message.told.map(|place| (place, until));
+        conn.by = message.by;
         conn.link.queue(message.bytes);
         self.go_on(slot, io);
         Some(slot)
@@ -235,52 +241,61 @@
         }
     }
 
-    fn dial(&mut self, backend: BackendId, by: Option<Time>, io: &mut Shared) -> Result<ConnSlot, Ending> {
-        let Some(Place { life, dialled, .. }) = self.places.get(&backend) else {
+    fn dial(&mut self, backend: BackendId, io: &mut Shared) -> Result<ConnSlot, Ending> {
+        let Some(Place { life, .. }) = self.places.get(&backend) else {
             return Err(Ending::Withdrawn);
         };
-        let (life, patience) = (*life, self.patience.span(dialled));
+        let life = *life;
         if self.conns.count() >= self.budgets.backends.max(self.budgets.both.saturating_sub(io.callers)) {
             // The connection that was idle for longest makes room.
             let oldest = self.standing.first().map(|(_, slot)| *slot);
             self.close(oldest.ok_or(Ending::NoRoom)?, Ending::Idle, io);
         }
-        let until = by.map_or(io.now + patience, |by| by.min(io.now + patience));
-        let mut failed = Ending::NoRoom;
-        let slot = self.conns.insert_with(|slot| {
-            let link = Link::dial(life.dial, &io.registry, Owner::Conn(slot).token());
-            let mut count = |e: std::io::Error| {
-                io.counters.failures.count(SystemCall::Connect, &e);
-                refusal(&e)
-            };
-            let link = link.map_err(|e| failed = count(e)).ok()?;
-            let deadline = Some(io.deadlines.set(until, Due::Dial(slot)));
-            let (stage, job, head, words, used) = (Stage::Dialling, None, None, 0, io.now);
-            let (kept, streams, told) = (false, false, None);
-            Some(Conn {
-                link,
-                backend,
-                life,
-                stage,
-                job,
-                head,
-                words,
-                kept,
-                streams,
-                told,
-                by,
-                deadline,
-                used,
-            })
-        });
-        let slot = slot.ok_or(failed)?;
+        let conn = Conn::unconnected(backend, life, io.now);
+        let slot = self.conns.insert_with(|_| Some(conn)).ok_or(Ending::NoRoom)?;
         self.places.entry(backend).and_modify(|place| place.conns += 1);
         io.backend_connections += 1;
-        io.counters.dialled += 1;
-        tracing::trace!(host = self.host(backend), "dialled");
         Ok(slot)
     }
 
+    /// Makes the socket of a connection that is wanted.
+    fn connect(&mut self, slot: ConnSlot, io: &mut Shared) {
+        let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.retry_at <= io.now) else { return };
+        if let Err(e) = conn.link.connect(conn.life.dial) {
+            return self.dial_failed(slot, &e, io);
+        }
+        conn.dialled = io.now;
+        if let (Some(_), Some(job)) = (conn.dial_failure.take(), &mut conn.job) {
+            job.sent = io.now; // guards against the wait for a socket counting as the backend's time
+        }
+        let known = self.places.get(&conn.backend).map(|place| place.dialled).unwrap_or_default();
+        let until = io.now + self.patience.span(&known);
+        conn.set_dial_deadline(slot, Some(until), io);
+        io.counters.dialled += 1;
+        tracing::trace!(host = self.host_of(slot), "dialled");
+    }
+
+    /// A connection could not be made. Where that may be the moment's fault it is tried again: nothing was sent.
+    fn dial_failed(&mut self, slot: ConnSlot, error: &std::io::Error, io: &mut Shared) {
+        io.counters.failures.count(SystemCall::Connect, error);
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        let failure = match connect_failure(error) {
+            ConnectFailure::Refused => return self.close(slot, Ending::Refused, io),
+            failure => failure,
+        };
+        conn.link.disconnect(&io.registry);
+        conn.dial_failure = Some(failure);
+        conn.retry_at = io.now + RETRY_PAUSE;
+        io.deadlines.set(conn.retry_at, Due::Again(Owner::Conn(slot)));
+        // Want of something ends with the attempt's own time; what may be the way to this backend, with that to dial.
+        let until = (failure == ConnectFailure::NoWay).then_some(conn.used + self.dial);
+        conn.set_dial_deadline(slot, until, io);
+    }
+
+    fn host_of(&self, slot: ConnSlot) -> Option<&str> {
+        self.host(self.conns.get(slot)?.backend)
+    }
+
     /// Does all that the connection is ready for.
     pub fn go_on(&mut self, slot: ConnSlot, io: &mut Shared) {
         self.advance(slot, io);
@@ -294,39 +309,39 @@
     }
 
     fn advance(&mut self, slot: ConnSlot, io: &mut Shared) {
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        if matches!(conn.stage, Stage::Dialling) && !conn.link.is_connected() {
+            self.connect(slot, io);
+        }
         let Some(conn) = self.conns.get_mut(slot) else { return };
         if matches!(conn.stage, Stage::Dialling) {
             match conn.link.up() {
                 Ok(false) => return,
-                Err(e) => {
-                    io.counters.failures.count(SystemCall::Connect, &e);
-                    return self.close(slot, refusal(&e), io);
-                }
+                Err(e) => return self.dial_failed(slot, &e, io),
                 Ok(true) => {
-                    if conn.by.is_some_and(|by| io.now >= by) {
-                        return self.close(slot, Ending::TooLate, io);
-                    }
                     io.deadlines.call_off(conn.deadline.take());
                     conn.stage = Stage::Busy { written: false };
-                    // Guards against telling the backend a time of which dialling has used up a part.
-                    if let Some((place, until)) = conn.told.take() {
-                        conn.link.rewrite(place, http::time_left(until.since(io.now)).as_bytes());
-                    }
                     if let Some(place) = self.places.get_mut(&conn.backend) {
-                        self.patience.came_up(&mut place.dialled, io.now.since(conn.used));
+                        self.patience.came_up(&mut place.dialled, io.now.since(conn.dialled));
                     }
                 }
             }
         }
-        let Stage::Busy { written } = &mut conn.stage else {
+        if conn.is_too_late(io.now) {
+            return self.close(slot, Ending::TooLate, io);
+        }
+        conn.tell_time_left(io.now);
+        if !matches!(conn.stage, Stage::Busy { .. }) {
             // Guards against closing a good connection for an event of what was read already, or for room to
             // write: only an end, or bytes that nobody asked for, end it.
             if !conn.quiet() {
                 self.close(slot, Ending::Idle, io);
             }
             return;
-        };
+        }
         let sent = conn.link.flush();
+        conn.forget_begin();
+        let Stage::Busy { written } = &mut conn.stage else { return };
         let whole = conn.job.as_ref().is_none_or(|job| job.whole);
         if let (Ok(all), Some(job)) = (&sent, &mut conn.job) {
             if *all && whole && !std::mem::replace(written, true) {
@@ -548,7 +563,9 @@
     pub fn dial_late(&mut self, slot: ConnSlot, io: &mut Shared) {
         let by = self.conns.get(slot).and_then(|conn| conn.by);
         let over = by.is_some_and(|by| io.now >= by);
-        self.close(slot, if over { Ending::TooLate } else { Ending::NeverUp }, io);
+        let failed = self.conns.get(slot).is_some_and(|conn| conn.dial_failure.is_some());
+        let ending = if failed { Ending::Refused } else { Ending::NeverUp };
+        self.close(slot, if over { Ending::TooLate } else { ending }, io);
     }
 
     pub fn idle_over(&mut self, slot: ConnSlot, io: &mut Shared) {
@@ -614,6 +631,56 @@
 }
 
 impl Conn {
+    /// A connection whose socket is still to be made.
+    fn unconnected(backend: BackendId, life: Life, now: Time) -> Conn {
+        let (job, head, told, by, dial_failure, deadline) = Default::default();
+        Conn {
+            link: Link::unconnected(),
+            backend,
+            life,
+            stage: Stage::Dialling,
+            job,
+            head,
+            words: 0,
+            kept: false,
+            streams: false,
+            told,
+            by,
+            dialled: now,
+            dial_failure,
+            retry_at: now,
+            deadline,
+            used: now,
+        }
+    }
+
+    /// Sets when its dial is given up, at the latest when its message may no longer begin.
+    fn set_dial_deadline(&mut self, slot: ConnSlot, until: Option<Time>, io: &mut Shared) {
+        io.deadlines.call_off(self.deadline.take());
+        let until = until.into_iter().chain(self.by).min();
+        self.deadline = until.map(|until| io.deadlines.set(until, Due::Dial(slot)));
+    }
+
+    /// Whether nothing of its message is written, and it may no longer begin.
+    fn is_too_late(&self, now: Time) -> bool {
+        self.job.is_some() && !self.link.has_begun() && self.by.is_some_and(|by| now >= by)
+    }
+
+    /// Guards against telling the backend a time of which dialling, or a write that failed, has used up a part.
+    fn tell_time_left(&mut self, now: Time) {
+        let Some((place, until)) = self.told.as_mut().filter(|_| self.used < now) else { return };
+        let left = http::time_left(until.since(now));
+        self.link.rewrite(place.clone(), left.as_bytes());
+        place.end = place.start + left.len();
+    }
+
+    /// What is begun is not written anew, and bound by its attempt's time alone.
+    fn forget_begin(&mut self) {
+        if self.link.has_begun() {
+            (self.told, self.by) = (None, None);
+        }
+    }
+
     fn is_written(&self) -> bool {
         matches!(self.stage, Stage::Busy { written: true })
     }
@@ -670,12 +737,3 @@
         io.notes.push_back(Note::Done(done));
     }
 }
-
-/// A connection that can't be made for want of a descriptor or a port says nothing of the backend.
-fn refusal(e: &std::io::Error) -> Ending {
-    const OWN_WANT: [i32; 3] = [23, 24, 99]; // ENFILE, EMFILE, EADDRNOTAVAIL
-    match e.raw_os_error() {
-        Some(code) if OWN_WANT.contains(&code) => Ending::NoRoom,
-        _ => Ending::Refused,
-    }
-}
