Hear signals, wait, reload and start through failures of a moment

Four faults of one class whose lines lie together, so in one commit:

- A signal whose handler could not write to the pipe was not heard: SIGTERM without effect in 10 s, then the kill.
A flag that the handler sets is looked at in every turn (signals.rs).
- A wait that failed otherwise than by EINTR ended the process.
It is made again, up to 1,000 times in a row.
- A configuration that could not be read in the moment of SIGHUP was given up; discovery stayed at the old agent.
It is read again every 50 ms for 30 s (Config::read tells what can't be read from what is of no use).
- A call that failed at the start ended the process.
A fleet that could not be joined, or a socket for the next process that could not be made, while it runs, is tried again every second.

--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -3,7 +3,8 @@
 use std::path::{Path, PathBuf};
 
 use sparlug_proxy::config::{Config, Source};
-use sparlug_proxy::proxy::{hear_signals, Proxy};
+use sparlug_proxy::proxy::Proxy;
+use sparlug_proxy::signals::SignalQueue;
 use sparlug_setup::native::LogFormat;
 use tracing_subscriber::EnvFilter;
 
@@ -43,16 +44,17 @@
 
 pub fn serve(config: Option<PathBuf>, log: Logging) -> Result<(), Failed> {
     // First of all: guards against a signal that comes before the program is up and ends it.
-    let signals = hear_signals().map_err(Failed::could_not)?;
+    let signals = SignalQueue::hear().map_err(Failed::could_not)?;
     let source = config.map_or(Source::Environment, Source::File);
-    let config = Config::read(&source).map_err(Failed::unusable)?;
+    let config = Config::read_patiently(&source).map_err(|e| Failed::unusable(e.to_string()))?;
     log.start(config.log.as_deref(), Some(config.log_format))?;
     let proxy = Proxy::new(config, source, signals).map_err(Failed::could_not)?;
     proxy.run().map_err(|e| Failed::could_not(format!("cannot poll: {e}")))
 }
 
 pub fn check(file: &Path) -> Result<(), Failed> {
-    let config = Config::read(&Source::File(file.to_path_buf())).map_err(Failed::unusable)?;
+    let config = Config::read(&Source::File(file.to_path_buf()));
+    let config = config.map_err(|e| Failed::unusable(e.to_string()))?;
     let classes = config.setup.class_names.join(", ");
     let list = match (config.discovery, &config.known) {
         (Some(agent), _) => format!("backends from the agent at {agent}"),
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,5 +1,7 @@
 //! What the proxy is told at its start: a file holds all, in the platform's JSON or in the project's own TOML.
 
+use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -10,9 +12,11 @@
 use sparlug_setup::native::{self, Directory, LogFormat, Native};
 use sparlug_setup::Setup;
 
+use crate::failures::is_momentary;
 use crate::http::MESSAGE_MOST;
 use crate::listing::{self, Entry, List};
 use crate::management::CALLS_MOST;
+use crate::starting::again;
 
 pub struct Config {
     pub name: String,
@@ -132,12 +136,48 @@
     }
 }
 
+/// Why a configuration could not be had.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// The file could not be read.
+    Unreadable { path: PathBuf, error: io::Error },
+    /// What was read is of no use; each line is one thing that is wrong.
+    Unusable(String),
+}
+
+impl ConfigError {
+    /// Whether the file may be readable in a moment.
+    pub fn is_momentary(&self) -> bool {
+        matches!(self, ConfigError::Unreadable { error, .. } if is_momentary(error))
+    }
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConfigError::Unreadable { path, error } => write!(f, "cannot read {}: {error}", path.display()),
+            ConfigError::Unusable(why) => write!(f, "{why}"),
+        }
+    }
+}
+
 impl Config {
-    /// Reads a configuration; each line of an error is one thing that is wrong.
-    pub fn read(source: &Source) -> Result<Config, String> {
-        let path = source.path()?;
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
-        Config::of(&path, &text)
+    pub fn read(source: &Source) -> Result<Config, ConfigError> {
+        Config::read_by(source, |path| std::fs::read(path))
+    }
+
+    /// Reads the file again where that fails for a moment.
+    pub fn read_patiently(source: &Source) -> Result<Config, ConfigError> {
+        Config::read_by(source, |path| again(|| std::fs::read(path)))
+    }
+
+    fn read_by(source: &Source, read: impl Fn(&Path) -> io::Result<Vec<u8>>) -> Result<Config, ConfigError> {
+        let path = source.path().map_err(ConfigError::Unusable)?;
+        let text = match read(&path) {
+            Ok(text) => text,
+            Err(error) => return Err(ConfigError::Unreadable { path, error }),
+        };
+        Config::of(&path, &text).map_err(ConfigError::Unusable)
     }
 
     /// Decodes by the name: what ends in `.toml` is in the project's own form.
--- a/crates/proxy/src/failures.rs
+++ b/crates/proxy/src/failures.rs
@@ -77,6 +77,23 @@
     matches!(Errno::from_io_error(error), Some(Errno::NOBUFS | Errno::NOMEM))
 }
 
+/// Whether a call may succeed when it is made again: something was short, or a device failed.
+pub fn is_momentary(error: &io::Error) -> bool {
+    matches!(
+        Errno::from_io_error(error),
+        Some(
+            Errno::INTR
+                | Errno::AGAIN
+                | Errno::IO
+                | Errno::MFILE
+                | Errno::NFILE
+                | Errno::NOBUFS
+                | Errno::NOMEM
+                | Errno::NOSPC
+        )
+    )
+}
+
 /// Whether the process has no descriptor left, of as many as its own limit allows.
 pub fn is_descriptor_limit(error: &io::Error) -> bool {
     Errno::from_io_error(error) == Some(Errno::MFILE)
@@ -95,6 +112,10 @@
     Read,
     /// Writing to a client or a backend.
     Write,
+    /// Waiting for events.
+    Wait,
+    /// Reading the configuration.
+    Configuration,
 }
 
 impl SystemCall {
@@ -105,6 +126,8 @@
             SystemCall::Connect => "connect",
             SystemCall::Read => "read",
             SystemCall::Write => "write",
+            SystemCall::Wait => "wait",
+            SystemCall::Configuration => "configuration",
         }
     }
 }
--- a/crates/proxy/src/fleet.rs
+++ b/crates/proxy/src/fleet.rs
@@ -80,8 +80,8 @@
         Fleet { plan, duties, beside: false, seed, on: None }
     }
 
-    /// Listens and begins to look for others. An error is one line.
-    pub fn start(&mut self, io: &mut Shared) -> Result<Vec<Told>, String> {
+    /// Listens and begins to look for others.
+    pub fn start(&mut self, io: &mut Shared) -> io::Result<Vec<Told>> {
         let Some((settings, address, shared)) = self.plan.clone() else { return Ok(Vec::new()) };
         let bind = || -> io::Result<UdpSocket> {
             let socket = Socket::new(Domain::for_address(address), Type::DGRAM, None)?;
@@ -93,7 +93,7 @@
             io.registry.register(&mut socket, Owner::Fleet.token(), Interest::READABLE)?;
             Ok(socket)
         };
-        let socket = bind().map_err(|e| format!("cannot listen for the fleet on {address}: {e}"))?;
+        let socket = bind()?;
         let counted = settings.instances;
         // Each life draws anew, also where the seed is given.
         let seed = self.seed ^ io.now.since(Time::ORIGIN).ms().to_bits();
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -16,16 +16,18 @@
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
+use sparlug::time::Span;
 
 use crate::acceptor::{Acceptor, Next};
 use crate::link::Link;
 use crate::said::{line, next, State, Word, LINE_MOST};
-use crate::shared::{Note, OfPeer, Owner, PeerSlot, Shared};
+use crate::shared::{Due, Note, OfPeer, Owner, PeerSlot, Shared};
 use crate::slots::Slots;
 
 const GREETING: &[u8] = b"sparlug-handover 1\n"; // the socket that is handed over comes with its first byte
 const PATIENCE: Duration = Duration::from_millis(1_000); // for all that is handed over
 const PEERS_MOST: usize = 4;
+const WAIT_PAUSE: Span = Span::from_millis(1_000); // before a socket that could not be made is tried again
 
 /// What was taken over from the process that was there before.
 pub struct Taken {
@@ -116,8 +118,12 @@
 /// The way to the processes that live beside this one, as the proxy before or after it.
 pub struct Handover {
     path: PathBuf,
-    /// Waits for the next process, where that is wanted and to be had.
+    /// The next process is to be waited for.
+    wanted: bool,
+    /// Waits for the next process, where that is to be had.
     acceptor: Acceptor<UnixListener>,
+    /// One more than times in a row that this could not be had.
+    wait_failures: u32,
     peers: Slots<OfPeer, Peer>,
 }
 
@@ -129,8 +135,13 @@
         before: Option<(StdUnixStream, Vec<u8>)>,
         io: &mut Shared,
     ) -> Handover {
-        let mut handover =
-            Handover { path, acceptor: Acceptor::new(None, Owner::Handover), peers: Slots::default() };
+        let mut handover = Handover {
+            path,
+            wanted,
+            acceptor: Acceptor::new(None, Owner::Handover),
+            wait_failures: 1,
+            peers: Slots::default(),
+        };
         if wanted {
             handover.wait(io);
         }
@@ -145,16 +156,20 @@
     }
 
     /// Waits for the next process, in the place of whoever waited there before.
-    fn wait(&mut self, io: &Shared) {
+    fn wait(&mut self, io: &mut Shared) {
         let socket = fs::symlink_metadata(&self.path).is_ok_and(|found| found.file_type().is_socket());
         if socket {
             let _ = fs::remove_file(&self.path);
         }
         let listen = || Acceptor::watch(UnixListener::bind(&self.path)?, Owner::Handover, &io.registry);
         match listen() {
-            Ok(acceptor) => self.acceptor = acceptor,
+            Ok(acceptor) => (self.acceptor, self.wait_failures) = (acceptor, 1),
             Err(e) => {
-                tracing::warn!(path = %self.path.display(), error = %e, "upgrades will hand nothing over");
+                if self.wait_failures.is_power_of_two() {
+                    tracing::warn!(path = %self.path.display(), error = %e, "upgrades will hand nothing over for now");
+                }
+                self.wait_failures += 1;
+                io.deadlines.set(io.now + WAIT_PAUSE, Due::Again(Owner::Handover));
             }
         }
     }
@@ -179,6 +194,9 @@
 
     /// Hands the state and the listening socket to those that have come.
     pub fn accept(&mut self, listener: Option<impl AsFd>, state: impl Fn() -> State, io: &mut Shared) {
+        if self.wanted && !self.succeeded() && self.acceptor.listener().is_none() {
+            self.wait(io);
+        }
         while let Next::Connection(stream) = self.acceptor.next(io) {
             if !own(&stream) || self.peers.count() >= PEERS_MOST {
                 tracing::warn!("another user's process, or one too many, came for the handover");
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,4 +23,6 @@
 pub mod proxy;
 pub mod said;
 pub mod shared;
+pub mod signals;
 pub mod slots;
+pub mod starting;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -4,7 +4,8 @@
 use std::process::ExitCode;
 
 use sparlug_proxy::config::{Config, Source};
-use sparlug_proxy::proxy::{hear_signals, Proxy};
+use sparlug_proxy::proxy::Proxy;
+use sparlug_proxy::signals::SignalQueue;
 use tracing::level_filters::LevelFilter;
 
 /// The log goes to standard error; `SPARLUG_LOG` names its level, `info` if unset.
@@ -22,8 +23,8 @@
 
 fn main() -> ExitCode {
     // First of all: guards against a signal that comes before the program is up and ends it.
-    let served = hear_signals().and_then(|signals| {
-        let config = Config::read(&Source::Environment)?;
+    let served = SignalQueue::hear().and_then(|signals| {
+        let config = Config::read_patiently(&Source::Environment).map_err(|e| e.to_string())?;
         log();
         Proxy::new(config, Source::Environment, signals)?.run().map_err(|e| format!("cannot poll: {e}"))
     });
--- a/crates/proxy/src/management.rs
+++ b/crates/proxy/src/management.rs
@@ -14,6 +14,7 @@
 use crate::said::Call;
 use crate::shared::{CallSlot, Due, Note, OfCall, Owner, Shared};
 use crate::slots::Slots;
+use crate::starting::again;
 
 /// Connections of operators at a time. Guards against those that say nothing using up the descriptors.
 pub const CALLS_MOST: usize = 8;
@@ -41,7 +42,7 @@
     pub fn new(address: Option<SocketAddr>, io: &Shared) -> Result<Management, String> {
         let listen = |address| Acceptor::watch(TcpListener::bind(address)?, Owner::Management, &io.registry);
         let fault = |e: std::io::Error| format!("cannot listen for operators on {address:?}: {e}");
-        let acceptor = address.map(listen).transpose().map_err(fault)?;
+        let acceptor = address.map(|address| again(|| listen(address))).transpose().map_err(fault)?;
         let acceptor = acceptor.unwrap_or_else(|| Acceptor::new(None, Owner::Management));
         Ok(Management { acceptor, callers: Slots::default() })
     }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -11,6 +11,7 @@
 use sparlug::word::MOST;
 
 use crate::shared::{Owner, Shared};
+use crate::starting::again;
 
 /// How many are read before others have their turn; the loop comes back for the rest.
 const AT_ONCE: usize = 64;
@@ -35,7 +36,7 @@
             io.registry.register(&mut socket, Owner::Peers.token(), Interest::READABLE)?;
             Ok(socket)
         };
-        let socket = bind().map_err(|e| format!("cannot listen for peers on {address}: {e}"))?;
+        let socket = again(bind).map_err(|e| format!("cannot listen for peers on {address}: {e}"))?;
         Ok(Peers { all, own, socket: Some(socket) })
     }
 
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -2,12 +2,12 @@
 //! carries out what they say. It decides nothing.
 
 use std::io;
+use std::time::Duration;
 
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Registry};
 use oorandom::Rand32;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use signal_hook_mio::v1_0::Signals;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use socket2::{Domain, Socket, Type};
 use sparlug::event::{Action, Ended, Event, Listing, Outcome, Reason, Request};
 use sparlug::id::{AttemptNo, BackendId, ClassId, RequestId};
@@ -16,11 +16,12 @@
 use sparlug::time::{Span, Time};
 
 use crate::clients::{Classes, Clients};
-use crate::config::{Budgets, Config, Fixed, Source, OWN_SOCKETS};
+use crate::config::{Budgets, Config, ConfigError, Fixed, Source, OWN_SOCKETS};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, DeadlineId, Deadlines};
 use crate::discovery::Discovery;
 use crate::ending::Ending;
+use crate::failures::SystemCall;
 use crate::fleet::{self, Fleet, Told};
 use crate::handover::{self, Handover};
 use crate::http::{self, AnswerHead, Bad};
@@ -33,11 +34,18 @@
     Begun, CallSlot, ClientSlot, ConnSlot, Done, Due, HeldSlot, Incoming, Note, OfHeld, Owner, Purpose,
     Shared,
 };
+use crate::signals::SignalQueue;
 use crate::slots::Slots;
+use crate::starting::again;
 
 const OVERSLEPT: Span = Span::from_millis(3); // more than the timer's own coarseness
 const BACKLOG: i32 = 1024; // connections that may wait to be accepted
 const ACCEPT_ON: Span = Span::from_millis(600); // how long new connections are taken after the word to go
+const JOIN_PAUSE: Span = Span::from_millis(1_000); // before a fleet that could not be joined is joined again
+const RELOAD_FOR: Span = Span::from_millis(30_000); // for which reading a configuration is tried
+const RELOAD_PAUSE: Span = Span::from_millis(50);
+const FAILED_WAITS_MOST: u32 = 1_000; // in a row, after which the program ends
+const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(1);
 const DRAIN_PAUSE: Span = Span::from_millis(5); // between looks at a queue that could not be emptied
 const COPY_MOST: usize = 512 * 1024; // of a long request, that is held so that it can go again
 const GONE_BY: Span = Span::from_millis(50); // after the longest deadline from then, nothing is owed any more
@@ -78,7 +86,7 @@
     clock: Clock,
     /// When the last wait was over.
     polled: Time,
-    signals: Signals,
+    signals: SignalQueue,
     io: Shared,
     balancer: Balancer,
     actions: Vec<Action>,
@@ -104,12 +112,16 @@
     source: Source,
     /// Since when it is going down.
     leaving: Option<Time>,
+    /// When it was told to read its configuration anew, until it has.
+    reload_since: Option<Time>,
+    /// Waits in a row that failed.
+    failed_waits: u32,
 }
 
 /// Listens, at the socket that was handed over if there is one. `shared` lets another process do so too.
 fn listen(
     config: &Config,
-    handed: Option<std::net::TcpListener>,
+    handed: Option<&std::net::TcpListener>,
     shared: bool,
     registry: &Registry,
 ) -> io::Result<TcpListener> {
@@ -122,25 +134,19 @@
         socket.listen(BACKLOG)?;
         Ok(socket.into())
     };
-    let listener: std::net::TcpListener = handed.map_or_else(bind, io::Result::Ok)?;
+    let listener: std::net::TcpListener = handed.map_or_else(bind, std::net::TcpListener::try_clone)?;
     listener.set_nonblocking(true)?;
     let mut listener = TcpListener::from_std(listener);
     registry.register(&mut listener, Owner::Listener.token(), Interest::READABLE)?;
     Ok(listener)
 }
 
-/// The signals that the program answers to, heard from here on.
-pub fn hear_signals() -> Result<Signals, String> {
-    Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1]).map_err(|e| format!("cannot hear signals: {e}"))
-}
-
 impl Proxy {
     /// `source` is where the configuration came from, to be read again on SIGHUP.
-    pub fn new(config: Config, source: Source, mut signals: Signals) -> Result<Proxy, String> {
-        let poll = Poll::new().map_err(|e| format!("cannot poll: {e}"))?;
-        let registry = poll.registry().try_clone().map_err(|e| format!("cannot poll: {e}"))?;
-        let heard = registry.register(&mut signals, Owner::Signals.token(), Interest::READABLE);
-        heard.map_err(|e| format!("cannot hear signals: {e}"))?;
+    pub fn new(config: Config, source: Source, mut signals: SignalQueue) -> Result<Proxy, String> {
+        let poll = again(Poll::new).map_err(|e| format!("cannot poll: {e}"))?;
+        let registry = again(|| poll.registry().try_clone()).map_err(|e| format!("cannot poll: {e}"))?;
+        again(|| signals.watch(&registry)).map_err(|e| format!("cannot hear signals: {e}"))?;
         // An address that is only found at the start is no name to be found by.
         let managed = config.management.is_some();
         let (path, wanted) = (handover::path(config.listen), managed && config.listen.port() != 0);
@@ -154,7 +160,7 @@
             |(listener, state, before)| (listener, state, Some(before)),
         );
         let joined = handed.is_some();
-        let listener = listen(&config, handed, managed, &registry);
+        let listener = again(|| listen(&config, handed.as_ref(), managed, &registry));
         let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
 
         let clock = Clock::start();
@@ -184,6 +190,7 @@
         let zone = setup.zone_names.get(usize::from(setup.settings.zone.0)).map_or("", String::as_str);
         let about = (config.name.as_str(), zone, setup.settings.instances);
         let fleet = Fleet::new(setup.fleet.as_ref(), about, config.seed, managed);
+        let fleet_address = setup.fleet.as_ref().map(|found| found.address);
         if setup.fleet.is_some() {
             // Not the place among those that are there: whoever comes or goes would move everybody's part.
             setup.settings.ordinal = fleet::ordinal(&config.name);
@@ -237,6 +244,8 @@
             fixed: config.fixed,
             source,
             leaving,
+            reload_since: None,
+            failed_waits: 0,
         };
         proxy.carry_out();
         proxy.pump();
@@ -247,7 +256,8 @@
             proxy.discovery.watch(&mut proxy.io);
         }
         proxy.fleet.beside(proxy.handover.beside(), &mut proxy.io);
-        let told = proxy.fleet.start(&mut proxy.io)?;
+        let told = again(|| proxy.fleet.start(&mut proxy.io));
+        let told = told.map_err(|e| format!("cannot listen for the fleet on {fleet_address:?}: {e}"))?;
         proxy.told(told);
         let listen = proxy.clients.address().unwrap_or(config.listen);
         match proxy.management.address() {
@@ -262,11 +272,15 @@
         // All descriptors at once: guards against one's end waiting in the kernel behind a flood of others.
         let mut events = Events::with_capacity(self.budgets[0].both + OWN_SOCKETS);
         while !self.done() {
+            if self.signals.has_come() {
+                self.signalled();
+                self.pump();
+            }
             let before = self.clock.now();
             let wait = self.io.deadlines.wait(before);
             match self.poll.poll(&mut events, wait) {
-                Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
-                _ => {}
+                Err(e) if e.kind() != io::ErrorKind::Interrupted => self.wait_failed(e)?,
+                _ => self.failed_waits = 0,
             }
             self.io.now = self.clock.now();
             // If it hardly waited, what is there may have come at any time since the last turn; if it slept
@@ -295,6 +309,17 @@
         Ok(())
     }
 
+    /// Goes on after a wait that failed. Guards against the end of all that is served by a failure that passes.
+    fn wait_failed(&mut self, error: io::Error) -> io::Result<()> {
+        self.io.counters.failures.count(SystemCall::Wait, &error);
+        self.failed_waits += 1;
+        if self.failed_waits > FAILED_WAITS_MOST {
+            return Err(error);
+        }
+        std::thread::sleep(FAILED_WAIT_PAUSE);
+        Ok(())
+    }
+
     /// Operators first: guards against a call of theirs waiting behind a flood of callers. Then the callers that are
     /// gone: guards against a place that falls free in the same turn going to a request that nobody waits for.
     fn in_order(&mut self, events: &Events) -> Vec<Owner> {
@@ -344,11 +369,14 @@
             Due::Idle(slot) => self.pool.idle_over(slot, &mut self.io),
             Due::List => self.discovery.due(&mut self.io),
             Due::Leave => self.leave(),
+            Due::Reload if self.reload_since.is_some() => self.reload(),
+            Due::Reload => {}
             Due::Call(slot) => self.management.close(slot, &mut self.io),
             Due::Fleet => {
                 let told = self.fleet.due(&mut self.io);
                 self.told(told);
             }
+            Due::JoinFleet => self.share_fleet(),
             Due::Duties => self.fleet.duties_due(&mut self.io),
         }
     }
@@ -391,16 +419,19 @@
         } else if !self.fleet.is_on() && self.leaving.is_none() {
             match self.fleet.start(&mut self.io) {
                 Ok(told) => self.told(told),
-                Err(why) => tracing::warn!(why, "serving on without the fleet"),
+                Err(error) => {
+                    tracing::warn!(%error, "serving on without the fleet, joining again later");
+                    self.io.deadlines.set(self.io.now + JOIN_PAUSE, Due::JoinFleet);
+                }
             }
         }
     }
 
     fn signalled(&mut self) {
-        let signals: Vec<_> = self.signals.pending().collect();
-        for signal in signals {
+        for signal in self.signals.take() {
             tracing::info!(signal, counters = %self.io.counters, "signal");
             if signal == SIGHUP {
+                self.reload_since = Some(self.io.now);
                 self.reload();
             }
             if matches!(signal, SIGTERM | SIGINT) && self.leaving.is_none() {
@@ -422,8 +453,9 @@
     fn reload(&mut self) {
         let config = match Config::read(&self.source) {
             Ok(config) => config,
-            Err(why) => return tracing::warn!(why, "configuration kept as it was"),
+            Err(error) => return self.reload_failed(&error),
         };
+        self.reload_since = None;
         let (discovery, restart) = (config.discovery, config.fixed != self.fixed);
         self.budgets = [config.budgets, config.halved];
         self.share();
@@ -438,6 +470,20 @@
         }
     }
 
+    /// Guards against a new configuration that is lost because its file could not be read in the moment of the signal.
+    fn reload_failed(&mut self, error: &ConfigError) {
+        if let ConfigError::Unreadable { error, .. } = error {
+            self.io.counters.failures.count(SystemCall::Configuration, error);
+        }
+        let since = self.reload_since.filter(|since| self.io.now.since(*since) < RELOAD_FOR);
+        if since.is_some() && error.is_momentary() {
+            self.io.deadlines.set(self.io.now + RELOAD_PAUSE, Due::Reload);
+        } else {
+            self.reload_since = None;
+            tracing::warn!(why = %error, "configuration kept as it was");
+        }
+    }
+
     /// Takes the budgets of a proxy that is one process, or one of two.
     fn share(&mut self) {
         let budgets = self.budgets[usize::from(self.handover.beside())];
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -101,10 +101,14 @@
     List,
     /// The fleet's members have something to do.
     Fleet,
+    /// The fleet is to be joined, which failed.
+    JoinFleet,
     /// A duty is to be asked for, renewed or given away.
     Duties,
     /// The next step of going down.
     Leave,
+    /// The configuration is to be read anew, which failed for a moment.
+    Reload,
     /// The end of the time for an operator's call.
     Call(CallSlot),
 }
