--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use sparlug_proxy::config::{Config, Source};
+use sparlug_proxy::logging::LogWriter;
 use sparlug_proxy::proxy::Proxy;
 use sparlug_proxy::signals::SignalQueue;
 use sparlug_setup::native::LogFormat;
@@ -27,7 +28,7 @@
         let log = tracing_subscriber::fmt()
             .log_internal_errors(false)
             .with_env_filter(filter)
-            .with_writer(std::io::stderr)
+            .with_writer(LogWriter::new)
             .with_ansi(false);
         let json = match self.format {
             Some(format) => format == Format::Json,
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -6,6 +6,7 @@
 
 use crate::closing::Unanswered;
 use crate::failures::Failures;
+use crate::logging::lines_left_out;
 
 #[derive(Default)]
 pub struct Counters {
@@ -62,6 +63,7 @@
             }
         }
         let _ = writeln!(text, "svc.attempts:{}|c", self.attempts);
+        let _ = writeln!(text, "svc.log_lines_left_out:{}|c", lines_left_out());
         text + &self.unanswered.report() + &self.failures.report()
     }
 
@@ -78,7 +80,8 @@
         write!(f, "forwards={} dialled={} reused={} ", self.forwards, self.dialled, self.reused)?;
         write!(f, "checks={} heard={} ", self.checks, self.heard)?;
         write!(f, "lists={} lists_failed={} ", self.lists, self.lists_failed)?;
-        write!(f, "lists_odd={}{}{}", self.lists_odd, self.unanswered, self.failures)?;
+        write!(f, "lists_odd={} log_lines_left_out={}", self.lists_odd, lines_left_out())?;
+        write!(f, "{}{}", self.unanswered, self.failures)?;
         let names = [
             "honoured",
             "error",
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod http;
 pub mod link;
 pub mod listing;
+pub mod logging;
 pub mod management;
 pub mod patience;
 pub mod peers;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use sparlug_proxy::config::{Config, Source};
+use sparlug_proxy::logging::LogWriter;
 use sparlug_proxy::proxy::Proxy;
 use sparlug_proxy::signals::SignalQueue;
 use tracing::level_filters::LevelFilter;
@@ -16,7 +17,7 @@
     tracing_subscriber::fmt()
         .log_internal_errors(false)
         .with_max_level(level)
-        .with_writer(std::io::stderr)
+        .with_writer(LogWriter::new)
         .with_ansi(false)
         .init();
 }
@@ -24,8 +25,8 @@
 fn main() -> ExitCode {
     // First of all: guards against a signal that comes before the program is up and ends it.
     let served = SignalQueue::hear().and_then(|signals| {
-        let config = Config::read_patiently(&Source::Environment).map_err(|e| e.to_string())?;
         log();
+        let config = Config::read_patiently(&Source::Environment).map_err(|e| e.to_string())?;
         Proxy::new(config, Source::Environment, signals)?.run().map_err(|e| format!("cannot poll: {e}"))
     });
     match served {
