Classify failures in one place, bound interruptions, judge no backend by this machine

After 16 in a row others have their turn. - getsockopt and getpeername that fail say nothing of a connection: it is looked at again, not dropped. - connect that fails by the way (ENETUNREACH, EHOSTUNREACH, ETIMEDOUT) counts against a backend only where others came up meanwhile.

Cause of all: lists of numbers at each call, each with its own reading. failures::Cause says whose fault an error is, for all calls; figures bear it: svc.failed_calls.CALL.CAUSE.NUMBER.

--- a/crates/proxy/src/acceptor.rs
+++ b/crates/proxy/src/acceptor.rs
@@ -8,7 +8,7 @@
 use sparlug::time::{Span, Time};
 
 use crate::deadlines::DeadlineId;
-use crate::failures::{accept_remedy, Remedy, SystemCall};
+use crate::failures::{is_of_one_connection, SystemCall};
 use crate::shared::{Due, Owner, Shared};
 
 const FULL_PAUSE: Span = Span::from_millis(20); // while there is no room for one more
@@ -95,12 +95,12 @@
                 Err(e) => e,
             };
             io.counters.failures.count(SystemCall::Accept, &error);
-            if accept_remedy(&error) != Remedy::Now {
+            if !is_of_one_connection(&error) {
                 self.failed(&error, io);
                 return Next::Failed(error);
             }
         }
-        self.look_again(Span::ZERO, io);
+        self.look_again(FAILURE_PAUSE, io);
         Next::Empty
     }
 
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use rustix::fs::{Mode, OFlags};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use sparlug::event::{Condition, Listing};
@@ -12,7 +13,7 @@
 use sparlug_setup::native::{self, Directory, LogFormat, Native};
 use sparlug_setup::Setup;
 
-use crate::failures::is_momentary;
+use crate::failures::Cause;
 use crate::http::MESSAGE_MOST;
 use crate::listing::{self, Entry, List};
 use crate::management::CALLS_MOST;
@@ -146,9 +147,12 @@
 }
 
 impl ConfigError {
-    /// Whether the file may be readable in a moment.
+    /// Whether the file may be of use in a moment: it could not be read, or is still being written.
     pub fn is_momentary(&self) -> bool {
-        matches!(self, ConfigError::Unreadable { error, .. } if is_momentary(error))
+        match self {
+            ConfigError::Unreadable { error, .. } => Cause::of(error).is_momentary(),
+            ConfigError::Unusable(_) => true,
+        }
     }
 }
 
@@ -161,14 +165,26 @@
     }
 }
 
+/// What a file holds. Unlike the standard library it gives up when it is interrupted, so that nothing waits for it.
+fn contents(path: &Path) -> io::Result<Vec<u8>> {
+    let file = rustix::fs::open(path, OFlags::RDONLY | OFlags::CLOEXEC, Mode::empty())?;
+    let (mut text, mut piece) = (Vec::new(), [0; 16 * 1024]);
+    loop {
+        match rustix::io::read(&file, &mut piece)? {
+            0 => return Ok(text),
+            read => text.extend_from_slice(&piece[..read]),
+        }
+    }
+}
+
 impl Config {
     pub fn read(source: &Source) -> Result<Config, ConfigError> {
-        Config::read_by(source, |path| std::fs::read(path))
+        Config::read_by(source, contents)
     }
 
     /// Reads the file again where that fails for a moment.
     pub fn read_patiently(source: &Source) -> Result<Config, ConfigError> {
-        Config::read_by(source, |path| again(|| std::fs::read(path)))
+        Config::read_by(source, |path| again(|| contents(path)))
     }
 
     fn read_by(source: &Source, read: impl Fn(&Path) -> io::Result<Vec<u8>>) -> Result<Config, ConfigError> {
--- a/crates/proxy/src/ending.rs
+++ b/crates/proxy/src/ending.rs
@@ -11,6 +11,8 @@
     Refused,
     /// It was not up in time.
     NeverUp,
+    /// There was no way to it for as long as that was tried, nor to any other backend.
+    NoWay,
     /// It broke before the last byte of the request was written.
     BrokeBefore,
     /// It broke or ended after that, with no answer begun.
@@ -46,7 +48,7 @@
             Ending::Answered { status: 400..=407 | 409..=428 | 430..=499, .. } => Outcome::Faulted,
             Ending::Answered { .. } => Outcome::Error,
             Ending::Refused | Ending::NeverUp | Ending::BrokeBefore => Outcome::ConnectFailed,
-            Ending::Withdrawn | Ending::KeptBroke { written: false } => Outcome::Withdrawn,
+            Ending::Withdrawn | Ending::NoWay | Ending::KeptBroke { written: false } => Outcome::Withdrawn,
             Ending::KeptBroke { written: true } => Outcome::Lost,
             Ending::BrokeAfter | Ending::CutShort | Ending::Garbled => Outcome::Broken,
             Ending::OutOfTime { written: true } => Outcome::TimedOut,
--- a/crates/proxy/src/failures.rs
+++ b/crates/proxy/src/failures.rs
@@ -1,4 +1,4 @@
-//! System calls that failed, counted by call and error number, for the figures that operators read.
+//! System calls that failed: whose fault that is, what is to be done about it, and how often it happened.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -6,92 +6,75 @@
 
 use rustix::io::Errno;
 
-/// What to do about a call that failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Remedy {
-    /// Make it again at once: it was interrupted, or the failure was that of a single connection.
-    Now,
-    /// Make it again after a pause: something is short for the moment.
-    Later,
+/// Whose fault a failure is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// Nobody's: the call was interrupted, or found nothing to do.
+    Nobody,
+    /// This machine is short of something for the moment: descriptors, ports, memory, space.
+    Shortage,
+    /// A device of this machine fails.
+    Device,
+    /// The way to the other side.
+    Way,
+    /// The other side refused or ended it.
+    OtherSide,
+    /// No error that a call documents for a moment.
+    Other,
 }
 
-/// What accept(2) documents as pending errors of the connection that was taken, which is gone then.
-const OF_ONE_CONNECTION: [Errno; 13] = [
-    Errno::INTR,
-    Errno::CONNABORTED,
-    Errno::CONNRESET,
-    Errno::PROTO,
-    Errno::PERM,
-    Errno::NETDOWN,
-    Errno::NOPROTOOPT,
-    Errno::HOSTDOWN,
-    Errno::NONET,
-    Errno::HOSTUNREACH,
-    Errno::OPNOTSUPP,
-    Errno::NETUNREACH,
-    Errno::TIMEDOUT,
-];
-
-/// What a failure of `accept` asks for.
-pub fn accept_remedy(error: &io::Error) -> Remedy {
-    match Errno::from_io_error(error) {
-        Some(errno) if OF_ONE_CONNECTION.contains(&errno) => Remedy::Now,
-        _ => Remedy::Later,
+impl Cause {
+    pub fn of(error: &io::Error) -> Cause {
+        match Errno::from_io_error(error) {
+            Some(Errno::INTR | Errno::AGAIN | Errno::CONNABORTED) => Cause::Nobody,
+            Some(
+                Errno::MFILE
+                | Errno::NFILE
+                | Errno::NOBUFS
+                | Errno::NOMEM
+                | Errno::NOSPC
+                | Errno::ADDRNOTAVAIL
+                | Errno::ADDRINUSE,
+            ) => Cause::Shortage,
+            Some(Errno::IO) => Cause::Device,
+            Some(
+                Errno::NETUNREACH
+                | Errno::HOSTUNREACH
+                | Errno::NETDOWN
+                | Errno::HOSTDOWN
+                | Errno::NONET
+                | Errno::TIMEDOUT
+                | Errno::PROTO
+                | Errno::NOPROTOOPT
+                | Errno::OPNOTSUPP
+                | Errno::PERM
+                | Errno::ACCESS,
+            ) => Cause::Way,
+            Some(Errno::CONNREFUSED | Errno::CONNRESET | Errno::PIPE | Errno::NOTCONN) => Cause::OtherSide,
+            _ => Cause::Other,
+        }
     }
-}
 
-/// What a failure to make a connection says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectFailure {
-    /// The other side, or a host on the way, refused it.
-    Refused,
-    /// There is no way there, which may be so for a moment, for this backend or for all.
-    NoWay,
-    /// This machine is short of something: descriptors, ports, memory.
-    Shortage,
-}
+    /// Whether the call may succeed when it is made again on the same thing.
+    pub fn is_momentary(self) -> bool {
+        matches!(self, Cause::Nobody | Cause::Shortage | Cause::Device)
+    }
 
-/// What a failure of `socket`, `connect` or a look at their result says.
-pub fn connect_failure(error: &io::Error) -> ConnectFailure {
-    match Errno::from_io_error(error) {
-        Some(
-            Errno::MFILE
-            | Errno::NFILE
-            | Errno::NOBUFS
-            | Errno::NOMEM
-            | Errno::NOSPC
-            | Errno::ADDRNOTAVAIL
-            | Errno::ADDRINUSE
-            | Errno::AGAIN
-            | Errno::INTR,
-        ) => ConnectFailure::Shortage,
-        Some(Errno::NETUNREACH | Errno::NETDOWN | Errno::CONNABORTED | Errno::PERM | Errno::ACCESS) => {
-            ConnectFailure::NoWay
+    fn name(self) -> &'static str {
+        match self {
+            Cause::Nobody => "nobody",
+            Cause::Shortage => "shortage",
+            Cause::Device => "device",
+            Cause::Way => "way",
+            Cause::OtherSide => "other_side",
+            Cause::Other => "other",
         }
-        _ => ConnectFailure::Refused,
     }
 }
 
-/// Whether a read or write failed for want of memory, which says nothing of the connection.
-pub fn is_shortage(error: &io::Error) -> bool {
-    matches!(Errno::from_io_error(error), Some(Errno::NOBUFS | Errno::NOMEM))
-}
-
-/// Whether a call may succeed when it is made again: something was short, or a device failed.
-pub fn is_momentary(error: &io::Error) -> bool {
-    matches!(
-        Errno::from_io_error(error),
-        Some(
-            Errno::INTR
-                | Errno::AGAIN
-                | Errno::IO
-                | Errno::MFILE
-                | Errno::NFILE
-                | Errno::NOBUFS
-                | Errno::NOMEM
-                | Errno::NOSPC
-        )
-    )
+/// Whether a failure of `accept` is that of one connection, which is gone with it, and not of the listener.
+pub fn is_of_one_connection(error: &io::Error) -> bool {
+    matches!(Cause::of(error), Cause::Nobody | Cause::Way | Cause::OtherSide)
 }
 
 /// Whether the process has no descriptor left, of as many as its own limit allows.
@@ -132,21 +115,22 @@
     }
 }
 
-/// How often each call failed with each error number; 0 stands for an error without one.
+/// How often each call failed, by cause and error number; 0 stands for an error without one.
 #[derive(Default)]
 pub struct Failures {
-    counts: BTreeMap<(SystemCall, i32), u64>,
+    counts: BTreeMap<(SystemCall, Cause, i32), u64>,
 }
 
 impl Failures {
     pub fn count(&mut self, call: SystemCall, error: &io::Error) {
-        *self.counts.entry((call, error.raw_os_error().unwrap_or(0))).or_default() += 1;
+        let number = error.raw_os_error().unwrap_or(0);
+        *self.counts.entry((call, Cause::of(error), number)).or_default() += 1;
     }
 
     /// The counts in the form that operators read, a figure a line.
     pub fn report(&self) -> String {
-        let line = |((call, number), count): (&(SystemCall, i32), &u64)| {
-            format!("svc.failed_calls.{}.{number}:{count}|c\n", call.name())
+        let line = |((call, cause, number), count): (&(SystemCall, Cause, i32), &u64)| {
+            format!("svc.failed_calls.{}.{}.{number}:{count}|c\n", call.name(), cause.name())
         };
         self.counts.iter().map(line).collect()
     }
@@ -154,7 +138,8 @@
 
 impl fmt::Display for Failures {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let mut counts = self.counts.iter();
-        counts.try_for_each(|((call, number), count)| write!(f, " failed_{}_{number}={count}", call.name()))
+        self.counts.iter().try_for_each(|((call, cause, number), count)| {
+            write!(f, " failed_{}_{}_{number}={count}", call.name(), cause.name())
+        })
     }
 }
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -12,8 +12,9 @@
 use mio::{Interest, Registry, Token};
 use sparlug::time::{Span, Time};
 
-use crate::failures::is_shortage;
+use crate::failures::Cause;
 
+const INTERRUPTIONS_MOST: u32 = 16; // in a row, after which others have their turn
 const PIECE: usize = 16 * 1024; // read at once
 pub const RETRY_PAUSE: Span = Span::from_millis(5); // before a call is made again that failed for want of something
 
@@ -37,6 +38,8 @@
     unread: bool,
     /// A call failed for want of memory: it is to be made again, and no event will tell when.
     stalled: bool,
+    /// Whether it is up was looked at without success.
+    looked: bool,
     /// When it is looked at again without an event.
     look_at: Option<Time>,
     pub ended: bool,
@@ -62,6 +65,7 @@
             begun: false,
             unread: true,
             stalled: false,
+            looked: false,
             look_at: None,
             ended: false,
             broken: false,
@@ -104,6 +108,7 @@
     fn fill_by(&mut self, piece: &mut [u8; PIECE], most: usize) -> Result<()> {
         let Some(stream) = &mut self.stream else { return Ok(()) };
         self.unread = true;
+        let mut interruptions = 0;
         while self.input.len() < most && !self.ended {
             let room = PIECE.min(most - self.input.len());
             match stream.read(&mut piece[..room]) {
@@ -112,12 +117,14 @@
                     self.input.reserve_exact(read);
                     self.input.extend_from_slice(&piece[..read]);
                 }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted && interruptions < INTERRUPTIONS_MOST => {
+                    interruptions += 1;
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.unread = false;
                     return Ok(());
                 }
-                Err(e) if is_shortage(&e) => {
+                Err(e) if Cause::of(&e).is_momentary() => {
                     (self.unread, self.stalled) = (false, true);
                     return Ok(());
                 }
@@ -166,12 +173,15 @@
     /// Writes what can be written now, and tells whether that was all.
     pub fn flush(&mut self) -> Result<bool> {
         let Some(stream) = &mut self.stream else { return Ok(self.output.is_empty()) };
+        let mut interruptions = 0;
         while self.written < self.output.len() {
             match stream.write(&self.output[self.written..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => (self.written, self.begun) = (self.written + n, true),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock || is_shortage(&e) => {
+                Err(e) if e.kind() == ErrorKind::Interrupted && interruptions < INTERRUPTIONS_MOST => {
+                    interruptions += 1;
+                }
+                Err(e) if Cause::of(&e).is_momentary() => {
                     self.stalled |= e.kind() != ErrorKind::WouldBlock;
                     // Guards against a stream whose other side is never quite done with keeping all it wrote.
                     if self.written >= PIECE {
@@ -205,32 +215,33 @@
 
     /// Makes a socket that connects to an address, in the place of an earlier one.
     pub fn connect(&mut self, to: SocketAddr) -> Result<()> {
-        (self.stream, self.watched) = (None, false);
+        (self.stream, self.watched, self.looked) = (None, false, false);
         self.stream = Some(TcpStream::connect(to)?);
         Ok(())
     }
 
-    /// Gives up a socket that did not come up.
-    pub fn disconnect(&mut self, registry: &Registry) {
-        if let Some(stream) = self.stream.as_mut().filter(|_| self.watched) {
-            let _ = registry.deregister(stream);
-        }
-        (self.stream, self.watched) = (None, false);
-    }
-
-    /// Whether a dialled connection is up; an error if it failed.
-    pub fn up(&self) -> Result<bool> {
+    /// Whether a dialled connection is up; an error if it failed. A look that fails itself is taken again.
+    pub fn up(&mut self) -> Result<bool> {
         let Some(stream) = &self.stream else { return Ok(false) };
-        if let Some(e) = stream.take_error()? {
-            return Err(e);
+        match stream.take_error() {
+            Ok(None) => {}
+            Ok(Some(e)) => return Err(e),
+            Err(_) => {
+                self.stalled = true;
+                return Ok(false);
+            }
         }
         match stream.peer_addr() {
             Ok(_) => {
                 let _ = stream.set_nodelay(true);
                 Ok(true)
             }
-            Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
-            Err(e) => Err(e),
+            Err(e) => {
+                // A connection that is still being made has no peer, nor has one that was looked at before.
+                self.stalled =
+                    e.kind() != ErrorKind::NotConnected || std::mem::replace(&mut self.looked, true);
+                Ok(false)
+            }
         }
     }
 
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -13,7 +13,7 @@
 use crate::config::Budgets;
 use crate::deadlines::DeadlineId;
 use crate::ending::Ending;
-use crate::failures::{connect_failure, ConnectFailure, SystemCall};
+use crate::failures::{Cause, SystemCall};
 use crate::http::{self, AnswerHead, Bad, BODY_MOST, MESSAGE_MOST};
 use crate::link::{Link, RETRY_PAUSE};
 use crate::listing::{Entry, HandedHost};
@@ -73,7 +73,7 @@
     /// When its socket was made.
     dialled: Time,
     /// Why it has no socket, if none could be made, and when that is tried again.
-    dial_failure: Option<ConnectFailure>,
+    dial_failure: Option<Cause>,
     retry_at: Time,
     /// For the stage: when it must be up, when its answer goes on, or how long it may stand idle.
     deadline: Option<DeadlineId>,
@@ -110,6 +110,8 @@
     budgets: Budgets,
     /// How many kept connections in a row held when they were used again.
     held_up: u32,
+    /// When a connection last came up.
+    last_up: Time,
     /// How long a connection may take at the most, and what has been learnt of it.
     dial: Span,
     patience: Patience,
@@ -121,7 +123,7 @@
         let (places, conns, standing) = Default::default();
         let idle = idle.scaled(IDLE_PART);
         let patience = Patience::new(dial);
-        Pool { places, conns, standing, budgets, held_up: 0, dial, patience, idle }
+        Pool { places, conns, standing, budgets, held_up: 0, last_up: Time::default(), dial, patience, idle }
     }
 
     pub fn set_budgets(&mut self, budgets: Budgets) {
@@ -279,16 +281,15 @@
     fn dial_failed(&mut self, slot: ConnSlot, error: &std::io::Error, io: &mut Shared) {
         io.counters.failures.count(SystemCall::Connect, error);
         let Some(conn) = self.conns.get_mut(slot) else { return };
-        let failure = match connect_failure(error) {
-            ConnectFailure::Refused => return self.close(slot, Ending::Refused, io),
-            failure => failure,
-        };
-        conn.link.disconnect(&io.registry);
-        conn.dial_failure = Some(failure);
+        let cause = Cause::of(error);
+        if !cause.is_momentary() && cause != Cause::Way {
+            return self.close(slot, Ending::Refused, io);
+        }
+        conn.dial_failure = Some(cause);
         conn.retry_at = io.now + RETRY_PAUSE;
         io.deadlines.set(conn.retry_at, Due::Again(Owner::Conn(slot)));
         // Want of something ends with the attempt's own time; what may be the way to this backend, with that to dial.
-        let until = (failure == ConnectFailure::NoWay).then_some(conn.used + self.dial);
+        let until = (cause == Cause::Way).then_some(conn.used + self.dial);
         conn.set_dial_deadline(slot, until, io);
     }
 
@@ -317,8 +318,12 @@
         if matches!(conn.stage, Stage::Dialling) {
             match conn.link.up() {
                 Ok(false) => return,
-                Err(e) => return self.dial_failed(slot, &e, io),
+                Err(e) => {
+                    io.counters.failures.count(SystemCall::Connect, &e);
+                    return self.close(slot, Ending::Refused, io);
+                }
                 Ok(true) => {
+                    self.last_up = io.now;
                     io.deadlines.call_off(conn.deadline.take());
                     conn.stage = Stage::Busy { written: false };
                     if let Some(place) = self.places.get_mut(&conn.backend) {
@@ -563,8 +568,12 @@
     pub fn dial_late(&mut self, slot: ConnSlot, io: &mut Shared) {
         let by = self.conns.get(slot).and_then(|conn| conn.by);
         let over = by.is_some_and(|by| io.now >= by);
-        let failed = self.conns.get(slot).is_some_and(|conn| conn.dial_failure.is_some());
-        let ending = if failed { Ending::Refused } else { Ending::NeverUp };
+        let ending = match self.conns.get(slot) {
+            Some(conn) if conn.dial_failure.is_none() => Ending::NeverUp,
+            // Others came up meanwhile: it is the way to this backend.
+            Some(conn) if self.last_up > conn.used => Ending::Refused,
+            _ => Ending::NoWay,
+        };
         self.close(slot, if over { Ending::TooLate } else { ending }, io);
     }
 
--- a/crates/proxy/src/starting.rs
+++ b/crates/proxy/src/starting.rs
@@ -3,17 +3,32 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-use crate::failures::is_momentary;
+use crate::failures::Cause;
 
 const PATIENCE: Duration = Duration::from_secs(3);
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// Says that the start takes longer, also before the log is there.
+fn say(error: &io::Error) {
+    if tracing::dispatcher::has_been_set() {
+        tracing::warn!(%error, "cannot start yet, trying again");
+    } else {
+        eprintln!("cannot start yet, trying again: {error}");
+    }
+}
+
 /// Makes a call until it succeeds, fails in a way that lasts, or the time for it is over.
 pub fn again<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
-    let start = Instant::now();
+    let (start, mut told) = (Instant::now(), false);
     loop {
         match call() {
-            Err(e) if is_momentary(&e) && start.elapsed() < PATIENCE => std::thread::sleep(PAUSE),
+            Err(e) if !told && Cause::of(&e).is_momentary() => {
+                say(&e);
+                told = true;
+            }
+            Err(e) if Cause::of(&e).is_momentary() && start.elapsed() < PATIENCE => {
+                std::thread::sleep(PAUSE);
+            }
             done => return done,
         }
     }
