Read a half-written configuration again until it is whole

What staff saw: SIGHUP while the file was still being written left the old configuration for good. Cause: what could not be decoded was given up at once. It is read again, after 50 ms at first and every 0.5 s then, for 30 s, while the old one serves; a line tells it. Red on (30 s without the new agent), green now within 1 s.

--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -44,6 +44,7 @@
 const JOIN_PAUSE: Span = Span::from_millis(1_000); // before a fleet that could not be joined is joined again
 const RELOAD_FOR: Span = Span::from_millis(30_000); // for which reading a configuration is tried
 const RELOAD_PAUSE: Span = Span::from_millis(50);
+const RELOAD_PAUSE_MOST: Span = Span::from_millis(500);
 const FAILED_WAITS_MOST: u32 = 1_000; // in a row, after which the program ends
 const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(1);
 const DRAIN_PAUSE: Span = Span::from_millis(5); // between looks at a queue that could not be emptied
@@ -114,6 +115,7 @@
     leaving: Option<Time>,
     /// When it was told to read its configuration anew, until it has.
     reload_since: Option<Time>,
+    reload: Option<DeadlineId>,
     /// Waits in a row that failed.
     failed_waits: u32,
 }
@@ -245,6 +247,7 @@
             source,
             leaving,
             reload_since: None,
+            reload: None,
             failed_waits: 0,
         };
         proxy.carry_out();
@@ -369,8 +372,7 @@
             Due::Idle(slot) => self.pool.idle_over(slot, &mut self.io),
             Due::List => self.discovery.due(&mut self.io),
             Due::Leave => self.leave(),
-            Due::Reload if self.reload_since.is_some() => self.reload(),
-            Due::Reload => {}
+            Due::Reload => self.reload(),
             Due::Call(slot) => self.management.close(slot, &mut self.io),
             Due::Fleet => {
                 let told = self.fleet.due(&mut self.io);
@@ -456,6 +458,7 @@
             Err(error) => return self.reload_failed(&error),
         };
         self.reload_since = None;
+        self.io.deadlines.call_off(self.reload.take());
         let (discovery, restart) = (config.discovery, config.fixed != self.fixed);
         self.budgets = [config.budgets, config.halved];
         self.share();
@@ -475,12 +478,19 @@
         if let ConfigError::Unreadable { error, .. } = error {
             self.io.counters.failures.count(SystemCall::Configuration, error);
         }
-        let since = self.reload_since.filter(|since| self.io.now.since(*since) < RELOAD_FOR);
-        if since.is_some() && error.is_momentary() {
-            self.io.deadlines.set(self.io.now + RELOAD_PAUSE, Due::Reload);
+        let Some(since) = self.reload_since else { return };
+        let passed = self.io.now.since(since);
+        let again = error.is_momentary() && passed < RELOAD_FOR;
+        if passed == Span::ZERO || !again {
+            tracing::warn!(why = %error, again, "configuration kept as it was");
+        }
+        if again {
+            // Soon at first, then at longer intervals.
+            let pause = passed.max(RELOAD_PAUSE).min(RELOAD_PAUSE_MOST);
+            self.io.deadlines.call_off(self.reload.take());
+            self.reload = Some(self.io.deadlines.set(self.io.now + pause, Due::Reload));
         } else {
             self.reload_since = None;
-            tracing::warn!(why = %error, "configuration kept as it was");
         }
     }
 
--- /dev/null
+++ b/crates/proxy/tests/discovery_failures.rs
@@ -0,0 +1,83 @@
+//! Calls to discovery fail for a moment: lists are as new as before once they succeed again.
+
+mod helper;
+
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use helper::shim::{errno, Call, Fault, Shim};
+use helper::{answer, backend, message, request, serve, settings};
+
+const FAULT: Duration = Duration::from_millis(1_000);
+const HEARD: Duration = Duration::from_millis(1_500);
+
+/// An agent that knows of one drain once it is told to. It answers each call after 0.1 s.
+fn agent(listener: TcpListener, host: String) -> Arc<AtomicBool> {
+    let drains = Arc::new(AtomicBool::new(false));
+    let told = drains.clone();
+    std::thread::spawn(move || {
+        while let Ok((mut conn, _)) = listener.accept() {
+            let (told, host) = (told.clone(), host.clone());
+            std::thread::spawn(move || loop {
+                let call = message(&mut conn);
+                if call.is_empty() {
+                    return;
+                }
+                std::thread::sleep(Duration::from_millis(100));
+                let known = call.contains("index=5");
+                let hosts = if told.load(Ordering::SeqCst) && !known { host.as_str() } else { "" };
+                let seq = if hosts.is_empty() && !known { 4 } else { 5 };
+                let list = format!(r#"{{"seq":{seq},"whole":false,"hosts":[{hosts}]}}"#);
+                if std::io::Write::write_all(&mut conn, answer("200 OK", "", &list).as_bytes()).is_err() {
+                    return;
+                }
+            });
+        }
+    });
+    drains
+}
+
+/// Guards against a watch that a failed call leaves without a next one.
+#[test]
+fn a_drain_is_heard_soon_after_calls_to_discovery_failed() {
+    let failures = [
+        (Call::Read, errno::EINTR),
+        (Call::Read, errno::ENOMEM),
+        (Call::Read, errno::ETIMEDOUT),
+        (Call::Write, errno::ENOBUFS),
+        (Call::Write, errno::EHOSTUNREACH),
+        (Call::Connect, errno::ENETUNREACH),
+        (Call::Connect, errno::EADDRNOTAVAIL),
+        (Call::Socket, errno::ENFILE),
+        (Call::EpollAdd, errno::ENOMEM),
+        (Call::PeerName, errno::ENOBUFS),
+    ];
+    for (call, error) in failures {
+        let listeners = [backend(), backend()];
+        let (proxy, shim) = Shim::start(&[&listeners[0], &listeners[1]], &settings(500, ""));
+        let dial = listeners[0].local_addr().unwrap();
+        let host = format!(r#"{{"host":"h0","dial":"{dial}","site":"a","health":"Terminating"}}"#);
+        let port = proxy.discovery.local_addr().unwrap().port();
+        let drains = agent(proxy.discovery.try_clone().unwrap(), host);
+        let arrivals = listeners.map(serve);
+        let fault = Fault::of(call, error, u32::MAX);
+        shim.fail(if call == Call::Socket { fault } else { fault.at(port) });
+        if matches!(call, Call::Connect | Call::Socket | Call::EpollAdd | Call::PeerName) {
+            // The connection that stands ends, so that a new one is to be made.
+            shim.fail(Fault::of(Call::Read, errno::ECONNRESET, 1).at(port));
+        }
+        std::thread::sleep(FAULT);
+        drains.store(true, Ordering::SeqCst);
+        shim.clear(call);
+        std::thread::sleep(HEARD);
+        let before = arrivals[0].all().len();
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_millis(300) {
+            assert!(proxy.ask(&request("GET", "/read", "1")).ends_with("fine"), "{call:?} error {error}");
+        }
+        assert_eq!(arrivals[0].all().len(), before, "the drain is not heard: {call:?} error {error}");
+        assert!(shim.hits(call) > 0, "{call:?} error {error}");
+    }
+}
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -45,7 +45,7 @@
 }
 
 /// A configuration of these backends with these addresses, and the agent that it names.
-fn config(
+pub fn config(
     backends: &[&TcpListener],
     sockets: usize,
     settings: &str,
@@ -102,6 +102,11 @@
         Proxy::run(config(backends, 1024, &settings(5000, ""), &addresses), 1024, environment)
     }
 
+    /// At addresses of one's own choice.
+    pub fn start_at(backends: &[&TcpListener], addresses: &str) -> Proxy {
+        Proxy::run(config(backends, 1024, &settings(5000, ""), addresses), 1024, &[])
+    }
+
     /// By a configuration in the project's own form, which names its backends itself.
     pub fn start_native(text: &str) -> Proxy {
         Proxy::run_at(new_path().with_extension("toml"), (text.to_string(), backend()), 1024, &[])
@@ -164,6 +169,20 @@
         self.reconfigure(&self.config.replace(&old, &new));
     }
 
+    /// Puts half of a configuration that names another agent in its place, as one that is still being written, and
+    /// gives back the whole.
+    pub fn half_move_to(&self, agent: &TcpListener) -> String {
+        let [old, new] = [&self.discovery, agent].map(|agent| agent.local_addr().unwrap().to_string());
+        let whole = self.config.replace(&old, &new);
+        std::fs::write(&self.path, &whole[..whole.len() / 2]).unwrap();
+        whole
+    }
+
+    /// Writes the rest, without a signal.
+    pub fn finish_writing(&self, whole: &str) {
+        std::fs::write(&self.path, whole).unwrap();
+    }
+
     pub fn reconfigure(&self, config: &str) {
         std::fs::write(&self.path, config).unwrap();
         self.signal("-HUP");
@@ -208,6 +227,16 @@
     }
 }
 
+/// A process that ends with its test.
+pub struct Ended(pub Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 type Log = (std::sync::mpsc::Sender<String>, Receiver<String>);
 
 /// Where a configuration may be written.
--- a/crates/proxy/tests/helper/shim.rs
+++ b/crates/proxy/tests/helper/shim.rs
@@ -54,6 +54,7 @@
     pub const ENETUNREACH: u32 = 101;
     pub const ECONNABORTED: u32 = 103;
     pub const ECONNRESET: u32 = 104;
+    pub const ECONNREFUSED: u32 = 111;
     pub const ENOBUFS: u32 = 105;
     pub const ETIMEDOUT: u32 = 110;
     pub const EHOSTDOWN: u32 = 112;
@@ -123,19 +124,33 @@
 
     /// The same where calls fail from the first moment on.
     pub fn start_failing(backends: &[&TcpListener], settings: &str, faults: &[Fault]) -> (Proxy, Shim) {
+        let (shim, environment) = Shim::prepare();
+        faults.iter().for_each(|fault| shim.fail(*fault));
+        let environment = environment.each_ref().map(|(name, value)| (*name, value.as_str()));
+        let addresses = r#""listen":"127.0.0.1:0","management":"127.0.0.1:0""#;
+        let proxy = Proxy::run(config(backends, 1024, settings, addresses), 1024, &environment);
+        (proxy, shim)
+    }
+
+    /// A proxy by a configuration in the project's own form.
+    pub fn start_native(text: &str) -> (Proxy, Shim) {
+        let (shim, environment) = Shim::prepare();
+        let environment = environment.each_ref().map(|(name, value)| (*name, value.as_str()));
+        let path = new_path().with_extension("toml");
+        (Proxy::run_at(path, (text.to_string(), super::backend()), 1024, &environment), shim)
+    }
+
+    /// What a process is started with to have the library loaded.
+    fn prepare() -> (Shim, [(&'static str, String); 3]) {
         let path = new_path().with_extension("faults");
         let control = OpenOptions::new().read(true).write(true).create_new(true).open(&path).unwrap();
         control.set_len((CALLS * RULE_BYTES + 8) as u64).unwrap();
-        let shim = Shim { control, path: path.clone() };
-        faults.iter().for_each(|fault| shim.fail(*fault));
         let environment = [
-            ("LD_PRELOAD", library().to_str().unwrap()),
-            ("SHIM_CONTROL", path.to_str().unwrap()),
-            ("SPARLUG_LOG", "debug"),
+            ("LD_PRELOAD", library().to_str().unwrap().to_string()),
+            ("SHIM_CONTROL", path.to_str().unwrap().to_string()),
+            ("SPARLUG_LOG", "debug".to_string()),
         ];
-        let addresses = r#""listen":"127.0.0.1:0","management":"127.0.0.1:0""#;
-        let proxy = Proxy::run(config(backends, 1024, settings, addresses), 1024, &environment);
-        (proxy, shim)
+        (Shim { control, path }, environment)
     }
 
     /// From now on calls fail so.
--- a/crates/proxy/tests/process_failures.rs
+++ b/crates/proxy/tests/process_failures.rs
@@ -2,10 +2,11 @@
 
 mod helper;
 
+use std::io::{BufRead, BufReader};
 use std::time::{Duration, Instant};
 
 use helper::shim::{errno, Call, Fault, Shim};
-use helper::{accept, answer, backend, kept, message, serve, settings, write};
+use helper::{accept, answer, backend, kept, message, serve, settings, write, Proxy};
 
 /// Guards against a signal that is not heard until something else wakes the loop.
 #[test]
@@ -109,3 +110,81 @@
     assert!(message(&mut client).ends_with("fine"));
     assert_eq!(shim.hits(Call::EpollWait), 20);
 }
+
+/// Guards against a configuration that is lost because the signal came while its file was being written.
+#[test]
+fn a_configuration_that_is_half_written_is_read_again_until_it_is_whole() {
+    let listener = backend();
+    let (proxy, _shim) = Shim::start(&[&listener], &settings(500, ""));
+    let agent = backend();
+    let whole = proxy.half_move_to(&agent);
+    proxy.signal("-HUP");
+    proxy.logged("configuration kept as it was");
+    std::thread::sleep(Duration::from_millis(300));
+    proxy.finish_writing(&whole);
+    let start = Instant::now();
+    message(&mut accept(&agent));
+    assert!(start.elapsed() < Duration::from_secs(1), "after {:?}", start.elapsed());
+}
+
+/// Guards against a process that does not come up beside one that is about to leave its address.
+#[test]
+fn it_starts_once_its_address_is_free() {
+    let listener = backend();
+    let holder = backend();
+    let address = holder.local_addr().unwrap();
+    let addresses = format!(r#""listen":"{address}""#);
+    std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(700));
+        drop(holder);
+    });
+    let proxy = Proxy::start_at(&[&listener], &addresses);
+    serve(listener);
+    assert!(proxy.ask(&helper::request("GET", "/read", "1")).ends_with("fine"));
+}
+
+/// Guards against a log that nobody reads holding up all that is served.
+#[test]
+fn a_log_that_nobody_reads_holds_nobody_up() {
+    let listener = backend();
+    let (text, _discovery) =
+        helper::config(&[&listener], 1024, &settings(500, ""), r#""listen":"127.0.0.1:0""#);
+    let path = helper::new_path();
+    let (child, _) = helper::run(&text, 1024, &path, &[("SPARLUG_LOG", "trace")]);
+    let mut child = helper::Ended(child);
+    let mut log = BufReader::new(child.0.stderr.take().unwrap());
+    let mut line = String::new();
+    while !line.contains(" listen=") {
+        line.clear();
+        log.read_line(&mut line).unwrap();
+    }
+    let address = line.split(" listen=").nth(1).unwrap().trim().to_string();
+    serve(listener);
+    // Nobody reads the log from here on; 64 KiB fill its pipe.
+    let mut client = std::net::TcpStream::connect(&address).unwrap();
+    client.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    for number in 0..1_000 {
+        write(&mut client, &kept("GET", "/read"));
+        assert_eq!(client.peek(&mut [0]).ok(), Some(1), "request {number} is not answered");
+        assert!(message(&mut client).ends_with("fine"));
+    }
+    // Once it is read again, lines come again, and the count of those left out.
+    let (sender, lines) = std::sync::mpsc::channel();
+    std::thread::spawn(move || log.lines().map_while(Result::ok).try_for_each(|line| sender.send(line)));
+    let start = Instant::now();
+    let told = loop {
+        kill(&child.0, "-USR1");
+        std::thread::sleep(Duration::from_millis(50));
+        let told = lines.try_iter().filter(|line| line.contains("log_lines_left_out=")).last();
+        if let Some(told) = told {
+            break told;
+        }
+        assert!(start.elapsed() < Duration::from_secs(5), "no lines come again");
+    };
+    assert!(!told.contains("log_lines_left_out=0 "), "{told}");
+}
+
+fn kill(child: &std::process::Child, signal: &str) {
+    let id = child.id().to_string();
+    assert!(std::process::Command::new("kill").args([signal, &id]).status().unwrap().success());
+}
--- a/crates/proxy/tests/transfer_failures.rs
+++ b/crates/proxy/tests/transfer_failures.rs
@@ -55,6 +55,31 @@
     every_request_is_answered_and_runs_once(Fault::of(Call::EpollWait, errno::EINTR, 2000), false);
 }
 
+/// Guards against a call that is made again without end, while everybody else waits.
+#[test]
+fn a_call_that_is_always_interrupted_holds_nobody_up() {
+    for (call, at_backend) in [(Call::Read, false), (Call::Read, true), (Call::Write, true)] {
+        let listener = backend();
+        let backend_port = listener.local_addr().unwrap().port();
+        let (proxy, shim) = Shim::start(&[&listener], &settings(5000, ""));
+        let client_port = proxy.address.rsplit(':').next().unwrap().parse().unwrap();
+        let mut client = proxy.connect();
+        write(&mut client, &helper::request("GET", "/read", "0.5"));
+        let mut conn = helper::accept(&listener);
+        message(&mut conn);
+        let port = if at_backend { backend_port } else { client_port };
+        shim.fail(Fault::of(call, errno::EINTR, u32::MAX).at(port));
+        let mut other = proxy.connect();
+        write(&mut other, &helper::request("GET", "/read", "0.5"));
+        write(&mut conn, "HTTP/1.1 200"); // has the proxy read there
+        let start = Instant::now();
+        let answered = message(&mut client);
+        assert!(answered.starts_with("HTTP/1.1 50"), "{call:?}: {answered:?}");
+        assert!(start.elapsed() < Duration::from_millis(700), "{call:?}: after {:?}", start.elapsed());
+        shim.clear(call);
+    }
+}
+
 #[test]
 fn short_reads_and_writes_lose_nothing() {
     for call in [Call::Read, Call::Write] {
