Judge when a backend started against what was heard, not by its stamp alone

A backend whose wall clock is an hour behind as it starts was held to be warm at once; one an hour ahead was cold for an hour. Cause: listing.rs took born_ms as it came.

start_times.rs: a start lies in no future, not before the earlier process was last named, and not over a minute before the last list without the backend; where the stamp says otherwise the later start counts, once for each stamp (svc.start_times_corrected). Stamps go over to the next process as they came. Not caught: a proxy that starts while its own clock is ahead takes young backends for old.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -282,5 +282,5 @@
         started: None,
         size: backend.size,
     };
-    Entry { host: backend.name, dial: backend.address, listing }
+    Entry { host: backend.name, dial: backend.address, stamp: None, listing }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod shared;
 pub mod signals;
 pub mod slots;
+pub mod start_times;
 pub mod starting;
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -13,6 +13,8 @@
 pub struct Entry {
     pub host: String,
     pub dial: SocketAddr,
+    /// When its process started, by the wall clock of whoever wrote the list.
+    pub stamp: Option<Time>,
     pub listing: Listing,
 }
 
@@ -106,7 +108,7 @@
             started: Some(host.born_ms).filter(|ms| *ms > 0.0).map(Time::from_ms),
             size: host.share.filter(|size| size.is_finite() && *size > 0.0).unwrap_or(1.0),
         };
-        Entry { host: host.host, dial: host.dial, listing }
+        Entry { host: host.host, dial: host.dial, stamp: listing.started, listing }
     };
     Ok(List { version: text.seq, whole: text.whole, entries: text.hosts.into_iter().map(entry).collect() })
 }
@@ -131,9 +133,9 @@
 
 impl HandedHost {
     pub fn of(entry: &Entry) -> HandedHost {
-        let Listing { zone, pod, condition, started, size, .. } = entry.listing;
+        let Listing { zone, pod, condition, size, .. } = entry.listing;
         let (host, drains) = (entry.host.clone(), condition == Condition::Draining);
-        let started_ms = started.map(|started| started.since(Time::ORIGIN).ms());
+        let started_ms = entry.stamp.map(|started| started.since(Time::ORIGIN).ms());
         HandedHost { host, dial: entry.dial, zone: zone.0, pod: pod.0, drains, size, started_ms }
     }
 
@@ -142,7 +144,7 @@
         let condition = if drains { Condition::Draining } else { Condition::Ready };
         let (backend, started) = (backend_id(&host), started_ms.map(Time::from_ms));
         let listing = Listing { backend, zone: ZoneId(zone), pod: PodId(pod), condition, started, size };
-        Entry { host, dial, listing }
+        Entry { host, dial, stamp: started, listing }
     }
 }
 
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -38,6 +38,8 @@
 struct Place {
     host: String,
     life: Life,
+    /// When its process started, by the wall clock of whoever wrote the list.
+    stamp: Option<Time>,
     listing: Listing,
     idle: Vec<ConnSlot>,
     conns: usize,
@@ -148,8 +150,8 @@
     pub fn list_at_hand(&self) -> Vec<HandedHost> {
         let listed = self.places.values().filter(|place| place.listing.condition != Condition::Gone);
         let entry = |place: &Place| {
-            let (host, dial, listing) = (place.host.clone(), place.life.dial, place.listing);
-            HandedHost::of(&Entry { host, dial, listing })
+            let (host, dial, stamp) = (place.host.clone(), place.life.dial, place.stamp);
+            HandedHost::of(&Entry { host, dial, stamp, listing: place.listing })
         };
         listed.map(entry).collect()
     }
@@ -168,14 +170,14 @@
         if whole {
             self.places.values_mut().for_each(|place| place.listing.condition = Condition::Gone);
         }
-        for Entry { host, dial, listing } in entries {
+        for Entry { host, dial, stamp, listing } in entries {
             let life = Life { dial: *dial, started: listing.started };
             let place = self.places.entry(listing.backend).or_insert_with(|| {
                 tracing::info!(host, %dial, "listed");
                 let (idle, dialled) = Default::default();
-                Place { host: host.clone(), life, listing: *listing, idle, conns: 0, dialled }
+                Place { host: host.clone(), life, stamp: *stamp, listing: *listing, idle, conns: 0, dialled }
             });
-            (place.listing, place.life) = (*listing, life);
+            (place.listing, place.life, place.stamp) = (*listing, life, *stamp);
         }
         let unfit = |conn: &Conn| match (&conn.stage, self.places.get(&conn.backend)) {
             (_, None) => true,
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -36,6 +36,7 @@
 };
 use crate::signals::SignalQueue;
 use crate::slots::Slots;
+use crate::start_times::StartTimes;
 use crate::starting::again;
 
 const OVERSLEPT: Span = Span::from_millis(3); // more than the timer's own coarseness
@@ -97,6 +98,7 @@
     held_bytes: usize,
     pool: Pool,
     discovery: Discovery,
+    start_times: StartTimes,
     management: Management,
     handover: Handover,
     peers: Peers,
@@ -235,6 +237,7 @@
             held_bytes,
             pool,
             discovery,
+            start_times: StartTimes::default(),
             management,
             handover,
             peers,
@@ -583,10 +586,11 @@
 
     fn figures(&self) -> String {
         let counts = self.io.counters.report(self.clients.names());
+        let corrected = self.start_times.corrected;
         let (in_flight, known) = (self.clients.in_flight(), self.pool.listed());
         let out = self.balancer.left_out();
         let (fleet, clients) = (self.fleet.figures(self.io.now), self.clients.report());
-        format!("{counts}{fleet}{clients}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{out}|g\n")
+        format!("{counts}{fleet}{clients}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{out}|g\nsvc.start_times_corrected:{corrected}|c\n")
     }
 
     /// Leaves a backend out, or lets it serve again, in the process beside this one too.
@@ -600,7 +604,7 @@
         self.handover.tell(&word, &mut self.io);
     }
 
-    fn listed(&mut self, list: List, before: Option<u64>) {
+    fn listed(&mut self, mut list: List, before: Option<u64>) {
         let ready = self.pool.ready();
         let odd = list.oddities(ready, before);
         if !odd.is_empty() {
@@ -610,6 +614,7 @@
         if list.empties(ready) {
             return;
         }
+        self.start_times.judge(&mut list, self.io.now);
         let listings: Vec<Listing> = list.entries.iter().map(|entry| entry.listing).collect();
         if !listings.is_empty() {
             self.clients.set_ready(&mut self.io);
