Count a request's time from when it may have come, while calls fail; a soak under failing calls

What backends saw: up to 0.35 s more time told than the client had left, for requests that had waited while accept, recv or epoll_wait failed: the proxy took them to have come when it read them. Cause: Shared::since is the last wait's, and no failed call moved it back. A request that was held up counts from the first call that failed; waits without an event from the first of those.

The soak draws faults of 14 calls, signals, steps of the wall clock, a crowd in every fourth play, and ends each play with SIGTERM and faults that go on in half of them; clients use open connections until the kill at 1.7 s. It judges lost and twice-run requests, attempts after the client left, the time told, the served share after the faults, the limit of clients, processor time and the exit.

--- a/crates/proxy/src/acceptor.rs
+++ b/crates/proxy/src/acceptor.rs
@@ -58,12 +58,14 @@
     retry: Option<DeadlineId>,
     /// Since when calls have failed without one that succeeded.
     failing: Option<Time>,
+    /// Since when what is in the queue may have waited there, if calls have failed.
+    pub held_up: Option<Time>,
 }
 
 impl<L: Listener> Acceptor<L> {
     /// Takes connections from a listener that the event queue has.
     pub fn new(listener: Option<L>, owner: Owner) -> Acceptor<L> {
-        Acceptor { listener, owner, waiting: false, retry: None, failing: None }
+        Acceptor { listener, owner, waiting: false, retry: None, failing: None, held_up: None }
     }
 
     /// Takes connections from a listener that the event queue does not have yet.
@@ -88,13 +90,14 @@
                     return Next::Connection(stream);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.waiting = false;
+                    (self.waiting, self.held_up) = (false, None);
                     self.succeeded(io.now);
                     return Next::Empty;
                 }
                 Err(e) => e,
             };
             io.counters.failures.count(SystemCall::Accept, &error);
+            self.held_up = self.held_up.or(Some(io.now));
             if !is_of_one_connection(&error) {
                 self.failed(&error, io);
                 return Next::Failed(error);
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -78,6 +78,8 @@
     open: Option<u16>,
     deadline: Option<DeadlineId>,
     used: Time,
+    /// Since when a request may have waited to be read, because calls failed.
+    held_up: Option<Time>,
     /// Of its unread bytes, what the sum over all holds.
     counted: usize,
     /// Where it stands among those that may have to leave.
@@ -285,6 +287,7 @@
 
     fn add(&mut self, stream: TcpStream, io: &mut Shared) {
         let mut stream = Some(stream);
+        let held_up = self.acceptor.held_up;
         // The slot is wanted for the token, so the record is made in two steps.
         let (deadlines, now) = (&mut io.deadlines, io.now);
         let slot = self.clients.insert_with(|slot| {
@@ -302,6 +305,7 @@
                 open,
                 deadline,
                 used: now,
+                held_up,
                 counted,
                 standing,
                 begun: true,
@@ -515,8 +519,10 @@
         }
         // Guards against taking on what the end of the process would cut off.
         let waits = self.ends_at.map_or(waits, |end| waits.min(end.since(io.now)));
-        // The client counts from when it sent, which may have been while the loop was busy.
-        let (class, deadline) = (class as u16, io.since + waits);
+        // The client counts from when it sent, which may have been while the loop was busy or calls failed.
+        let held_up = self.clients.get_mut(slot).and_then(|client| client.held_up.take());
+        let since = held_up.map_or(io.since, |since| since.min(io.since));
+        let (class, deadline) = (class as u16, since + waits);
         let tenant = tenant.unwrap_or(TenantId::NONE);
         let incoming = Incoming { head, message, class, tenant, waits, deadline, whole };
         io.notes.push_back(Note::Taken(slot, incoming));
@@ -774,6 +780,11 @@
         let before = self.link.input.len();
         let read = self.link.fill(most);
         let came = self.link.input.len() - before;
+        if self.link.read_failed() {
+            self.held_up = self.held_up.or(Some(now));
+        } else if came == 0 && self.link.input.is_empty() {
+            self.held_up = None;
+        }
         if let (Some(upload), true) = (&mut self.upload, came > 0) {
             (upload.heard, upload.bytes) = (now, upload.bytes + came);
         }
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -38,6 +38,8 @@
     unread: bool,
     /// A call failed for want of memory: it is to be made again, and no event will tell when.
     stalled: bool,
+    /// The call was a read.
+    read_failed: bool,
     /// Whether it is up was looked at without success.
     looked: bool,
     /// When it is looked at again without an event.
@@ -65,6 +67,7 @@
             begun: false,
             unread: true,
             stalled: false,
+            read_failed: false,
             looked: false,
             look_at: None,
             ended: false,
@@ -88,6 +91,11 @@
         self.stream.is_some()
     }
 
+    /// Whether a read failed that is to be made again.
+    pub fn read_failed(&self) -> bool {
+        self.read_failed
+    }
+
     /// When it is to be looked at again without an event, if a call that failed asks for that and no earlier time is
     /// set. An error tells that the event queue did not take it.
     pub fn settle(&mut self, now: Time, registry: &Registry, token: Token) -> (Option<Time>, Result<()>) {
@@ -107,7 +115,7 @@
 
     fn fill_by(&mut self, piece: &mut [u8; PIECE], most: usize) -> Result<()> {
         let Some(stream) = &mut self.stream else { return Ok(()) };
-        self.unread = true;
+        (self.unread, self.read_failed) = (true, false);
         let mut interruptions = 0;
         while self.input.len() < most && !self.ended {
             let room = PIECE.min(most - self.input.len());
@@ -125,7 +133,7 @@
                     return Ok(());
                 }
                 Err(e) if Cause::of(&e).is_momentary() => {
-                    (self.unread, self.stalled) = (false, true);
+                    (self.unread, self.stalled, self.read_failed) = (false, true, true);
                     return Ok(());
                 }
                 Err(e) => {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -47,6 +47,7 @@
 const RELOAD_PAUSE: Span = Span::from_millis(50);
 const RELOAD_PAUSE_MOST: Span = Span::from_millis(500);
 const FAILED_WAITS_MOST: u32 = 1_000; // in a row, after which the program ends
+const INTERRUPTIONS_MOST: u32 = 100; // waits in a row, before the loop pauses
 const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(1);
 const DRAIN_PAUSE: Span = Span::from_millis(5); // between looks at a queue that could not be emptied
 const COPY_MOST: usize = 512 * 1024; // of a long request, that is held so that it can go again
@@ -120,6 +121,8 @@
     reload: Option<DeadlineId>,
     /// Waits in a row that failed.
     failed_waits: u32,
+    /// When the first of them failed.
+    blind_since: Option<Time>,
 }
 
 /// Listens, at the socket that was handed over if there is one. `shared` lets another process do so too.
@@ -252,6 +255,7 @@
             reload_since: None,
             reload: None,
             failed_waits: 0,
+            blind_since: None,
         };
         proxy.carry_out();
         proxy.pump();
@@ -285,8 +289,8 @@
             let before = self.clock.now();
             let wait = self.io.deadlines.wait(before);
             match self.poll.poll(&mut events, wait) {
-                Err(e) if e.kind() != io::ErrorKind::Interrupted => self.wait_failed(e)?,
-                _ => self.failed_waits = 0,
+                Err(e) => self.wait_failed(e, before)?,
+                Ok(()) => self.failed_waits = 0,
             }
             self.io.now = self.clock.now();
             // If it hardly waited, what is there may have come at any time since the last turn; if it slept
@@ -299,6 +303,11 @@
                 true => self.io.now,
                 false => self.polled,
             };
+            // What no wait could tell of may have come since the first one that failed.
+            if let Some(blind) = self.blind_since.filter(|_| self.failed_waits == 0) {
+                self.io.since = self.io.since.min(blind);
+                self.blind_since = None;
+            }
             self.polled = self.io.now;
             for owner in self.in_order(&events) {
                 self.event(owner);
@@ -316,13 +325,19 @@
     }
 
     /// Goes on after a wait that failed. Guards against the end of all that is served by a failure that passes.
-    fn wait_failed(&mut self, error: io::Error) -> io::Result<()> {
+    fn wait_failed(&mut self, error: io::Error, now: Time) -> io::Result<()> {
         self.io.counters.failures.count(SystemCall::Wait, &error);
+        if self.failed_waits == 0 {
+            self.blind_since = Some(now);
+        }
         self.failed_waits += 1;
-        if self.failed_waits > FAILED_WAITS_MOST {
+        let interrupted = error.kind() == io::ErrorKind::Interrupted;
+        if !interrupted && self.failed_waits > FAILED_WAITS_MOST {
             return Err(error);
         }
-        std::thread::sleep(FAILED_WAIT_PAUSE);
+        if !interrupted || self.failed_waits > INTERRUPTIONS_MOST {
+            std::thread::sleep(FAILED_WAIT_PAUSE);
+        }
         Ok(())
     }
 
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -209,6 +209,17 @@
         self.child.wait().unwrap().code()
     }
 
+    /// Waits for its end until a point in time, from which on it is killed; its exit code, if it ended by itself.
+    pub fn end_by(mut self, until: std::time::Instant) -> Option<i32> {
+        while std::time::Instant::now() < until {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        None
+    }
+
     /// Waits for a log line that holds a text.
     pub fn logged(&self, text: &str) -> String {
         loop {
--- a/crates/proxy/tests/helper/shim.rs
+++ b/crates/proxy/tests/helper/shim.rs
@@ -52,6 +52,7 @@
     pub const EADDRNOTAVAIL: u32 = 99;
     pub const ENETDOWN: u32 = 100;
     pub const ENETUNREACH: u32 = 101;
+    pub const ENOTCONN: u32 = 107;
     pub const ECONNABORTED: u32 = 103;
     pub const ECONNRESET: u32 = 104;
     pub const ECONNREFUSED: u32 = 111;
--- /dev/null
+++ b/crates/proxy/tests/soak/mod.rs
@@ -0,0 +1,5 @@
+//! What the soak under failing system calls is made of.
+
+pub mod clients;
+pub mod plan;
+pub mod servers;
--- /dev/null
+++ b/crates/proxy/tests/soak/plan.rs
@@ -0,0 +1,132 @@
+//! Which calls fail when, drawn from a seed.
+
+use std::time::{Duration, Instant};
+
+use oorandom::Rand32;
+
+use crate::helper::shim::{errno, Call, Fault, Shim};
+
+/// Which side's sockets a fault falls on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Side {
+    Clients,
+    Backends,
+    Any,
+}
+
+/// A fault that was played, for the judgement of what happened meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub struct Played {
+    pub fault: Fault,
+    pub side: Side,
+    pub from: Instant,
+    pub to: Instant,
+}
+
+/// What an error means for the connection on which it comes.
+const ENDS: [u32; 4] = [errno::ETIMEDOUT, errno::EHOSTUNREACH, errno::ECONNRESET, errno::EPIPE];
+const CALLS: [(Call, &[u32], &[Side]); 14] = [
+    (
+        Call::Accept,
+        &[
+            errno::EINTR,
+            errno::ECONNABORTED,
+            errno::EMFILE,
+            errno::ENFILE,
+            errno::ENOBUFS,
+            errno::ENOMEM,
+            errno::EPROTO,
+            errno::EPERM,
+            errno::ENETDOWN,
+            errno::EHOSTUNREACH,
+        ],
+        &[Side::Clients],
+    ),
+    (Call::Socket, &[errno::EMFILE, errno::ENFILE, errno::ENOBUFS, errno::ENOMEM], &[Side::Any]),
+    (
+        Call::Connect,
+        &[
+            errno::EINTR,
+            errno::EAGAIN,
+            errno::EADDRNOTAVAIL,
+            errno::ENETUNREACH,
+            errno::ECONNABORTED,
+            errno::ENOBUFS,
+            errno::ETIMEDOUT,
+            errno::EHOSTUNREACH,
+        ],
+        &[Side::Backends, Side::Any],
+    ),
+    (
+        Call::Read,
+        &[
+            0,
+            errno::EINTR,
+            errno::ENOMEM,
+            errno::ENOBUFS,
+            errno::ETIMEDOUT,
+            errno::EHOSTUNREACH,
+            errno::ECONNRESET,
+        ],
+        &[Side::Clients, Side::Backends],
+    ),
+    (
+        Call::Write,
+        &[
+            0,
+            errno::EINTR,
+            errno::ENOMEM,
+            errno::ENOBUFS,
+            errno::ETIMEDOUT,
+            errno::EHOSTUNREACH,
+            errno::EPIPE,
+        ],
+        &[Side::Clients, Side::Backends],
+    ),
+    (Call::EpollAdd, &[errno::ENOMEM, errno::ENOSPC], &[Side::Clients, Side::Backends, Side::Any]),
+    (Call::EpollWait, &[errno::EINTR], &[Side::Any]),
+    (Call::PeerName, &[errno::ENOBUFS, errno::ENOTCONN], &[Side::Backends]),
+    (Call::SocketError, &[errno::ENOBUFS], &[Side::Backends]),
+    (Call::LogWrite, &[errno::ENOSPC, errno::EIO, errno::EINTR, errno::EAGAIN], &[Side::Any]),
+    (Call::FileOpen, &[errno::ENFILE, errno::EIO], &[Side::Any]),
+    (Call::FileRead, &[errno::EIO, errno::EINTR], &[Side::Any]),
+    (Call::SignalWake, &[errno::ENOBUFS], &[Side::Any]),
+    (Call::DatagramRead, &[errno::EINTR], &[Side::Any]),
+];
+
+impl Played {
+    /// Whether it fell within a span.
+    pub fn overlaps(&self, from: Instant, to: Instant) -> bool {
+        self.from <= to && from <= self.to
+    }
+
+    /// Whether it may end a client's connection.
+    pub fn ends_clients(&self) -> bool {
+        matches!(self.fault.call, Call::Read | Call::Write)
+            && self.side != Side::Backends
+            && ENDS.contains(&self.fault.error)
+    }
+}
+
+/// Makes a call fail for some time.
+pub fn play(shim: &Shim, rng: &mut Rand32, client_port: u16, backend_ports: &[u16]) -> Played {
+    let (call, errors, sides) = CALLS[rng.rand_range(0..CALLS.len() as u32) as usize];
+    let error = errors[rng.rand_range(0..errors.len() as u32) as usize];
+    let side = sides[rng.rand_range(0..sides.len() as u32) as usize];
+    let port = match side {
+        Side::Clients => client_port,
+        Side::Backends => backend_ports[rng.rand_range(0..backend_ports.len() as u32) as usize],
+        Side::Any => 0,
+    };
+    let every = [1, 1, 2, 3, 7][rng.rand_range(0..5) as usize];
+    let fault = match error {
+        0 => Fault::short(call, rng.rand_range(1..40), u32::MAX),
+        error => Fault::of(call, error, u32::MAX),
+    };
+    let fault = fault.at(port).every(every);
+    let from = Instant::now();
+    shim.fail(fault);
+    std::thread::sleep(Duration::from_millis(rng.rand_range(20..500).into()));
+    shim.clear(call);
+    Played { fault, side, from, to: Instant::now() }
+}
