--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -10,16 +10,20 @@
 use sparlug::time::{Span, Time};
 
 use crate::acceptor::{Acceptor, Next};
-use crate::body::{Body, LONGEST};
+use crate::body::LONGEST;
 use crate::closing::CloseReason;
 use crate::config::{Budgets, OWN_SOCKETS};
-use crate::deadlines::DeadlineId;
 use crate::failures::{is_descriptor_limit, SystemCall};
 use crate::http::{self, Bad, RequestHead, BODY_MOST, CALLERS_METHODS, HEAD_MOST, MESSAGE_MOST};
 use crate::link::Link;
 use crate::shared::{ClientSlot, Due, Incoming, Note, OfClient, Owner, Shared};
 use crate::slots::Slots;
 
+mod answers;
+mod client;
+
+use client::{Client, State};
+
 const FIRST_TIME: Span = Span::from_millis(2_300); // for the first request to come whole, from the connecting
 const MESSAGE_TIME: Span = Span::from_millis(2_300); // for a later one, once it has begun
 const BODY_CHECK: Span = Span::from_millis(1_050); // between looks at how a body comes in
@@ -34,62 +38,6 @@
 const GONE: u16 = 499; // how a request counts whose client left
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum State {
-    /// Between requests, or within one that is not whole.
-    Reading,
-    /// A request was taken and its answer is owed.
-    Waiting(Option<RequestId>),
-    /// An answer is being written.
-    Answering { close: bool },
-    /// One that is passed on as it comes; `done` once its last byte is here.
-    Streaming { request: RequestId, close: bool, done: bool },
-    /// The last answer is written; what still comes is thrown away until the client closes.
-    Lingering,
-}
-
-/// A body that is not whole yet, and how it comes.
-struct Upload {
-    /// Where it ends, if it is passed on as it comes.
-    body: Option<Body>,
-    since: Time,
-    heard: Time,
-    bytes: usize,
-}
-
-impl Upload {
-    /// Whether its client has stopped, or is too slow to wait for.
-    fn stalled(&self, now: Time) -> bool {
-        let since = now.since(self.since);
-        let slow = (self.bytes as f64) < BODY_RATE * since.ms();
-        since >= BODY_TIME && (slow || now.since(self.heard) >= BODY_STILL)
-    }
-}
-
-struct Client {
-    link: Link,
-    state: State,
-    /// Behind a box: an idle connection has none, and it is larger than all the rest.
-    head: Option<Box<RequestHead>>,
-    upload: Option<Box<Upload>>,
-    /// The id of the request that was taken and is not answered.
-    id: Option<String>,
-    /// The class of the request that came and has not ended, for the figures.
-    open: Option<u16>,
-    deadline: Option<DeadlineId>,
-    used: Time,
-    /// Since when a request may have waited to be read, because calls failed.
-    held_up: Option<Time>,
-    /// Of its unread bytes, what the sum over all holds.
-    counted: usize,
-    /// Where it stands among those that may have to leave.
-    standing: Option<(usize, Time)>,
-    /// A request has begun to come, or none has come yet: the deadline is for that.
-    begun: bool,
-    /// It has closed its side; what is still to be read from it is of no use.
-    hung_up: bool,
-}
-
 /// What a class of request is called, how long its callers wait at the most, and the method that it bears; and what
 /// those are called on whose behalf it comes.
 pub struct Classes {
@@ -565,124 +513,6 @@
         Ok((bytes, over))
     }
 
-    /// Begins an answer that is passed on as it comes.
-    pub fn begin(
-        &mut self,
-        slot: ClientSlot,
-        request: RequestId,
-        bytes: &[u8],
-        close: bool,
-        io: &mut Shared,
-    ) {
-        let Some(client) = self.clients.get_mut(slot) else { return };
-        io.deadlines.call_off(client.deadline.take());
-        client.state = State::Streaming { request, close, done: false };
-        client.deadline = Some(io.deadlines.set(io.now + ANSWER_TIME, Due::Client(slot)));
-        self.go_on_with(slot, bytes, false, io);
-    }
-
-    /// How much more of an answer it may be given now.
-    pub fn room(&self, slot: ClientSlot, io: &Shared) -> usize {
-        let pending = self.clients.get(slot).map_or(usize::MAX, |client| client.link.pending());
-        io.window().saturating_sub(pending)
-    }
-
-    /// Goes on with an answer that has begun, up to its end if it is over.
-    pub fn go_on_with(&mut self, slot: ClientSlot, bytes: &[u8], over: bool, io: &mut Shared) {
-        let Some(client) = self.clients.get_mut(slot) else { return };
-        if let State::Streaming { done, .. } = &mut client.state {
-            *done = over;
-            client.link.queue(bytes);
-            self.write(slot, io);
-            self.settle(slot, io);
-        }
-    }
-
-    /// Ends a connection whose answer has begun and can't be finished, so that the client sees it is not whole.
-    pub fn cut(&mut self, slot: ClientSlot, io: &mut Shared) {
-        let Some(client) = self.clients.get_mut(slot) else { return };
-        io.counters.answered(client.open.take(), 502);
-        io.counters.unanswered.count(CloseReason::AnswerBroke);
-        client.state = State::Lingering;
-        self.close(slot, CloseReason::AnswerBroke, io);
-    }
-
-    pub fn reply(&mut self, slot: ClientSlot, status: u16, close: bool, io: &mut Shared) {
-        let close = close || self.leaving;
-        self.answer(slot, status, &http::own_answer(status, None, close), close, io);
-    }
-
-    /// Writes the answer to what the connection's client waits for.
-    pub fn answer(&mut self, slot: ClientSlot, status: u16, bytes: &[u8], close: bool, io: &mut Shared) {
-        let Some(client) = self.clients.get_mut(slot) else { return };
-        io.counters.answered(client.open.take(), status);
-        io.deadlines.call_off(client.deadline.take());
-        if let Some(id) = client.id.take() {
-            self.ids.remove(&id);
-        }
-        client.state = State::Answering { close };
-        client.link.queue(bytes);
-        client.deadline = Some(io.deadlines.set(io.now + ANSWER_TIME, Due::Client(slot)));
-        self.write(slot, io);
-        self.settle(slot, io);
-    }
-
-    fn write(&mut self, slot: ClientSlot, io: &mut Shared) {
-        let Some(client) = self.clients.get_mut(slot) else { return };
-        let before = client.link.pending();
-        let all = match client.link.flush() {
-            Ok(all) => all,
-            Err(e) => {
-                io.counters.failures.count(SystemCall::Write, &e);
-                return self.close(slot, CloseReason::WriteFailed, io);
-            }
-        };
-        let pending = client.link.pending();
-        if pending < before {
-            client.used = io.now;
-        }
-        let close = match client.state {
-            State::Streaming { request, done: false, .. } => {
-                if pending <= io.window() / 2 {
-                    io.notes.push_back(Note::Down(request));
-                }
-                return;
-            }
-            _ if !all => return,
-            State::Streaming { close, .. } | State::Answering { close } => close,
-            _ => return,
-        };
-        io.deadlines.call_off(client.deadline.take());
-        client.used = io.now;
-        if let Some(id) = client.id.take() {
-            self.ids.remove(&id);
-        }
-        // What was answered at once has been counted.
-        io.counters.answered(client.open.take(), 200);
-        if close {
-            return self.end(slot, io);
-        }
-        client.state = State::Reading;
-        client.deadline = Some(io.deadlines.set(io.now + IDLE_TIME, Due::Client(slot)));
-        // What came behind the request is there already, and brings no event of its own. It waits for the
-        // next round, which guards against one client's long row of requests holding up all others.
-        if client.link.unread() || !client.link.input.is_empty() {
-            io.deadlines.set(io.now, Due::Again(Owner::Client(slot)));
-        }
-    }
-
-    /// Ends the sending and throws away what still comes until the client closes, for a bounded time. Guards against a
-    /// reset that overtakes the last answer, where something unread is in the way or comes in this very moment.
-    fn end(&mut self, slot: ClientSlot, io: &mut Shared) {
-        let Some(client) = self.clients.get_mut(slot) else { return };
-        client.link.end_sending();
-        client.state = State::Lingering;
-        io.deadlines.call_off(client.deadline.take());
-        client.deadline = Some(io.deadlines.set(io.now + LINGER, Due::Client(slot)));
-        client.link.input.clear();
-        self.event(slot, io);
-    }
-
     pub fn due(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
         client.deadline = None;
@@ -762,43 +592,6 @@
     }
 }
 
-impl Client {
-    /// Whether a request that was read, or a part of one, has no whole answer yet.
-    fn is_owed(&self) -> bool {
-        match self.state {
-            State::Reading => !self.link.input.is_empty(),
-            State::Waiting(_) => true,
-            State::Answering { .. } | State::Streaming { .. } => {
-                self.link.pending() > 0 || self.open.is_some()
-            }
-            State::Lingering => false,
-        }
-    }
-
-    /// Reads, and notes how a body that is not whole comes; an error if the connection broke.
-    fn fill(&mut self, most: usize, now: Time) -> std::io::Result<()> {
-        let before = self.link.input.len();
-        let read = self.link.fill(most);
-        let came = self.link.input.len() - before;
-        if self.link.read_failed() {
-            self.held_up = self.held_up.or(Some(now));
-        } else if came == 0 && self.link.input.is_empty() {
-            self.held_up = None;
-        }
-        if let (Some(upload), true) = (&mut self.upload, came > 0) {
-            (upload.heard, upload.bytes) = (now, upload.bytes + came);
-        }
-        read
-    }
-
-    /// A body begins to come, which is passed on as it does if it is known where it ends.
-    fn await_body(&mut self, slot: ClientSlot, body: Option<Body>, io: &mut Shared) {
-        self.upload = Some(Box::new(Upload { body, since: io.now, heard: io.now, bytes: 0 }));
-        io.deadlines.call_off(self.deadline.take());
-        self.deadline = Some(io.deadlines.set(io.now + BODY_CHECK, Due::Client(slot)));
-    }
-}
-
 /// A time in seconds that someone may wait for: a number above 0 and below a day.
 fn seconds(text: &str) -> Option<Span> {
     let plain = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -9,18 +9,20 @@
 use sparlug::id::BackendId;
 use sparlug::time::{Span, Time};
 
-use crate::body::LONGEST;
 use crate::config::Budgets;
-use crate::deadlines::DeadlineId;
 use crate::ending::Ending;
 use crate::failures::{Cause, SystemCall};
-use crate::http::{self, AnswerHead, Bad, BODY_MOST, MESSAGE_MOST};
-use crate::link::{Link, RETRY_PAUSE};
+use crate::http::MESSAGE_MOST;
+use crate::link::RETRY_PAUSE;
 use crate::listing::{Entry, HandedHost};
 use crate::patience::{Known, Patience};
 use crate::shared::{Begun, ConnSlot, Done, Due, Note, OfConn, Owner, Purpose, Shared};
 use crate::slots::Slots;
 
+mod conn;
+
+use conn::{Came, Conn, Job, Stage};
+
 const WORDS_MOST: u8 = 8; // answers of the kind 1xx ahead of the one that counts
 const TRUSTED: u32 = 100; // kept connections in a row that held, until such may carry what may run only once
 const BEGIN_AFTER: Span = Span::from_millis(25); // an answer of unknown length goes on as it comes
@@ -46,51 +48,6 @@
     dialled: Known,
 }
 
-enum Stage {
-    Dialling,
-    /// Its message is being written or its answer awaited.
-    Busy {
-        written: bool,
-    },
-    Idle,
-}
-
-struct Conn {
-    link: Link,
-    backend: BackendId,
-    life: Life,
-    stage: Stage,
-    job: Option<Job>,
-    head: Option<AnswerHead>,
-    /// Answers of the kind 1xx so far.
-    words: u8,
-    /// It has carried something before.
-    kept: bool,
-    /// Its answer is passed on as it comes.
-    streams: bool,
-    /// Of a message of which nothing is written: where it tells the time that is left, and until when that is, and when
-    /// it may no longer begin.
-    told: Option<(Range<usize>, Time)>,
-    by: Option<Time>,
-    /// When its socket was made.
-    dialled: Time,
-    /// Why it has no socket, if none could be made, and when that is tried again.
-    dial_failure: Option<Cause>,
-    retry_at: Time,
-    /// For the stage: when it must be up, when its answer goes on, or how long it may stand idle.
-    deadline: Option<DeadlineId>,
-    used: Time,
-}
-
-/// What a connection carries.
-struct Job {
-    purpose: Purpose,
-    sent: Time,
-    deadline: DeadlineId,
-    /// All of its message is here; if not, more is pushed.
-    whole: bool,
-}
-
 /// What is sent, and how.
 pub struct Message<'a> {
     pub bytes: &'a [u8],
@@ -629,122 +586,3 @@
         named.map(|(_, place)| place.host.as_str())
     }
 }
-
-/// How much of an answer has come.
-enum Came {
-    /// Not all, and how long it is may be unknown.
-    Part {
-        unknown: bool,
-    },
-    Whole,
-    /// It is too long to be taken in whole.
-    Long,
-}
-
-impl Conn {
-    /// A connection whose socket is still to be made.
-    fn unconnected(backend: BackendId, life: Life, now: Time) -> Conn {
-        let (job, head, told, by, dial_failure, deadline) = Default::default();
-        Conn {
-            link: Link::unconnected(),
-            backend,
-            life,
-            stage: Stage::Dialling,
-            job,
-            head,
-            words: 0,
-            kept: false,
-            streams: false,
-            told,
-            by,
-            dialled: now,
-            dial_failure,
-            retry_at: now,
-            deadline,
-            used: now,
-        }
-    }
-
-    /// Sets when its dial is given up, at the latest when its message may no longer begin.
-    fn set_dial_deadline(&mut self, slot: ConnSlot, until: Option<Time>, io: &mut Shared) {
-        io.deadlines.call_off(self.deadline.take());
-        let until = until.into_iter().chain(self.by).min();
-        self.deadline = until.map(|until| io.deadlines.set(until, Due::Dial(slot)));
-    }
-
-    /// Whether nothing of its message is written, and it may no longer begin.
-    fn is_too_late(&self, now: Time) -> bool {
-        self.job.is_some() && !self.link.has_begun() && self.by.is_some_and(|by| now >= by)
-    }
-
-    /// Guards against telling the backend a time of which dialling, or a write that failed, has used up a part.
-    fn tell_time_left(&mut self, now: Time) {
-        let Some((place, until)) = self.told.as_mut().filter(|_| self.used < now) else { return };
-        let left = http::time_left(until.since(now));
-        self.link.rewrite(place.clone(), left.as_bytes());
-        place.end = place.start + left.len();
-    }
-
-    /// What is begun is not written anew, and bound by its attempt's time alone.
-    fn forget_begin(&mut self) {
-        if self.link.has_begun() {
-            (self.told, self.by) = (None, None);
-        }
-    }
-
-    fn is_written(&self) -> bool {
-        matches!(self.stage, Stage::Busy { written: true })
-    }
-
-    /// Whether nothing has come, not even the end.
-    fn quiet(&mut self) -> bool {
-        self.link.fill(1).is_ok() && !self.link.ended && self.link.input.is_empty()
-    }
-
-    /// Whether an answer whose length is unknown has begun to come.
-    fn awaits_end(&mut self) -> bool {
-        !self.streams && matches!(self.answer(), Ok(Came::Part { unknown: true }))
-    }
-
-    /// How much of an answer has come.
-    fn answer(&mut self) -> Result<Came, Ending> {
-        loop {
-            if self.head.is_none() {
-                self.head = http::answer_head(&self.link.input).map_err(|_| Ending::Garbled)?;
-            }
-            let Some(head) = &mut self.head else { return Ok(Came::Part { unknown: false }) };
-            if head.status >= 200 {
-                break;
-            }
-            // Words on the way, such as 100, are no answer; nobody asked for another protocol, nor for no end.
-            let length = head.length;
-            self.words += 1;
-            if self.words > WORDS_MOST || head.status == 101 {
-                return Err(Ending::Garbled);
-            }
-            self.head = None;
-            self.link.used(length);
-        }
-        let attempt = matches!(self.job, Some(Job { purpose: Purpose::Attempt(..), .. }));
-        let Some(head) = &mut self.head else { return Ok(Came::Part { unknown: false }) };
-        let passes = attempt && head.status == 200;
-        match head.body.whole(
-            &self.link.input[head.length..],
-            self.link.ended && !self.link.broken,
-            BODY_MOST,
-        ) {
-            Ok(Some(_)) => Ok(Came::Whole),
-            Ok(None) => Ok(Came::Part { unknown: passes && !head.body.has_length() }),
-            Err(Bad::BodyTooLarge) if passes && head.body.size() <= LONGEST => Ok(Came::Long),
-            Err(_) => Err(Ending::Garbled),
-        }
-    }
-
-    /// Tells how what the connection carried has ended.
-    fn finish(&mut self, ending: Ending, load: Load, answer: Option<(AnswerHead, Vec<u8>)>, io: &mut Shared) {
-        let Some(Job { purpose, sent, deadline, .. }) = self.job.take() else { return };
-        io.deadlines.call_off(Some(deadline));
-        let done = Done { backend: self.backend, purpose, ending, took: io.now.since(sent), load, answer };
-        io.notes.push_back(Note::Done(done));
-    }
-}
--- /dev/null
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -0,0 +1,132 @@
+//! Signals, new configurations, the handover and the end of the process.
+
+use super::{
+    Proxy, ACCEPT_ON, DRAIN_PAUSE, FAILED_WAITS_MOST, FAILED_WAIT_PAUSE, GONE_BY, INTERRUPTIONS_MOST,
+    RELOAD_FOR, RELOAD_PAUSE, RELOAD_PAUSE_MOST,
+};
+use crate::config::{Config, ConfigError};
+use crate::failures::SystemCall;
+use crate::listing::Handed;
+use crate::said::{self, State};
+use crate::shared::{Due, Note};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use sparlug::time::{Span, Time};
+use std::io;
+
+impl Proxy {
+    pub(super) fn signalled(&mut self) {
+        for signal in self.signals.take() {
+            tracing::info!(signal, counters = %self.io.counters, "signal");
+            if signal == SIGHUP {
+                self.reload_since = Some(self.io.now);
+                self.reload();
+            }
+            if matches!(signal, SIGTERM | SIGINT) && self.leaving.is_none() {
+                self.leaving = Some(self.io.now);
+                self.clients.leaving = true;
+                self.clients.ends_at = Some(self.io.now + ACCEPT_ON + self.longest);
+                if self.handover.succeeded() {
+                    self.clients.stop_listening(true, &mut self.io);
+                } else {
+                    self.fleet.leave(&mut self.io);
+                }
+                self.io.deadlines.set(self.io.now + ACCEPT_ON, Due::Leave);
+                self.io.deadlines.set(self.io.now + ACCEPT_ON + self.longest + GONE_BY, Due::Leave);
+            }
+        }
+    }
+
+    /// Reads the configuration anew. What can't be used changes nothing.
+    pub(super) fn reload(&mut self) {
+        let config = match Config::read(&self.source) {
+            Ok(config) => config,
+            Err(error) => return self.reload_failed(&error),
+        };
+        self.reload_since = None;
+        self.io.deadlines.call_off(self.reload.take());
+        let (discovery, restart) = (config.discovery, config.fixed != self.fixed);
+        self.budgets = [config.budgets, config.halved];
+        self.share();
+        let moved = self.discovery.go_to(discovery, &mut self.io);
+        if let (None, Some(list)) = (discovery, config.known) {
+            self.io.notes.push_back(Note::Listed(list, None));
+        }
+        let discovery = discovery.map_or("a list in the file".to_string(), |agent| agent.to_string());
+        tracing::info!(discovery, moved, "configuration read anew");
+        if restart {
+            tracing::warn!("name, listen and settings stay as they were until a restart");
+        }
+    }
+
+    /// Guards against a new configuration that is lost because its file could not be read in the moment of the signal.
+    pub(super) fn reload_failed(&mut self, error: &ConfigError) {
+        if let ConfigError::Unreadable { error, .. } = error {
+            self.io.counters.failures.count(SystemCall::Configuration, error);
+        }
+        let Some(since) = self.reload_since else { return };
+        let passed = self.io.now.since(since);
+        let again = error.is_momentary() && passed < RELOAD_FOR;
+        if passed == Span::ZERO || !again {
+            tracing::warn!(why = %error, again, "configuration kept as it was");
+        }
+        if again {
+            // Soon at first, then at longer intervals.
+            let pause = passed.max(RELOAD_PAUSE).min(RELOAD_PAUSE_MOST);
+            self.io.deadlines.call_off(self.reload.take());
+            self.reload = Some(self.io.deadlines.set(self.io.now + pause, Due::Reload));
+        } else {
+            self.reload_since = None;
+        }
+    }
+
+    /// Takes the budgets of a proxy that is one process, or one of two.
+    pub(super) fn share(&mut self) {
+        let budgets = self.budgets[usize::from(self.handover.beside())];
+        self.clients.set_budgets(budgets);
+        self.pool.set_budgets(budgets);
+        self.io.stream_bytes = budgets.bytes / 2;
+    }
+
+    /// Hands over to a process that has come to take this one's place.
+    pub(super) fn hand_over(&mut self) {
+        let state = || {
+            let (agent, version) = self.discovery.at_hand();
+            let list = version.map(|version| Handed { version, hosts: self.pool.list_at_hand() });
+            State { agent, barred: self.balancer.barred().map(said::named).collect(), list }
+        };
+        self.handover.accept(self.clients.listener(), state, &mut self.io);
+    }
+
+    pub(super) fn leave(&mut self) {
+        self.clients.stop_listening(self.handover.succeeded(), &mut self.io);
+        if self.clients.listens() {
+            self.io.deadlines.set(self.io.now + DRAIN_PAUSE, Due::Leave);
+        }
+        self.clients.let_go(&mut self.io);
+    }
+
+    /// Whether it was told to go and owes nothing more.
+    pub(super) fn done(&self) -> bool {
+        let Some(since) = self.leaving else { return false };
+        let now = self.io.now;
+        now >= since + ACCEPT_ON && self.clients.is_empty() && !self.clients.listens()
+            || now >= since + ACCEPT_ON + self.longest + GONE_BY
+    }
+
+    /// Goes on after a wait that failed. Guards against the end of all that is served by a failure that passes.
+    pub(super) fn wait_failed(&mut self, error: io::Error, now: Time) -> io::Result<()> {
+        self.io.counters.failures.count(SystemCall::Wait, &error);
+        if self.failed_waits == 0 {
+            self.blind_since = Some(now);
+        }
+        self.failed_waits += 1;
+        let interrupted = error.kind() == io::ErrorKind::Interrupted;
+        if !interrupted && self.failed_waits > FAILED_WAITS_MOST {
+            return Err(error);
+        }
+        if !interrupted || self.failed_waits > INTERRUPTIONS_MOST {
+            std::thread::sleep(FAILED_WAIT_PAUSE);
+        }
+        Ok(())
+    }
+}
