Hand over to the next process through interrupted and short calls

What staff saw: after an upgrade a backend that they had disabled served again. Cause: sendmsg, recvmsg or read that failed once (EINTR, ENOBUFS, ENOMEM) ended the handover, and the next process started without bans and list. They are made again; a read that waited its second is not. Red on (backends_excluded 0 for 1), green for four failures, three in a row.

--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use mio::net::{UnixListener, UnixStream};
+use rustix::io::Errno;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -19,14 +20,17 @@
 use sparlug::time::Span;
 
 use crate::acceptor::{Acceptor, Next};
+use crate::failures::Cause;
 use crate::link::Link;
 use crate::said::{line, next, State, Word, LINE_MOST};
 use crate::shared::{Due, Note, OfPeer, Owner, PeerSlot, Shared};
 use crate::slots::Slots;
+use crate::starting::again;
 
 const GREETING: &[u8] = b"sparlug-handover 1\n"; // the socket that is handed over comes with its first byte
 const PATIENCE: Duration = Duration::from_millis(1_000); // for all that is handed over
 const PEERS_MOST: usize = 4;
+const GREETINGS_MOST: u32 = 16; // tries of a greeting, one right after the other
 const WAIT_PAUSE: Span = Span::from_millis(1_000); // before a socket that could not be made is tried again
 
 /// What was taken over from the process that was there before.
@@ -71,7 +75,7 @@
             None => {}
         }
         stream.set_read_timeout(left()).map_err(fault)?;
-        match (&stream).read(&mut piece).map_err(fault)? {
+        match again(|| (&stream).read(&mut piece)).map_err(fault)? {
             0 => return Err("the process before ended in the handover".to_string()),
             read => rest.extend_from_slice(&piece[..read]),
         }
@@ -79,6 +83,11 @@
     Ok(Some(Taken { listener, state, stream, rest }))
 }
 
+/// Whether a greeting failed in a way that may pass.
+fn is_momentary(sent: &Result<usize, Errno>) -> bool {
+    sent.is_err_and(|errno| Cause::of(&errno.into()).is_momentary())
+}
+
 /// Whether the process at the other end is of the same user.
 fn own(stream: &impl AsFd) -> bool {
     let peer = rustix::net::sockopt::socket_peercred(stream);
@@ -92,7 +101,7 @@
     let (mut bytes, mut read, mut found) = ([0; GREETING.len()], 0, None);
     while read < bytes.len() {
         let piece = &mut [IoSliceMut::new(&mut bytes[read..])];
-        let got = recvmsg(stream, piece, &mut beside, RecvFlags::CMSG_CLOEXEC)?.bytes;
+        let got = again(|| Ok(recvmsg(stream, piece, &mut beside, RecvFlags::CMSG_CLOEXEC)?.bytes))?;
         for message in beside.drain() {
             if let RecvAncillaryMessage::ScmRights(sockets) = message {
                 found = sockets.into_iter().next().or(found);
@@ -209,7 +218,9 @@
                 beside.push(SendAncillaryMessage::ScmRights(sockets));
             }
             // A new socket has room for the greeting, which so goes out whole.
-            match sendmsg(&stream, &[IoSlice::new(GREETING)], &mut beside, SendFlags::empty()) {
+            let mut greet = || sendmsg(&stream, &[IoSlice::new(GREETING)], &mut beside, SendFlags::empty());
+            let greeted = (0..GREETINGS_MOST).map(|_| greet()).find(|sent| !is_momentary(sent));
+            match greeted.unwrap_or(Err(Errno::INTR)) {
                 Ok(sent) if sent == GREETING.len() => {}
                 failed => {
                     tracing::warn!(?failed, "nothing handed over");
@@ -249,7 +260,8 @@
             }
         };
         if why.is_none() && !peer.link.ended {
-            return io.settle(&mut peer.link, Owner::Peer(slot));
+            io.settle(&mut peer.link, Owner::Peer(slot));
+            return;
         }
         let (successor, why) = (peer.successor, why.unwrap_or_else(|| "it ended".to_string()));
         if let Some(peer) = self.peers.remove(slot) {
--- a/crates/proxy/src/starting.rs
+++ b/crates/proxy/src/starting.rs
@@ -17,16 +17,21 @@
     }
 }
 
+/// Whether a call is to be made again. One that waited for as long as it may is not.
+fn may_pass(error: &io::Error) -> bool {
+    error.kind() != io::ErrorKind::WouldBlock && Cause::of(error).is_momentary()
+}
+
 /// Makes a call until it succeeds, fails in a way that lasts, or the time for it is over.
 pub fn again<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     let (start, mut told) = (Instant::now(), false);
     loop {
         match call() {
-            Err(e) if !told && Cause::of(&e).is_momentary() => {
+            Err(e) if !told && may_pass(&e) => {
                 say(&e);
                 told = true;
             }
-            Err(e) if Cause::of(&e).is_momentary() && start.elapsed() < PATIENCE => {
+            Err(e) if may_pass(&e) && start.elapsed() < PATIENCE => {
                 std::thread::sleep(PAUSE);
             }
             done => return done,
--- a/crates/proxy/tests/helper/shim.rs
+++ b/crates/proxy/tests/helper/shim.rs
@@ -29,9 +29,14 @@
     FileRead,
     DatagramWrite,
     DatagramRead,
+    /// Of a TCP option.
+    SetOption,
+    /// A message that may bear a descriptor.
+    MessageWrite,
+    MessageRead,
 }
 
-const CALLS: usize = 15;
+const CALLS: usize = 18;
 const RULE_BYTES: usize = 32;
 const HITS_OFFSET: usize = 24;
 
@@ -133,6 +138,25 @@
         (proxy, shim)
     }
 
+    /// A proxy that operators may call, at an address of its own.
+    pub fn start_managed(backends: &[&TcpListener], listen: &str, more: &[(&str, &str)]) -> (Proxy, Shim) {
+        Shim::start_managed_failing(backends, listen, more, &[])
+    }
+
+    /// The same where calls fail from the first moment on.
+    pub fn start_managed_failing(
+        backends: &[&TcpListener],
+        listen: &str,
+        more: &[(&str, &str)],
+        faults: &[Fault],
+    ) -> (Proxy, Shim) {
+        let (shim, environment) = Shim::prepare();
+        faults.iter().for_each(|fault| shim.fail(*fault));
+        let environment = environment.each_ref().map(|(name, value)| (*name, value.as_str()));
+        let environment: Vec<_> = environment.into_iter().chain(more.iter().copied()).collect();
+        (Proxy::start_managed(backends, listen, &environment), shim)
+    }
+
     /// A proxy by a configuration in the project's own form.
     pub fn start_native(text: &str) -> (Proxy, Shim) {
         let (shim, environment) = Shim::prepare();
--- a/crates/proxy/tests/operating.rs
+++ b/crates/proxy/tests/operating.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::thread;
 
+use helper::shim::{errno, Call, Fault, Shim};
 use helper::{accept, answer, ask, backend, message, request, write, Proxy};
 use sparlug_proxy::said::{next, Word};
 
@@ -213,6 +214,29 @@
     assert_eq!(third.figure("svc.backends_excluded"), Some(1));
 }
 
+/// Guards against bans that are lost with one call that failed as one process handed over to the next.
+#[test]
+fn an_upgrade_keeps_its_bans_though_calls_of_the_handover_fail() {
+    let failures = [
+        (Call::MessageWrite, errno::EINTR),
+        (Call::MessageWrite, errno::ENOBUFS),
+        (Call::MessageRead, errno::EINTR),
+        (Call::MessageRead, errno::ENOMEM),
+    ];
+    for (call, error) in failures {
+        let ((folder, listen), backends) = (place("faulty-upgrade"), [serving("a"), serving("b")]);
+        let backends = backends.each_ref();
+        let environment = [("TMPDIR", folder.to_str().unwrap())];
+        let (old, sending) = Shim::start_managed(&backends, &listen, &environment);
+        assert_eq!(old.call("PUT", "/backends/disable/h0").0, 200);
+        let fault = Fault::of(call, error, 3);
+        sending.fail(fault);
+        let (new, receiving) = Shim::start_managed_failing(&backends, &listen, &environment, &[fault]);
+        assert_eq!(new.figure("svc.backends_excluded"), Some(1), "{call:?} error {error}");
+        assert!(sending.hits(call) + receiving.hits(call) > 0, "{call:?} error {error}");
+    }
+}
+
 #[test]
 fn whatever_waits_in_the_old_ones_place_costs_the_start_nothing() {
     let backends = [serving("a")];
--- a/crates/proxy/tests/shim/faults.c
+++ b/crates/proxy/tests/shim/faults.c
@@ -36,6 +36,9 @@
     FILE_READ,
     DATAGRAM_WRITE,
     DATAGRAM_READ,
+    SET_OPTION,
+    MESSAGE_WRITE,
+    MESSAGE_READ,
     CALLS
 };
 
@@ -263,6 +266,33 @@
     return REAL(recvfrom)(fd, buffer, length, flags, from, size);
 }
 
+int setsockopt(int fd, int level, int name, const void *value, socklen_t length)
+{
+    if (level == IPPROTO_TCP)
+        FAILS(SET_OPTION, fd);
+    return REAL(setsockopt)(fd, level, name, value, length);
+}
+
+ssize_t sendmsg(int fd, const struct msghdr *message, int flags)
+{
+    struct rule *rule = hit_always(MESSAGE_WRITE);
+    if (rule) {
+        errno = (int)rule->error;
+        return -1;
+    }
+    return REAL(sendmsg)(fd, message, flags);
+}
+
+ssize_t recvmsg(int fd, struct msghdr *message, int flags)
+{
+    struct rule *rule = hit_always(MESSAGE_READ);
+    if (rule) {
+        errno = (int)rule->error;
+        return -1;
+    }
+    return REAL(recvmsg)(fd, message, flags);
+}
+
 int clock_gettime(clockid_t clock, struct timespec *time)
 {
     int result = (int)syscall(SYS_clock_gettime, clock, time);
