--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -150,6 +150,9 @@
         loop {
             if !self.make_room(io) {
                 self.say_full(true);
+                if self.descriptor_bound.is_some() {
+                    self.set_descriptor_bound(descriptor_room()); // the limit may have been raised
+                }
                 return self.acceptor.is_full(io);
             }
             match self.acceptor.next(io) {
@@ -164,14 +167,16 @@
     /// Guards against idle connections keeping all others out where the process has fewer descriptors than the
     /// configuration says. Whether it has is asked of the kernel: one failure proves nothing.
     fn bound_by_descriptors(&mut self, io: &Shared) {
-        let Some(descriptors) = getrlimit(Resource::Nofile).current else { return };
-        let room = usize::try_from(descriptors).unwrap_or(usize::MAX).saturating_sub(OWN_SOCKETS);
-        if self.clients.count() + io.backend_connections < room {
-            return;
+        let room = descriptor_room();
+        if self.clients.count() + io.backend_connections >= room {
+            self.set_descriptor_bound(room);
         }
-        let bound = (room * 3 / 4).max(1);
-        if self.descriptor_bound.replace(bound) != Some(bound) {
-            tracing::warn!(descriptors, clients = bound, "fewer descriptors than the configuration says");
+    }
+
+    fn set_descriptor_bound(&mut self, room: usize) {
+        let bound = Some((room * 3 / 4).max(1)).filter(|bound| *bound < self.budgets.clients);
+        if std::mem::replace(&mut self.descriptor_bound, bound) != bound {
+            tracing::warn!(clients = self.limit(), "room for clients by the process's limit of descriptors");
         }
     }
 
@@ -204,6 +209,7 @@
     /// Brings the sums and orders over all callers up to how one of them stands now.
     fn settle(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
+        client.link.set_nodelay_again();
         io.settle(&mut client.link, Owner::Client(slot));
         let length = client.link.input.len();
         self.unread = self.unread + length - std::mem::replace(&mut client.counted, length);
@@ -239,7 +245,7 @@
         // The slot is wanted for the token, so the record is made in two steps.
         let (deadlines, now) = (&mut io.deadlines, io.now);
         let slot = self.clients.insert_with(|slot| {
-            let link = Link::new(stream.take()?);
+            let mut link = Link::new(stream.take()?);
             link.set_nodelay();
             let deadline = Some(deadlines.set(now + FIRST_TIME, Due::Client(slot)));
             let (state, head, upload, id, open) = (State::Reading, None, None, None, None);
@@ -592,6 +598,12 @@
     }
 }
 
+/// How many connections the process may have by its limit of descriptors.
+fn descriptor_room() -> usize {
+    let limit = getrlimit(Resource::Nofile).current.and_then(|limit| usize::try_from(limit).ok());
+    limit.map_or(usize::MAX / 4, |limit| limit.saturating_sub(OWN_SOCKETS))
+}
+
 /// A time in seconds that someone may wait for: a number above 0 and below a day.
 fn seconds(text: &str) -> Option<Span> {
     let plain = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -40,6 +40,8 @@
     stalled: bool,
     /// The call was a read.
     read_failed: bool,
+    /// Small writes may wait, as the option against that could not be set.
+    delays: bool,
     /// Whether it is up was looked at without success.
     looked: bool,
     /// When it is looked at again without an event.
@@ -68,6 +70,7 @@
             unread: true,
             stalled: false,
             read_failed: false,
+            delays: false,
             looked: false,
             look_at: None,
             ended: false,
@@ -241,7 +244,7 @@
         }
         match stream.peer_addr() {
             Ok(_) => {
-                let _ = stream.set_nodelay(true);
+                self.set_nodelay();
                 Ok(true)
             }
             Err(e) => {
@@ -253,9 +256,15 @@
         }
     }
 
-    pub fn set_nodelay(&self) {
-        if let Some(stream) = &self.stream {
-            let _ = stream.set_nodelay(true);
+    /// Has small writes go out at once.
+    pub fn set_nodelay(&mut self) {
+        self.delays = self.stream.as_ref().is_some_and(|stream| stream.set_nodelay(true).is_err());
+    }
+
+    /// The same where it failed before.
+    pub fn set_nodelay_again(&mut self) {
+        if self.delays {
+            self.set_nodelay();
         }
     }
 
--- a/crates/proxy/tests/accept_failures.rs
+++ b/crates/proxy/tests/accept_failures.rs
@@ -7,6 +7,7 @@
 
 use helper::shim::{errno, Call, Fault, Shim};
 use helper::{backend, kept, message, serve, settings, write, Proxy};
+use rustix::process::{prlimit, Pid, Resource, Rlimit};
 
 /// Everything that `accept` can fail with by accept(2), for a moment.
 const ERRORS: [u32; 15] = [
@@ -125,3 +126,26 @@
         assert_eq!(operator.peek(&mut [0]).ok(), Some(1), "error {error}");
     }
 }
+
+/// Guards against a limit of descriptors that goes on to bind after staff have raised it.
+#[test]
+fn more_clients_are_let_in_once_the_process_may_have_more_descriptors() {
+    let listener = backend();
+    let proxy = Proxy::start_limited(&[&listener], 1024, 1024, &settings(5000, ""));
+    let process = Pid::from_raw(proxy.id() as i32);
+    let limit =
+        |current| prlimit(process, Resource::Nofile, Rlimit { current: Some(current), maximum: Some(1024) });
+    limit(40).unwrap();
+    let mut clients: Vec<_> = (0..60).map(|_| proxy.connect()).collect();
+    proxy.logged("cannot accept");
+    proxy.logged("room for clients by the process's limit");
+    limit(1024).unwrap();
+    let start = Instant::now();
+    for client in &mut clients {
+        write(client, "GET /ready HTTP/1.1\r\n\r\n");
+    }
+    for client in &mut clients {
+        assert!(message(client).starts_with("HTTP/1.1 200"));
+    }
+    assert!(start.elapsed() < SOON, "after {:?}", start.elapsed());
+}
--- a/crates/proxy/tests/transfer_failures.rs
+++ b/crates/proxy/tests/transfer_failures.rs
@@ -128,3 +128,19 @@
     assert_eq!(std::io::Read::read(&mut conn, &mut [0]).ok(), Some(0), "the attempt goes on");
     assert_eq!(helper::counted(&proxy, "left"), 1);
 }
+
+/// Guards against a connection whose small writes wait for its whole life because an option could not be set once.
+#[test]
+fn an_option_that_could_not_be_set_is_set_later() {
+    let listener = backend();
+    let (proxy, shim) = Shim::start(&[&listener], &settings(1000, ""));
+    serve(listener);
+    let client_port = proxy.address.rsplit(':').next().unwrap().parse().unwrap();
+    shim.fail(Fault::of(Call::SetOption, errno::ENOBUFS, 2).at(client_port));
+    let mut client = proxy.connect();
+    for _ in 0..3 {
+        write(&mut client, &kept("GET", "/read"));
+        assert!(message(&mut client).ends_with("fine"));
+    }
+    shim.wait_for_hits(Call::SetOption, 2);
+}
