Judge no backend silent while this machine can't send to it

What callers saw: after a second without sockets up to all four backends of a test were out for 1 s and more (out, silent). Cause: an attempt that waits here for a socket or a write counts as in flight, and silence is measured from the last word of the backend.

The pool tells the decisions (Event::Unsent), and silence counts from then on. Red on: 4 of 4 excluded 22 ms after socket began to fail; green for ENFILE and ENETUNREACH over 1.5 s each, all waiting requests served after it. Waits that are interrupted more than 1,000 times in a row pause for 0.1 ms each.

Found on the way and not changed: backends that fall silent in one tick may all be put out, past the third that may be (policy.rs, put_out reads counts of the last tick).

--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -246,6 +246,7 @@
         }
         conn.dial_failure = Some(cause);
         conn.retry_at = io.now + RETRY_PAUSE;
+        io.notes.push_back(Note::Unsent(conn.backend));
         io.deadlines.set(conn.retry_at, Due::Again(Owner::Conn(slot)));
         // Want of something ends with the attempt's own time; what may be the way to this backend, with that to dial.
         let until = (cause == Cause::Way).then_some(conn.used + self.dial);
@@ -263,8 +264,10 @@
     }
 
     fn settle(&mut self, slot: ConnSlot, io: &mut Shared) {
-        if let Some(conn) = self.conns.get_mut(slot) {
-            io.settle(&mut conn.link, Owner::Conn(slot));
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        conn.link.set_nodelay_again();
+        if io.settle(&mut conn.link, Owner::Conn(slot)) && conn.job.is_some() {
+            io.notes.push_back(Note::Unsent(conn.backend));
         }
     }
 
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -44,7 +44,8 @@
 const RELOAD_PAUSE: Span = Span::from_millis(50);
 const RELOAD_PAUSE_MOST: Span = Span::from_millis(500);
 const FAILED_WAITS_MOST: u32 = 1_000; // in a row, after which the program ends
-const INTERRUPTIONS_MOST: u32 = 100; // waits in a row, before the loop pauses
+const INTERRUPTIONS_MOST: u32 = 1_000; // waits in a row, before the loop pauses
+const INTERRUPTED_PAUSE: Duration = Duration::from_micros(100);
 const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(1);
 const DRAIN_PAUSE: Span = Span::from_millis(5); // between looks at a queue that could not be emptied
 const COPY_MOST: usize = 512 * 1024; // of a long request, that is held so that it can go again
@@ -436,6 +437,7 @@
                 Note::Began(begun) => self.began(begun),
                 Note::Up(request) => self.up(request),
                 Note::Down(request) => self.down(request),
+                Note::Unsent(backend) => self.decide(Event::Unsent(backend)),
                 Note::Done(done) => self.ended(done),
                 Note::Listed(list, before) => self.listed(list, before),
                 Note::ListFailed => self.decide(Event::ListFailed),
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -1,8 +1,8 @@
 //! Signals, new configurations, the handover and the end of the process.
 
 use super::{
-    Proxy, ACCEPT_ON, DRAIN_PAUSE, FAILED_WAITS_MOST, FAILED_WAIT_PAUSE, GONE_BY, INTERRUPTIONS_MOST,
-    RELOAD_FOR, RELOAD_PAUSE, RELOAD_PAUSE_MOST,
+    Proxy, ACCEPT_ON, DRAIN_PAUSE, FAILED_WAITS_MOST, FAILED_WAIT_PAUSE, GONE_BY, INTERRUPTED_PAUSE,
+    INTERRUPTIONS_MOST, RELOAD_FOR, RELOAD_PAUSE, RELOAD_PAUSE_MOST,
 };
 use crate::config::{Config, ConfigError};
 use crate::failures::SystemCall;
@@ -124,8 +124,10 @@
         if !interrupted && self.failed_waits > FAILED_WAITS_MOST {
             return Err(error);
         }
-        if !interrupted || self.failed_waits > INTERRUPTIONS_MOST {
+        if !interrupted {
             std::thread::sleep(FAILED_WAIT_PAUSE);
+        } else if self.failed_waits > INTERRUPTIONS_MOST {
+            std::thread::sleep(INTERRUPTED_PAUSE);
         }
         Ok(())
     }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -57,7 +57,8 @@
 
 impl Shared {
     /// Has a link looked at again where a call failed and no event will tell when it may succeed.
-    pub fn settle<S: Read + Write + Source>(&mut self, link: &mut Link<S>, owner: Owner) {
+    /// Whether it is.
+    pub fn settle<S: Read + Write + Source>(&mut self, link: &mut Link<S>, owner: Owner) -> bool {
         let (at, watched) = link.settle(self.now, &self.registry, owner.token());
         if let Err(e) = watched {
             self.counters.failures.count(SystemCall::Register, &e);
@@ -65,6 +66,7 @@
         if let Some(at) = at {
             self.deadlines.set(at, Due::Again(owner));
         }
+        at.is_some()
     }
 }
 
@@ -169,6 +171,8 @@
     Up(RequestId),
     /// And of an answer's.
     Down(RequestId),
+    /// A call of this machine failed that was to send something to a backend.
+    Unsent(BackendId),
     /// A list, and the version that it follows.
     Listed(List, Option<u64>),
     ListFailed,
--- a/crates/proxy/tests/dial_failures.rs
+++ b/crates/proxy/tests/dial_failures.rs
@@ -100,3 +100,30 @@
     write(&mut conn, &answer("200 OK", "", "fine"));
     assert!(message(&mut client).ends_with("fine"));
 }
+
+/// Guards against backends that count as silent because this machine could not send to them.
+#[test]
+fn no_backend_is_shut_out_while_no_socket_can_be_made() {
+    let listeners = [backend(), backend(), backend(), backend()];
+    let (proxy, shim) = Shim::start(&listeners.each_ref(), &settings(5000, ""));
+    let _arrivals = listeners.map(serve);
+    // Until what is usual is known, by which silence is judged.
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(4_500) {
+        assert!(proxy.ask(&request("POST", "/write", "1")).ends_with("fine"));
+    }
+    for (call, error) in [(Call::Socket, errno::ENFILE), (Call::Connect, errno::ENETUNREACH)] {
+        shim.fail(Fault::of(call, error, u32::MAX));
+        let waiting: Vec<_> = (0..8).map(|_| helper::asks(&proxy, &request("POST", "/write", "4"))).collect();
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_millis(1_500) {
+            let out = proxy.figure("svc.backends_excluded");
+            assert_eq!(out, Some(0), "{call:?} error {error}, after {:?}", start.elapsed());
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        shim.clear(call);
+        for mut client in waiting {
+            assert!(message(&mut client).ends_with("fine"), "{call:?} error {error}");
+        }
+    }
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -29,6 +29,8 @@
     },
     /// An answer that had begun broke off, after its request had ended as served.
     Broke(BackendId),
+    /// This machine can't send to a backend for the moment: its silence says nothing of it.
+    Unsent(BackendId),
     /// The client no longer waits; no answer is owed.
     Left(RequestId),
     Timer(TimerMark),
@@ -255,6 +257,8 @@
     Sent,
     /// An answer of its broke off.
     Broke,
+    /// What was to be sent to it waits here.
+    Unsent,
     Began(Span),
     /// An outcome, and the latency that counts for it, if any: how long, and whether it was in time.
     Ended(Ended, Option<(Span, bool)>),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,6 +60,7 @@
 const SHARED: f64 = 3.0; // instances that share a backend, where there are many
 const PART_LEAST: f64 = 6.0; // and the fewest backends that an instance keeps to
 const PATIENCE: f64 = 0.05; // part of the latency target for which reports are waited for
+const UNSENT: Span = Span::from_millis(50); // for which silence says nothing, once this machine could not send
 const MARK_TICK: TimerMark = TimerMark(u64::MAX);
 const MARK_WATCH: TimerMark = TimerMark(u64::MAX - 1);
 const MARK_ASKED: TimerMark = TimerMark(u64::MAX - 2);
@@ -100,6 +101,7 @@
                 self.credit -= 1.0;
             }
             BackendNote::Broke => self.judge(1.0, around),
+            BackendNote::Unsent => self.heard = self.heard.max(around.now + UNSENT),
             BackendNote::Began(took) => self.sample(took, true, true, around),
             BackendNote::Ended(e, _) if e.precedes(&self.listing, around.now) => self.in_flight -= 1.0,
             BackendNote::Ended(ended, sample) => self.ended(&ended, sample, around),
@@ -439,6 +441,7 @@
             Event::Ended(ended) => self.ended(ended, out),
             Event::Whole { request, deadline } => self.whole(request, deadline, out),
             Event::Broke(backend) => self.tell(backend, BackendNote::Broke),
+            Event::Unsent(backend) => self.tell(backend, BackendNote::Unsent),
             Event::Left(id) => drop(self.release(id, out)),
             Event::Timer(MARK_TICK) => self.tick(out),
             Event::Timer(MARK_WATCH) => out.push(Action::Watch { on: true }),
