Bind clients by descriptors also where the program holds more than was set aside

Where the process's limit is below the configured one and the program itself holds over 16 descriptors, EMFILE came without the bound that leaves room for backends, and nothing made room. It counts as real from three quarters of the limit on.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -5,14 +5,13 @@
 use std::net::SocketAddr;
 
 use mio::net::{TcpListener, TcpStream};
-use rustix::process::{getrlimit, Resource};
 use sparlug::id::{RequestId, TenantId};
 use sparlug::time::{Span, Time};
 
 use crate::acceptor::{Acceptor, Next};
 use crate::body::LONGEST;
 use crate::closing::CloseReason;
-use crate::config::{Budgets, OWN_SOCKETS};
+use crate::config::Budgets;
 use crate::failures::{is_descriptor_limit, SystemCall};
 use crate::http::{self, Bad, RequestHead, BODY_MOST, CALLERS_METHODS, HEAD_MOST, MESSAGE_MOST};
 use crate::link::Link;
@@ -21,8 +20,10 @@
 
 mod answers;
 mod client;
+mod room;
 
 use client::{Client, State};
+use room::descriptor_room;
 
 const FIRST_TIME: Span = Span::from_millis(2_300); // for the first request to come whole, from the connecting
 const MESSAGE_TIME: Span = Span::from_millis(2_300); // for a later one, once it has begun
@@ -97,11 +98,6 @@
         self.descriptor_bound = None;
     }
 
-    /// How many connections may be open.
-    fn limit(&self) -> usize {
-        self.descriptor_bound.map_or(self.budgets.clients, |bound| bound.min(self.budgets.clients))
-    }
-
     /// Nobody is connected: all have had their answers, and read them or had time to.
     pub fn is_empty(&self) -> bool {
         self.clients.count() == 0
@@ -164,48 +160,6 @@
         }
     }
 
-    /// Guards against idle connections keeping all others out where the process has fewer descriptors than the
-    /// configuration says. Whether it has is asked of the kernel: one failure proves nothing.
-    fn bound_by_descriptors(&mut self, io: &Shared) {
-        let room = descriptor_room();
-        if self.clients.count() + io.backend_connections >= room {
-            self.set_descriptor_bound(room);
-        }
-    }
-
-    fn set_descriptor_bound(&mut self, room: usize) {
-        let bound = Some((room * 3 / 4).max(1)).filter(|bound| *bound < self.budgets.clients);
-        if std::mem::replace(&mut self.descriptor_bound, bound) != bound {
-            tracing::warn!(clients = self.limit(), "room for clients by the process's limit of descriptors");
-        }
-    }
-
-    /// Whether one more can be accepted. A connection that is owed nothing may have to leave for it: one that
-    /// only lingers, then an idle one, then one whose request does not come to its end.
-    fn make_room(&mut self, io: &mut Shared) -> bool {
-        while self.clients.count() >= self.limit() {
-            // Guards against closing on a request that is on its way: a new connection is there to bring one.
-            let Some(slot) = self.leaver(io.now) else {
-                // Guards against leaving unread what was sent on connections that the kernel has accepted.
-                return self.clients.count() < self.limit() + self.limit() / 8;
-            };
-            self.event(slot, io);
-            if self.leaver(io.now) == Some(slot) {
-                self.close(slot, CloseReason::MadeRoom, io);
-            }
-        }
-        true
-    }
-
-    /// Who leaves first, if one must.
-    fn leaver(&self, now: Time) -> Option<ClientSlot> {
-        let first = |(rank, set): (usize, &BTreeSet<(Time, ClientSlot)>)| {
-            let (used, slot) = set.first()?;
-            (rank == LINGERING || now > *used + FRESH).then_some(*slot)
-        };
-        self.leavers.iter().enumerate().find_map(first)
-    }
-
     /// Brings the sums and orders over all callers up to how one of them stands now.
     fn settle(&mut self, slot: ClientSlot, io: &mut Shared) {
         let Some(client) = self.clients.get_mut(slot) else { return };
@@ -230,15 +184,6 @@
         }
     }
 
-    /// One line for each change, not for each connection.
-    fn say_full(&mut self, full: bool) {
-        if std::mem::replace(&mut self.full, full) != full {
-            let (clients, owing) = (self.clients.count(), self.owing());
-            let now = if full { "no room for callers, new ones wait" } else { "room for callers again" };
-            tracing::info!(clients, owing, "{now}");
-        }
-    }
-
     fn add(&mut self, stream: TcpStream, io: &mut Shared) {
         let mut stream = Some(stream);
         let held_up = self.acceptor.held_up;
@@ -598,12 +543,6 @@
     }
 }
 
-/// How many connections the process may have by its limit of descriptors.
-fn descriptor_room() -> usize {
-    let limit = getrlimit(Resource::Nofile).current.and_then(|limit| usize::try_from(limit).ok());
-    limit.map_or(usize::MAX / 4, |limit| limit.saturating_sub(OWN_SOCKETS))
-}
-
 /// A time in seconds that someone may wait for: a number above 0 and below a day.
 fn seconds(text: &str) -> Option<Span> {
     let plain = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
