--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -119,6 +119,10 @@
         format!("svc.clients.open:{open}|g\nsvc.clients.limit:{limit}|g\nsvc.clients.waiting:{waiting}|g\n")
     }
 
+    pub fn slots(&self) -> impl Iterator<Item = ClientSlot> + '_ {
+        self.clients.iter().map(|(slot, _)| slot)
+    }
+
     pub fn names(&self) -> &[String] {
         &self.classes.names
     }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Whose turn it is among its connections.
+    pub fn turn(&self) -> u32 {
+        self.turn
+    }
+
     /// The agent, and the version of the list at hand.
     pub fn at_hand(&self) -> (Option<SocketAddr>, Option<u64>) {
         (self.address, self.version)
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -98,6 +98,10 @@
         }
     }
 
+    pub fn slots(&self) -> impl Iterator<Item = ConnSlot> + '_ {
+        self.conns.iter().map(|(slot, _)| slot)
+    }
+
     /// How many backends the list has.
     pub fn listed(&self) -> usize {
         self.places.values().filter(|place| place.listing.condition != Condition::Gone).count()
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -44,6 +44,7 @@
 const RELOAD_PAUSE: Span = Span::from_millis(50);
 const RELOAD_PAUSE_MOST: Span = Span::from_millis(500);
 const FAILED_WAITS_MOST: u32 = 1_000; // in a row, after which the program ends
+const LOOK_PAUSE: Span = Span::from_millis(5); // between looks at everything, while waits fail
 const INTERRUPTIONS_MOST: u32 = 1_000; // waits in a row, before the loop pauses
 const INTERRUPTED_PAUSE: Duration = Duration::from_micros(100);
 const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(1);
@@ -121,6 +122,8 @@
     failed_waits: u32,
     /// When the first of them failed.
     blind_since: Option<Time>,
+    /// When it last looked at everything without a wait.
+    looked: Time,
 }
 
 /// Listens, at the socket that was handed over if there is one. `shared` lets another process do so too.
@@ -254,6 +257,7 @@
             reload: None,
             failed_waits: 0,
             blind_since: None,
+            looked: now,
         };
         proxy.carry_out();
         proxy.pump();
@@ -307,6 +311,9 @@
                 self.blind_since = None;
             }
             self.polled = self.io.now;
+            if self.blind_since.is_some() {
+                self.look_everywhere();
+            }
             for owner in self.in_order(&events) {
                 self.event(owner);
                 self.pump();
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -2,13 +2,13 @@
 
 use super::{
     Proxy, ACCEPT_ON, DRAIN_PAUSE, FAILED_WAITS_MOST, FAILED_WAIT_PAUSE, GONE_BY, INTERRUPTED_PAUSE,
-    INTERRUPTIONS_MOST, RELOAD_FOR, RELOAD_PAUSE, RELOAD_PAUSE_MOST,
+    INTERRUPTIONS_MOST, LOOK_PAUSE, RELOAD_FOR, RELOAD_PAUSE, RELOAD_PAUSE_MOST,
 };
 use crate::config::{Config, ConfigError};
 use crate::failures::SystemCall;
 use crate::listing::Handed;
 use crate::said::{self, State};
-use crate::shared::{Due, Note};
+use crate::shared::{Due, Note, Owner};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use sparlug::time::{Span, Time};
 use std::io;
@@ -113,6 +113,23 @@
             || now >= since + ACCEPT_ON + self.longest + GONE_BY
     }
 
+    /// Looks at all sockets, of which no wait can tell while waits fail.
+    pub(super) fn look_everywhere(&mut self) {
+        if self.io.now < self.looked + LOOK_PAUSE {
+            return;
+        }
+        self.looked = self.io.now;
+        let mut owners =
+            vec![Owner::Listener, Owner::Management, Owner::Handover, Owner::Peers, Owner::Fleet];
+        owners.push(Owner::Discovery(self.discovery.turn()));
+        owners.extend(self.clients.slots().map(Owner::Client));
+        owners.extend(self.pool.slots().map(Owner::Conn));
+        for owner in owners {
+            self.event(owner);
+            self.pump();
+        }
+    }
+
     /// Goes on after a wait that failed. Guards against the end of all that is served by a failure that passes.
     pub(super) fn wait_failed(&mut self, error: io::Error, now: Time) -> io::Result<()> {
         self.io.counters.failures.count(SystemCall::Wait, &error);
