Look at all sockets only once waits have failed for 5 ms

One interrupted wait, as each signal brings, had all sockets looked at, without the order that puts clients that are gone first.

--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -311,7 +311,7 @@
                 self.blind_since = None;
             }
             self.polled = self.io.now;
-            if self.blind_since.is_some() {
+            if self.blind_since.is_some_and(|since| self.io.now >= since + LOOK_PAUSE) {
                 self.look_everywhere();
             }
             for owner in self.in_order(&events) {
