Forget backends' start times at once, not one by one

Traced: after a list of 30,000 backends one of a single backend made start_times.rs search all that are known for the oldest, 26,000 times over. All that are too many go in one pass.

--- a/crates/proxy/src/start_times.rs
+++ b/crates/proxy/src/start_times.rs
@@ -66,10 +66,15 @@
         }
     }
 
+    /// Forgets those that were named longest ago, all that are too many at once.
     fn forget(&mut self, listed: usize) {
-        while self.known.len() > 2 * listed + GONE_MOST {
-            let oldest = self.known.iter().min_by_key(|(_, known)| known.named).map(|(backend, _)| *backend);
-            oldest.map(|backend| self.known.remove(&backend));
+        let kept = 2 * listed + GONE_MOST;
+        if self.known.len() <= kept {
+            return;
         }
+        let mut named: Vec<Time> = self.known.values().map(|known| known.named).collect();
+        named.sort_unstable();
+        let oldest = named[named.len() - kept];
+        self.known.retain(|_, known| known.named >= oldest);
     }
 }
--- a/crates/proxy/tests/start_times.rs
+++ b/crates/proxy/tests/start_times.rs
@@ -68,6 +68,30 @@
     assert_eq!(judged(&mut starts, "b", at(101.0) - HOUR, at(102.0)), at(100.0));
 }
 
+/// Guards against a list that shrinks holding up the loop: what is forgotten goes at once.
+#[test]
+fn what_is_known_of_many_backends_is_forgotten_at_once() {
+    let mut starts = StartTimes::default();
+    let entry = |number: usize| {
+        let host = format!("h{number}");
+        let listing = Listing {
+            backend: backend_id(&host),
+            zone: ZoneId(0),
+            pod: PodId(0),
+            condition: Condition::Ready,
+            started: None,
+            size: 1.0,
+        };
+        Entry { host, dial: "127.0.0.1:1".parse().unwrap(), stamp: None, listing }
+    };
+    let mut many = List { version: 1, whole: true, entries: (0..60_000).map(entry).collect() };
+    starts.judge(&mut many, at(0.0));
+    let start = std::time::Instant::now();
+    let mut one = List { version: 2, whole: true, entries: vec![entry(0)] };
+    starts.judge(&mut one, at(1.0));
+    assert!(start.elapsed() < std::time::Duration::from_millis(500), "took {:?}", start.elapsed());
+}
+
 /// Guards against pushing over a backend whose clock is an hour off: it has just started, whatever its stamp says.
 #[test]
 fn a_running_proxy_does_not_believe_a_stamp_an_hour_off() {
