Count a request as held up only until its bytes are read

Two ways in which a failure of a moment could have lasted, found in review of my own change: a read that failed once made a request old whose last byte came a second later (a_request_counts_from_its_last_byte..., red before: refused at once); an accept that failed while there was no room for clients would have made all that came until there was room old (no test). Both times are forgotten now.

--- a/crates/proxy/src/acceptor.rs
+++ b/crates/proxy/src/acceptor.rs
@@ -123,7 +123,8 @@
 
     /// There is no room for one more: the next look is a deadline's.
     pub fn is_full(&mut self, io: &mut Shared) {
-        self.waiting = true;
+        // What waits for room waits no longer for a call that failed.
+        (self.waiting, self.held_up) = (true, None);
         self.look_again(FULL_PAUSE, io);
     }
 
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -320,6 +320,9 @@
                 self.reply(slot, 503, true, io);
             }
             Ok(None) => {
+                if !client.link.read_failed() {
+                    client.held_up = None; // its last byte is still to come
+                }
                 if !client.begun && !client.link.input.is_empty() {
                     client.begun = true;
                     io.deadlines.call_off(client.deadline.take());
--- a/crates/proxy/tests/fault_matrix.rs
+++ b/crates/proxy/tests/fault_matrix.rs
@@ -17,7 +17,7 @@
 use soak::plan::{Played, Side, CALLS};
 use soak::servers;
 
-const AT_ONCE: usize = 4;
+const AT_ONCE: usize = 6;
 const CLIENTS: u32 = 4;
 const BEFORE: Duration = Duration::from_millis(500);
 const FAULT: Duration = Duration::from_millis(1_000);
--- a/crates/proxy/tests/fault_soak.rs
+++ b/crates/proxy/tests/fault_soak.rs
@@ -21,7 +21,7 @@
 use soak::servers;
 
 const SEEDS: std::ops::Range<u64> = 1..31;
-const AT_ONCE: usize = 3;
+const AT_ONCE: usize = 5;
 const CLIENTS: u32 = 8;
 const BACKENDS: usize = 3;
 const FAULTS_FOR: Duration = Duration::from_millis(3_000);
--- a/crates/proxy/tests/transfer_failures.rs
+++ b/crates/proxy/tests/transfer_failures.rs
@@ -144,3 +144,21 @@
     }
     shim.wait_for_hits(Call::SetOption, 2);
 }
+
+/// Guards against a read that failed once making a request old whose last byte comes much later.
+#[test]
+fn a_request_counts_from_its_last_byte_though_a_read_failed_before() {
+    let listener = backend();
+    let (proxy, shim) = Shim::start(&[&listener], &settings(1000, ""));
+    serve(listener);
+    let client_port = proxy.address.rsplit(':').next().unwrap().parse().unwrap();
+    let mut client = proxy.connect();
+    shim.fail(Fault::of(Call::Read, errno::ENOMEM, 1).at(client_port));
+    let text = helper::request("GET", "/read", "0.5");
+    let (half, rest) = text.split_at(text.len() / 2);
+    write(&mut client, half);
+    shim.wait_for_hits(Call::Read, 1);
+    std::thread::sleep(Duration::from_millis(1_000));
+    write(&mut client, rest);
+    assert!(message(&mut client).ends_with("fine"));
+}
