Take only waits that fail at once for blindness, not one that lasted

Traced: a signal's EINTR began a row of failed waits, the next wait lasted until SIGCONT and failed too, and so all sockets were looked at without the order that puts closes first. A wait that lasted over 1 ms has told that nothing was ready, and begins the row anew.

--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -44,6 +44,7 @@
 const RELOAD_PAUSE: Span = Span::from_millis(50);
 const RELOAD_PAUSE_MOST: Span = Span::from_millis(500);
 const FAILED_WAITS_MOST: u32 = 1_000; // in a row, after which the program ends
+const LASTED: Span = Span::from_millis(1); // a wait of this length has told that nothing was ready until its end
 const LOOK_PAUSE: Span = Span::from_millis(5); // between looks at everything, while waits fail
 const INTERRUPTIONS_MOST: u32 = 1_000; // waits in a row, before the loop pauses
 const INTERRUPTED_PAUSE: Duration = Duration::from_micros(100);
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Proxy, ACCEPT_ON, DRAIN_PAUSE, FAILED_WAITS_MOST, FAILED_WAIT_PAUSE, GONE_BY, INTERRUPTED_PAUSE,
-    INTERRUPTIONS_MOST, LOOK_PAUSE, RELOAD_FOR, RELOAD_PAUSE, RELOAD_PAUSE_MOST,
+    INTERRUPTIONS_MOST, LASTED, LOOK_PAUSE, RELOAD_FOR, RELOAD_PAUSE, RELOAD_PAUSE_MOST,
 };
 use crate::config::{Config, ConfigError};
 use crate::failures::SystemCall;
@@ -131,10 +131,11 @@
     }
 
     /// Goes on after a wait that failed. Guards against the end of all that is served by a failure that passes.
-    pub(super) fn wait_failed(&mut self, error: io::Error, now: Time) -> io::Result<()> {
+    pub(super) fn wait_failed(&mut self, error: io::Error, begun: Time) -> io::Result<()> {
         self.io.counters.failures.count(SystemCall::Wait, &error);
-        if self.failed_waits == 0 {
-            self.blind_since = Some(now);
+        let now = self.clock.now();
+        if self.failed_waits == 0 || now.since(begun) > LASTED {
+            (self.blind_since, self.failed_waits) = (Some(now), 0);
         }
         self.failed_waits += 1;
         let interrupted = error.kind() == io::ErrorKind::Interrupted;
--- a/crates/proxy/tests/closing.rs
+++ b/crates/proxy/tests/closing.rs
@@ -10,6 +10,9 @@
     accept, answer, asks, backend, close, counted, id, kept, message, settings, unreachable, write, Proxy,
 };
 
+/// Longer than the loop goes on without a wait that tells what is ready.
+const HELD: Duration = Duration::from_millis(20);
+
 fn long() -> String {
     settings(40_000, "")
 }
@@ -42,6 +45,7 @@
     let (_client, conn) = &mut out[0];
     write(conn, &answer("200 OK", "Connection: close\r\n", "fine"));
     close(leaver);
+    std::thread::sleep(HELD);
     proxy.go_on();
     let mut next = accept(&backend);
     assert_eq!(id(&message(&mut next)), id(&stays), "the next is the one whose client waits");
@@ -86,6 +90,7 @@
     write(&mut out[0].1, &answer("200 OK", "Connection: close\r\n", "fine"));
     crowd.iter_mut().for_each(|client| write(client, "GET /ready HTTP/1.1\r\n\r\n"));
     close(leaver);
+    std::thread::sleep(HELD);
     proxy.go_on();
     let mut next = accept(&backend);
     assert_eq!(id(&message(&mut next)), id(&stays), "the next is the one whose client waits");
