--- a/crates/proxy/tests/streaming.rs
+++ b/crates/proxy/tests/streaming.rs
@@ -42,8 +42,10 @@
         let length = text.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
         let mut body = vec![0; length.unwrap_or(0)];
         if conn.read_exact(&mut body).is_ok() {
-            let _ = conn.write_all(&reply(&body));
+            // Told before the answer: who has that may look for it at once.
+            let answer = reply(&body);
             let _ = tell.send(body);
+            let _ = conn.write_all(&answer);
         }
     });
     (listener, told)
