--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -31,6 +31,8 @@
     pub lists_failed: u64,
     /// Backend lists with suspicious contents, whether or not they were applied.
     pub suspicious_lists: u64,
+    /// Lists that were received and not applied.
+    pub lists_ignored: u64,
     /// Attempts whose last byte was written.
     pub attempts_sent: u64,
     pub failures: IoFailures,
@@ -66,6 +68,10 @@
             }
         }
         let _ = writeln!(text, "svc.attempts:{}|c", self.attempts_sent);
+        let _ = writeln!(text, "svc.lists.received:{}|c", self.lists_received);
+        let _ = writeln!(text, "svc.lists.failed:{}|c", self.lists_failed);
+        let _ = writeln!(text, "svc.lists.suspicious:{}|c", self.suspicious_lists);
+        let _ = writeln!(text, "svc.lists.ignored:{}|c", self.lists_ignored);
         let _ = writeln!(text, "svc.log_lines_left_out:{}|c", dropped_lines());
         text + &self.closed_unanswered.report() + &self.failures.report()
     }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -146,7 +146,9 @@
 
     /// Applies a full list (`full`) or the changed entries of one. Closes connections that no longer fit the
     /// list.
-    pub fn update_list(&mut self, full: bool, entries: &[BackendEntry], io: &mut IoContext) {
+    pub fn update_list(&mut self, full: bool, entries: &[BackendEntry], version: u64, io: &mut IoContext) {
+        let before: BTreeMap<BackendId, Condition> =
+            self.backends.iter().map(|(id, entry)| (*id, entry.listing.condition)).collect();
         if full {
             self.backends.values_mut().for_each(|entry| entry.listing.condition = Condition::Gone);
         }
@@ -167,6 +169,7 @@
             });
             (entry.listing, entry.process, entry.listed_start) = (*listing, process, *listed_start);
         }
+        self.log_condition_changes(&before, version);
         let unfit = |conn: &Conn| match (&conn.stage, self.backends.get(&conn.backend)) {
             (_, None) => true,
             (Stage::Busy { .. }, _) => false,
@@ -179,6 +182,17 @@
         self.backends.retain(|_, entry| entry.listing.condition != Condition::Gone || entry.conn_count > 0);
     }
 
+    /// Logs each known backend whose condition a list has changed.
+    fn log_condition_changes(&self, before: &BTreeMap<BackendId, Condition>, version: u64) {
+        for (id, entry) in &self.backends {
+            let condition = entry.listing.condition;
+            if let Some(from) = before.get(id).filter(|from| **from != condition) {
+                let host = &entry.host;
+                tracing::info!(host, ?from, to = ?condition, version, "condition of backend changed");
+            }
+        }
+    }
+
     /// Sends a message to a backend on an idle or a new connection; the result follows as a `ProxyEvent`. A
     /// request that is not `repeatable` uses a new connection unless idle ones have proved reliable: where a
     /// backend or a network drops idle connections early, it is unknown whether a request sent on one has
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -553,7 +553,13 @@
             self.io.counters.suspicious_lists += 1;
             tracing::warn!(version = list.version, ready, "suspicious list: {}", anomalies.join("; "));
         }
+        let agent = self.discovery.agent_and_version().0.map(|agent| agent.to_string());
+        let (version, whole, entries) = (list.version, list.full, list.entries.len());
+        if previous_version != Some(version) || entries > 0 {
+            tracing::info!(version, previous = previous_version, whole, entries, agent, "list of backends");
+        }
         if list.is_suspiciously_empty(ready) {
+            self.io.counters.lists_ignored += 1;
             return;
         }
         self.start_times.correct(&mut list, self.io.now);
@@ -561,7 +567,7 @@
         if !listings.is_empty() {
             self.clients.set_ready(&mut self.io);
         }
-        self.pool.update_list(list.full, &list.entries, &mut self.io);
+        self.pool.update_list(list.full, &list.entries, list.version, &mut self.io);
         self.handle_event(Event::ListReceived { full: list.full, listings });
     }
 
