--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -8,7 +8,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
 
@@ -177,6 +177,18 @@
         self.reconfigure(&self.config.replace(&old, &new));
     }
 
+    /// The configuration with which the process was started.
+    pub fn current_config(&self) -> String {
+        self.config.clone()
+    }
+
+    /// Starts the next process of a handover, whose configuration names this agent.
+    pub fn start_successor(&self, agent: &TcpListener, environment: &[(&str, &str)]) -> Proxy {
+        let [old, new] = [&self.discovery, agent].map(|agent| agent.local_addr().unwrap().to_string());
+        let config = self.config.replace(&old, &new);
+        Proxy::spawn((config, agent.try_clone().unwrap()), 1024, environment)
+    }
+
     /// Overwrites the configuration file with the first half of one that names another agent, as if it were
     /// still being written, and returns the full text.
     pub fn write_truncated_config(&self, agent: &TcpListener) -> String {
@@ -309,6 +321,18 @@
     (backend, queued)
 }
 
+/// A folder for the handover socket of a proxy's processes, and a free address to listen on.
+pub fn handover_folder_and_address(name: &str) -> (PathBuf, String) {
+    let folder = std::env::temp_dir().join(format!("sparlug-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    // Below the ephemeral ports: guards against a connection of another test that takes the port first.
+    static USED_PORTS: AtomicU16 = AtomicU16::new(0);
+    let first = 20_000 + std::process::id() as u16 % 100 * 100;
+    let next = || first + USED_PORTS.fetch_add(1, Ordering::Relaxed);
+    let free = |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
+    (folder, format!("127.0.0.1:{}", std::iter::repeat_with(next).find(free).unwrap()))
+}
+
 /// Current value of a counter, read from the line that the proxy logs on SIGUSR1.
 pub fn counter(proxy: &Proxy, name: &str) -> u64 {
     proxy.signal("-USR1");
--- a/crates/proxy/tests/operations.rs
+++ b/crates/proxy/tests/operations.rs
@@ -5,13 +5,15 @@
 use std::io::Write;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::os::unix::net::UnixListener;
-use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 
 use helper::shim::{errno, Fault, Shim, SystemCall};
-use helper::{accept, backend, fetch, read_message, request, response, write, Proxy};
+use helper::{
+    accept, backend, fetch, handover_folder_and_address, read_message, request, response, write, Proxy,
+};
 use sparlug_proxy::control_messages::{take_message, HandoverMessage};
 
 /// A backend that responds to every request with its name, until the test ends.
@@ -156,18 +158,6 @@
     assert_eq!(proxy.metric("svc.backends_excluded"), Some(1));
 }
 
-/// A folder for the handover socket of a proxy's processes, and a free address to listen on.
-fn handover_folder_and_address(name: &str) -> (PathBuf, String) {
-    let folder = std::env::temp_dir().join(format!("sparlug-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    // Below the ephemeral ports: guards against a connection of another test that takes the port first.
-    static USED_PORTS: AtomicU16 = AtomicU16::new(0);
-    let first = 20_000 + std::process::id() as u16 % 100 * 100;
-    let next = || first + USED_PORTS.fetch_add(1, Ordering::Relaxed);
-    let free = |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
-    (folder, format!("127.0.0.1:{}", std::iter::repeat_with(next).find(free).unwrap()))
-}
-
 #[test]
 fn upgrade_loses_no_request_and_keeps_disabled_backends() {
     let ((folder, listen), backends) =
