Keep withdrawn backends out when an older answer of discovery names them

Cause: Proxy::apply_list reported a list of an older version and applied it, as docs/on-call.md says. Any answer may come from a replica that lags, or from an agent that lost its latest versions. So what a newer list had withdrawn came back.

Change: list_history.rs, a state machine without I/O, keeps what lists said of each backend, and of each agent which versions it sent. An entry for a ready backend is applied only if the list is newer than the withdrawal (a higher version of the same agent), if the backend has started later than any start that was reported, or after 5 minutes on the monotonic clock in which lists named it ready and none confirmed the withdrawal. Drains of an older list take effect at once, backends that were never withdrawn and new ones serve, and what an older list omits is removed unless it would leave no backend. So discovery that starts again at a low version is followed. Versions of two agents are never compared.

The test list_with_an_older_version_is_applied_and_logged held to the old decision: an older list replaced every entry. The one in its place is as strict on the log line, the omission and the next index, and also checks that an older address is not taken over.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -313,5 +313,11 @@
         started: None,
         size: backend.size,
     };
-    BackendEntry { host: backend.name, address: backend.address, listed_start: None, listing }
+    BackendEntry {
+        host: backend.name,
+        address: backend.address,
+        listed_start: None,
+        start_stated: false,
+        listing,
+    }
 }
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -33,6 +33,10 @@
     pub suspicious_lists: u64,
     /// Lists that were received and not applied.
     pub lists_ignored: u64,
+    /// Lists of a version below the highest one of their agent.
+    pub lists_older: u64,
+    /// Entries of lists that name a backend as ready which a newer list has withdrawn.
+    pub entries_withheld: u64,
     /// Attempts whose last byte was written.
     pub attempts_sent: u64,
     pub failures: IoFailures,
@@ -72,6 +76,8 @@
         let _ = writeln!(text, "svc.lists.failed:{}|c", self.lists_failed);
         let _ = writeln!(text, "svc.lists.suspicious:{}|c", self.suspicious_lists);
         let _ = writeln!(text, "svc.lists.ignored:{}|c", self.lists_ignored);
+        let _ = writeln!(text, "svc.lists.older:{}|c", self.lists_older);
+        let _ = writeln!(text, "svc.lists.entries_withheld:{}|c", self.entries_withheld);
         let _ = writeln!(text, "svc.log_lines_left_out:{}|c", dropped_lines());
         text + &self.closed_unanswered.report() + &self.failures.report()
     }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -10,8 +10,9 @@
 use crate::buffered_stream::BufferedStream;
 use crate::deadlines::DeadlineId;
 use crate::http::{self, ResponseHead};
+use crate::list_history::ListSource;
 use crate::listing;
-use crate::shared::{IoContext, Owner, ProxyEvent, TimerEvent};
+use crate::shared::{IoContext, Owner, ProxyEvent, ReceivedList, TimerEvent};
 
 /// Long-poll time, which each proxy varies by a quarter up or down: how long the agent may hold a request
 /// until it has a newer list.
@@ -54,6 +55,14 @@
     /// How many requests in a row have failed, and when the first of them did.
     failures: Option<(u32, Time)>,
     deadline: Option<DeadlineId>,
+    /// The list that was received and not handled yet; the next request waits for that.
+    awaited: Option<AwaitedList>,
+}
+
+/// A list that the proxy has not applied yet.
+struct AwaitedList {
+    version: u64,
+    is_empty: bool,
 }
 
 impl Discovery {
@@ -83,6 +92,7 @@
             requested_at,
             failures,
             deadline,
+            awaited: None,
         }
     }
 
@@ -127,7 +137,7 @@
         if let Some(stream) = self.stream.take() {
             stream.close(&io.registry);
         }
-        (self.requested, self.head) = (false, None);
+        (self.requested, self.head, self.awaited) = (false, None, None);
     }
 
     fn send_request(&mut self, io: &mut IoContext) {
@@ -291,20 +301,26 @@
                 "discovery responds again"
             );
         }
-        let version_before = self.version.replace(list.version);
-        // Guards against a busy loop at an agent that responds at once with no changes or with the same
-        // version.
-        let unchanged = list.entries.is_empty() || version_before == Some(list.version);
-        let too_soon = unchanged && io.now < self.requested_at + MIN_REQUEST_INTERVAL;
-        io.events.push_back(ProxyEvent::ListReceived(list, version_before));
         if head.close || self.stream.as_ref().is_some_and(|stream| stream.ended) {
             self.stop(io);
         }
         self.requested = false;
         io.deadlines.cancel(self.deadline.take());
-        if too_soon {
-            self.deadline =
-                Some(io.deadlines.set(self.requested_at + MIN_REQUEST_INTERVAL, TimerEvent::Discovery));
+        let Some(agent) = self.agent else { return };
+        let (source, previous_version) = (ListSource::Agent(agent), self.version);
+        self.awaited = Some(AwaitedList { version: list.version, is_empty: list.entries.is_empty() });
+        io.events.push_back(ProxyEvent::ListReceived(ReceivedList { list, source, previous_version }));
+    }
+
+    /// Continues the watch after the list that was received has been handled.
+    pub fn list_handled(&mut self, io: &mut IoContext) {
+        let Some(list) = self.awaited.take() else { return };
+        let unchanged = list.is_empty || self.version == Some(list.version);
+        self.version = Some(list.version);
+        // Guards against a busy loop at an agent that responds at once with no changes or with the same version.
+        let interval = if unchanged { MIN_REQUEST_INTERVAL } else { Span::ZERO };
+        if io.now < self.requested_at + interval {
+            self.deadline = Some(io.deadlines.set(self.requested_at + interval, TimerEvent::Discovery));
         } else {
             self.send_request(io);
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod handover;
 pub mod http;
 pub mod io_failures;
+pub mod list_history;
 pub mod listing;
 pub mod logging;
 pub mod management;
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -15,8 +15,10 @@
 pub struct BackendEntry {
     pub host: String,
     pub address: SocketAddr,
-    /// When its process started, by the wall clock of the list's author.
+    /// When its process started, by the wall clock of the list's author; `None` means long ago, or unknown.
     pub listed_start: Option<Time>,
+    /// Whether the list states when its process started, be it long ago.
+    pub start_stated: bool,
     pub listing: Listing,
 }
 
@@ -47,8 +49,7 @@
     block: u16,
     health: Health,
     share: Option<f64>,
-    #[serde(default)]
-    born_ms: f64,
+    born_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -113,10 +114,16 @@
                 Health::Terminating => Condition::Draining,
                 Health::Gone => Condition::Gone,
             },
-            started: Some(host.born_ms).filter(|ms| *ms > 0.0).map(Time::from_ms),
+            started: host.born_ms.filter(|ms| *ms > 0.0).map(Time::from_ms),
             size: host.share.filter(|size| size.is_finite() && *size > 0.0).unwrap_or(1.0),
         };
-        BackendEntry { host: host.host, address: host.address, listed_start: listing.started, listing }
+        BackendEntry {
+            host: host.host,
+            address: host.address,
+            listed_start: listing.started,
+            start_stated: host.born_ms.is_some(),
+            listing,
+        }
     };
     Ok(BackendList { version: raw.seq, full: raw.full, entries: raw.hosts.into_iter().map(entry).collect() })
 }
@@ -154,7 +161,7 @@
         let condition = if draining { Condition::Draining } else { Condition::Ready };
         let (backend, started) = (backend_id(&host), started_ms.map(Time::from_ms));
         let listing = Listing { backend, zone: ZoneId(zone), pod: PodId(pod), condition, started, size };
-        BackendEntry { host, address, listed_start: started, listing }
+        BackendEntry { host, address, listed_start: started, start_stated: started.is_some(), listing }
     }
 }
 
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -130,7 +130,8 @@
         let handover_host = |entry: &PooledBackend| {
             let (host, address, listed_start) =
                 (entry.host.clone(), entry.process.address, entry.listed_start);
-            HandoverHost::from_entry(&BackendEntry { host, address, listed_start, listing: entry.listing })
+            let (start_stated, listing) = (listed_start.is_some(), entry.listing);
+            HandoverHost::from_entry(&BackendEntry { host, address, listed_start, start_stated, listing })
         };
         listed.map(handover_host).collect()
     }
@@ -152,7 +153,7 @@
         if full {
             self.backends.values_mut().for_each(|entry| entry.listing.condition = Condition::Gone);
         }
-        for BackendEntry { host, address, listed_start, listing } in entries {
+        for BackendEntry { host, address, listed_start, listing, .. } in entries {
             let process = BackendProcess { address: *address, started: listing.started };
             let entry = self.backends.entry(listing.backend).or_insert_with(|| {
                 tracing::info!(host, dial = %address, "backend listed");
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -8,7 +8,7 @@
 use mio::{Events, Interest, Poll, Registry};
 use oorandom::Rand32;
 use socket2::{Domain, Socket, Type};
-use sparlug::event::{Action, Event, Listing};
+use sparlug::event::{Action, Event};
 use sparlug::id::BackendId;
 use sparlug::policy::Balancer;
 use sparlug::settings::Effect;
@@ -23,13 +23,14 @@
 use crate::fleet::{self, Fleet, FleetEvent};
 use crate::handover::{self, Handover};
 use crate::http::ResponseHead;
+use crate::list_history::{ListHistory, ListSource};
 use crate::listing::{backend_id, BackendList, HandoverList};
 use crate::management::ManagementServer;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::shared::{
-    AdminSlot, ClientSlot, ConnSlot, IncomingRequest, IoContext, Owner, ProxyEvent, RequestSlot, RequestTag,
-    TimerEvent,
+    AdminSlot, ClientSlot, ConnSlot, IncomingRequest, IoContext, Owner, ProxyEvent, ReceivedList,
+    RequestSlot, RequestTag, TimerEvent,
 };
 use crate::signals::SignalQueue;
 use crate::slots::Slots;
@@ -37,6 +38,7 @@
 use crate::startup::retry_transient;
 
 mod lifecycle;
+mod lists;
 mod requests;
 
 const OVERSLEEP_TOLERANCE: Span = Span::from_millis(3); // more than the timer's resolution
@@ -105,6 +107,7 @@
     buffered_bytes: usize,
     pool: Pool,
     discovery: Discovery,
+    list_history: ListHistory,
     start_times: StartTimes,
     management: ManagementServer,
     handover: Handover,
@@ -226,13 +229,20 @@
         let classes = Classes { names, deadlines, methods, tenants };
         let clients = Clients::new(Some(listener), shares_listener, classes, initial_budgets);
         let pool = Pool::new(initial_budgets, setup.connect_timeout, setup.backend_idle_timeout);
+        let list_history = ListHistory::default();
         // Versions can only be compared between lists of the same agent; there the newer list is used.
         let handed_over_list =
             state.list.filter(|_| state.agent == config.discovery).map(HandoverList::into_list);
         let is_newer = |list: &BackendList| {
             config.initial_list.as_ref().is_none_or(|initial| initial.version <= list.version)
         };
-        let initial_list = handed_over_list.filter(is_newer).or(config.initial_list);
+        let handed_over_list = handed_over_list.filter(is_newer);
+        let list_source = match config.discovery {
+            _ if handed_over_list.is_some() => ListSource::Predecessor(state.agent),
+            Some(agent) => ListSource::Agent(agent),
+            None => ListSource::File,
+        };
+        let initial_list = handed_over_list.or(config.initial_list);
         let version = initial_list.as_ref().map(|list| list.version);
         let jitter = f64::from(Rand32::new(config.seed).rand_float());
         let pushed = !setup.settings.list_on_request;
@@ -243,7 +253,8 @@
             "/health"
         };
         if let Some(list) = initial_list {
-            io.events.push_back(ProxyEvent::ListReceived(list, None));
+            let received = ReceivedList { list, source: list_source, previous_version: None };
+            io.events.push_back(ProxyEvent::ListReceived(received));
         }
         let mut actions = Vec::new();
         let balancer = Balancer::new(setup.settings, config.seed, now, &mut actions);
@@ -261,6 +272,7 @@
             buffered_bytes,
             pool,
             discovery,
+            list_history,
             start_times: StartTimes::default(),
             management,
             handover,
@@ -474,7 +486,13 @@
                 ProxyEvent::ResponseBodyReady(request) => self.forward_response_body(request),
                 ProxyEvent::SendFailed(backend) => self.handle_event(Event::SendFailed(backend)),
                 ProxyEvent::JobEnded(job) => self.job_ended(job),
-                ProxyEvent::ListReceived(list, previous_version) => self.apply_list(list, previous_version),
+                ProxyEvent::ListReceived(received) => {
+                    let is_answer = matches!(received.source, ListSource::Agent(_));
+                    self.apply_list(received);
+                    if is_answer {
+                        self.discovery.list_handled(&mut self.io);
+                    }
+                }
                 ProxyEvent::ListFailed => self.handle_event(Event::ListFailed),
                 ProxyEvent::AdminRequestReceived(slot, request) => self.handle_admin_request(slot, request),
                 ProxyEvent::HandoverPeerChanged => {
@@ -525,9 +543,9 @@
         let counts = self.io.counters.report(self.clients.class_names());
         let corrected = self.start_times.corrected;
         let (in_flight, known) = (self.clients.in_flight_count(), self.pool.listed_count());
-        let excluded = self.balancer.excluded_count();
+        let (excluded, withheld) = (self.balancer.excluded_count(), self.list_history.withheld_count());
         let (fleet, clients) = (self.fleet.metrics(self.io.now), self.clients.report());
-        format!("{counts}{fleet}{clients}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{excluded}|g\nsvc.start_times_corrected:{corrected}|c\n")
+        format!("{counts}{fleet}{clients}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{excluded}|g\nsvc.backends_withheld:{withheld}|g\nsvc.start_times_corrected:{corrected}|c\n")
     }
 
     /// Disables or enables a backend, also in the other process of a handover.
@@ -546,31 +564,6 @@
         self.handover.broadcast(&message, &mut self.io);
     }
 
-    fn apply_list(&mut self, mut list: BackendList, previous_version: Option<u64>) {
-        let ready = self.pool.ready_count();
-        let anomalies = list.anomalies(ready, previous_version);
-        if !anomalies.is_empty() {
-            self.io.counters.suspicious_lists += 1;
-            tracing::warn!(version = list.version, ready, "suspicious list: {}", anomalies.join("; "));
-        }
-        let agent = self.discovery.agent_and_version().0.map(|agent| agent.to_string());
-        let (version, whole, entries) = (list.version, list.full, list.entries.len());
-        if previous_version != Some(version) || entries > 0 {
-            tracing::info!(version, previous = previous_version, whole, entries, agent, "list of backends");
-        }
-        if list.is_suspiciously_empty(ready) {
-            self.io.counters.lists_ignored += 1;
-            return;
-        }
-        self.start_times.correct(&mut list, self.io.now);
-        let listings: Vec<Listing> = list.entries.iter().map(|entry| entry.listing).collect();
-        if !listings.is_empty() {
-            self.clients.set_ready(&mut self.io);
-        }
-        self.pool.update_list(list.full, &list.entries, list.version, &mut self.io);
-        self.handle_event(Event::ListReceived { full: list.full, listings });
-    }
-
     /// Reports an event to the balancer and carries out the resulting actions.
     fn handle_event(&mut self, event: Event) {
         self.balancer.handle(self.io.now, event, &mut self.actions);
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -9,8 +9,9 @@
 use crate::config::{Config, ConfigError};
 use crate::control_messages::{self, HandoverState};
 use crate::io_failures::SystemCall;
+use crate::list_history::ListSource;
 use crate::listing::HandoverList;
-use crate::shared::{Owner, ProxyEvent, TimerEvent};
+use crate::shared::{Owner, ProxyEvent, ReceivedList, TimerEvent};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use sparlug::time::{Span, Time};
 use std::io;
@@ -55,7 +56,12 @@
         self.apply_budgets();
         let moved = self.discovery.set_agent(discovery, &mut self.io);
         if let (None, Some(list)) = (discovery, config.initial_list) {
-            self.io.events.push_back(ProxyEvent::ListReceived(list, None));
+            let (source, previous_version) = (ListSource::File, None);
+            self.io.events.push_back(ProxyEvent::ListReceived(ReceivedList {
+                list,
+                source,
+                previous_version,
+            }));
         }
         let discovery = discovery.map_or("a list in the file".to_string(), |agent| agent.to_string());
         tracing::info!(discovery, moved, "configuration reloaded");
--- /dev/null
+++ b/crates/proxy/src/proxy/lists.rs
@@ -0,0 +1,52 @@
+//! Applies lists of backends: to the list history first, then to the pool and to the balancer.
+
+use sparlug::event::{Event, Listing};
+
+use super::Proxy;
+use crate::list_history::{ListOrder, ListSource, MergedList};
+use crate::shared::ReceivedList;
+
+impl Proxy {
+    /// Applies a list. Returns its order among the lists of its agent, or `None` if the list is ignored.
+    pub(super) fn apply_list(&mut self, received: ReceivedList) -> Option<ListOrder> {
+        let ReceivedList { list, source, previous_version } = received;
+        let ready = self.pool.ready_count();
+        let anomalies = list.anomalies(ready, previous_version);
+        if !anomalies.is_empty() {
+            self.io.counters.suspicious_lists += 1;
+            tracing::warn!(version = list.version, ready, "suspicious list: {}", anomalies.join("; "));
+        }
+        let (version, whole, entries) = (list.version, list.full, list.entries.len());
+        if list.is_suspiciously_empty(ready) {
+            self.io.counters.lists_ignored += 1;
+            return None;
+        }
+        let MergedList { mut list, order, withheld, omissions_ignored } =
+            self.list_history.merge(list, source, self.io.now);
+        if previous_version != Some(version) || entries > 0 {
+            let agent = match source {
+                ListSource::Agent(agent) | ListSource::Predecessor(Some(agent)) => Some(agent.to_string()),
+                ListSource::Predecessor(None) | ListSource::File => None,
+            };
+            let (previous, withheld) = (previous_version, withheld.len());
+            tracing::info!(version, previous, whole, entries, withheld, agent, ?order, "list of backends");
+        }
+        self.io.counters.lists_older += u64::from(order == ListOrder::Older);
+        self.io.counters.entries_withheld += withheld.len() as u64;
+        for backend in withheld.iter().filter(|backend| backend.first) {
+            let (host, withdrawn_at) = (&backend.host, backend.withdrawn_at);
+            tracing::info!(host, withdrawn_at, version, ?order, "backend stays removed");
+        }
+        if omissions_ignored {
+            tracing::warn!(version, ?order, "backends that an old list omits are kept: it names no other");
+        }
+        self.start_times.correct(&mut list, self.io.now);
+        let listings: Vec<Listing> = list.entries.iter().map(|entry| entry.listing).collect();
+        if !listings.is_empty() {
+            self.clients.set_ready(&mut self.io);
+        }
+        self.pool.update_list(list.full, &list.entries, list.version, &mut self.io);
+        self.handle_event(Event::ListReceived { full: list.full, listings });
+        Some(order)
+    }
+}
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::deadlines::Deadlines;
 use crate::http::{RequestHead, ResponseHead};
 use crate::io_failures::SystemCall;
+use crate::list_history::ListSource;
 use crate::listing::BackendList;
 use crate::slots::Slot;
 
@@ -169,6 +170,15 @@
     pub took: Span,
 }
 
+/// A list of backends that is to be applied.
+#[derive(Debug)]
+pub struct ReceivedList {
+    pub list: BackendList,
+    pub source: ListSource,
+    /// Version of the list that was applied before it, if both are from one agent.
+    pub previous_version: Option<u64>,
+}
+
 /// What the parts of the event loop report to the proxy.
 #[derive(Debug)]
 pub enum ProxyEvent {
@@ -183,8 +193,7 @@
     ResponseBodyReady(RequestId),
     /// A system call that was needed to send something to this backend failed on this machine.
     SendFailed(BackendId),
-    /// A list of backends, and the version that it follows.
-    ListReceived(BackendList, Option<u64>),
+    ListReceived(ReceivedList),
     ListFailed,
     /// An operator sent a request.
     AdminRequestReceived(AdminSlot, AdminRequest),
