Use the latest start of a backend that is twice in a list, or the entry that is out

Callers saw: requests to a draining backend, where a list named it twice and the ready entry came last. Cause: entries were applied in their order, so the last one won. Change: one entry of each backend is kept before the list is merged: the one with the later start, at one start the one that is furthest out of service. An entry that is out and states no start time counts as of the same start.

--- a/crates/proxy/src/list_history.rs
+++ b/crates/proxy/src/list_history.rs
@@ -116,7 +116,8 @@
 
 impl ListHistory {
     /// Takes a list and returns what to apply of it.
-    pub fn merge(&mut self, list: BackendList, source: ListSource, now: Time) -> MergedList {
+    pub fn merge(&mut self, mut list: BackendList, source: ListSource, now: Time) -> MergedList {
+        list.remove_duplicates();
         self.clean_up(now);
         match source {
             ListSource::Agent(agent) => self.merge_answer(list, agent, now),
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -1,7 +1,8 @@
 //! Lists of backends: decodes the discovery agent's format into the decision module's, and the format in
 //! which one process hands its list over to the next.
 
-use std::collections::BTreeSet;
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -59,6 +60,23 @@
     Gone,
 }
 
+impl BackendEntry {
+    /// Whether this entry counts instead of another one for the same backend in the same list.
+    fn outranks(&self, other: &BackendEntry) -> bool {
+        let out_of_service = |entry: &BackendEntry| match entry.listing.condition {
+            Condition::Ready => 0,
+            Condition::Draining => 1,
+            Condition::Gone => 2,
+        };
+        // An entry that states no start time may be about the latest process.
+        let comparable = |entry: &BackendEntry| entry.start_stated || out_of_service(entry) == 0;
+        if self.listed_start != other.listed_start && comparable(self) && comparable(other) {
+            return self.listed_start > other.listed_start;
+        }
+        out_of_service(self) > out_of_service(other)
+    }
+}
+
 impl BackendList {
     /// The numbers of entries for ready, draining and gone backends.
     pub fn condition_counts(&self) -> [usize; 3] {
@@ -75,13 +93,37 @@
         let checks = [
             (self.is_suspiciously_empty(ready), "no backend at all, the last list is kept"),
             (self.full && names.len() * 2 < ready && !names.is_empty(), "less than half of the backends"),
-            (names.len() < self.entries.len(), "a backend twice, its last entry is used"),
+            (
+                names.len() < self.entries.len(),
+                "a backend twice, the entry of its latest start is used, or the one that is out",
+            ),
             (self.entries.iter().any(has_unknown_zone), "a zone that the settings don't name"),
             (version.is_some_and(|version| self.version < version), "an older version than the current list"),
         ];
         checks.into_iter().filter(|(applies, _)| *applies).map(|(_, description)| description).collect()
     }
 
+    /// Keeps one entry of each backend: the one with the latest start time, and of those at one start the one
+    /// that is furthest out of service.
+    pub fn remove_duplicates(&mut self) {
+        let mut kept: BTreeMap<BackendId, BackendEntry> = BTreeMap::new();
+        if self.entries.iter().map(|entry| entry.listing.backend).collect::<BTreeSet<_>>().len()
+            == self.entries.len()
+        {
+            return;
+        }
+        for entry in self.entries.drain(..) {
+            match kept.entry(entry.listing.backend) {
+                Entry::Vacant(vacant) => drop(vacant.insert(entry)),
+                Entry::Occupied(mut occupied) if entry.outranks(occupied.get()) => {
+                    occupied.insert(entry);
+                }
+                Entry::Occupied(_) => {}
+            }
+        }
+        self.entries = kept.into_values().collect();
+    }
+
     /// Whether a full list without any backends follows one with ready backends. Such a list is ignored:
     /// guards against a discovery service that lost its data removing every backend at once. Backends that a
     /// list names as gone, or leaves out while naming others, are removed at once.
