Continue the watch from the last list that was applied, not from one that was ignored

Callers saw: nothing yet; a drain could go unnoticed for good. Cause: Discovery took the version of each answer over before the list was judged. After an empty whole list, which is ignored, the next request asked for changes since that version, so the changes up to it were never heard. Evidence: watch_continues_from_the_last_list_that_was_applied failed before (index=7 in place of 6). Change: the next request is sent once the list has been applied or ignored, in the same iteration of the loop, and an ignored list leaves the version as it was.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -312,13 +312,13 @@
         io.events.push_back(ProxyEvent::ListReceived(ReceivedList { list, source, previous_version }));
     }
 
-    /// Continues the watch after the list that was received has been handled.
-    pub fn list_handled(&mut self, io: &mut IoContext) {
+    /// Continues the watch after the list that was received has been applied or ignored.
+    pub fn list_handled(&mut self, applied: bool, io: &mut IoContext) {
         let Some(list) = self.awaited.take() else { return };
         let unchanged = list.is_empty || self.version == Some(list.version);
-        self.version = Some(list.version);
+        self.version = if applied { Some(list.version) } else { self.version };
         // Guards against a busy loop at an agent that responds at once with no changes or with the same version.
-        let interval = if unchanged { MIN_REQUEST_INTERVAL } else { Span::ZERO };
+        let interval = if unchanged || !applied { MIN_REQUEST_INTERVAL } else { Span::ZERO };
         if io.now < self.requested_at + interval {
             self.deadline = Some(io.deadlines.set(self.requested_at + interval, TimerEvent::Discovery));
         } else {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -488,9 +488,9 @@
                 ProxyEvent::JobEnded(job) => self.job_ended(job),
                 ProxyEvent::ListReceived(received) => {
                     let is_answer = matches!(received.source, ListSource::Agent(_));
-                    self.apply_list(received);
+                    let order = self.apply_list(received);
                     if is_answer {
-                        self.discovery.list_handled(&mut self.io);
+                        self.discovery.list_handled(order.is_some(), &mut self.io);
                     }
                 }
                 ProxyEvent::ListFailed => self.handle_event(Event::ListFailed),
