Bound the rate of list requests at an agent that answers with older versions

Callers saw: nothing by itself; the proxy spent its time on lists, and a list service would be flooded by every proxy at once. Cause: the guard against a busy loop compared the answer with the list before it only. An agent that answers at once with two older versions in turn, as two replicas behind one address do, was never paused. Change: only an answer that is newer than all before is followed by the next request at once.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -10,7 +10,7 @@
 use crate::buffered_stream::BufferedStream;
 use crate::deadlines::DeadlineId;
 use crate::http::{self, ResponseHead};
-use crate::list_history::ListSource;
+use crate::list_history::{ListOrder, ListSource};
 use crate::listing;
 use crate::shared::{IoContext, Owner, ProxyEvent, ReceivedList, TimerEvent};
 
@@ -312,13 +312,19 @@
         io.events.push_back(ProxyEvent::ListReceived(ReceivedList { list, source, previous_version }));
     }
 
-    /// Continues the watch after the list that was received has been applied or ignored.
-    pub fn list_handled(&mut self, applied: bool, io: &mut IoContext) {
+    /// Continues the watch after the list that was received has been applied, with its order among the agent's
+    /// lists, or ignored (`None`).
+    pub fn list_handled(&mut self, order: Option<ListOrder>, io: &mut IoContext) {
         let Some(list) = self.awaited.take() else { return };
         let unchanged = list.is_empty || self.version == Some(list.version);
-        self.version = if applied { Some(list.version) } else { self.version };
-        // Guards against a busy loop at an agent that responds at once with no changes or with the same version.
-        let interval = if unchanged || !applied { MIN_REQUEST_INTERVAL } else { Span::ZERO };
+        self.version = if order.is_some() { Some(list.version) } else { self.version };
+        // Guards against a busy loop at an agent that responds at once with nothing new. A list service that
+        // answers all proxies is asked less often while it has only old lists.
+        let interval = match order {
+            Some(ListOrder::Older) | None if !self.pushed => self.long_poll_wait,
+            Some(ListOrder::First | ListOrder::Newer) if !unchanged => Span::ZERO,
+            _ => MIN_REQUEST_INTERVAL,
+        };
         if io.now < self.requested_at + interval {
             self.deadline = Some(io.deadlines.set(self.requested_at + interval, TimerEvent::Discovery));
         } else {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -490,7 +490,7 @@
                     let is_answer = matches!(received.source, ListSource::Agent(_));
                     let order = self.apply_list(received);
                     if is_answer {
-                        self.discovery.list_handled(order.is_some(), &mut self.io);
+                        self.discovery.list_handled(order, &mut self.io);
                     }
                 }
                 ProxyEvent::ListFailed => self.handle_event(Event::ListFailed),
