Hand withdrawn backends over to the next process, and share later ones during the overlap

Callers saw: requests to removed backends after an upgrade, where the first answer to the new process was older, or where its configuration named another agent. Cause: the state of a handover had the list, but not what had been removed from it, and nothing that was heard after it. Change: the state has a field 'history' with withdrawals and versions, as ages, since each process has a clock of its own. During the overlap either process sends what lists withdraw as one more 'State' message, which older versions of the program ignore; a state without the field is read as before. A state without a list makes no known backend count as removed.

--- a/crates/proxy/src/control_messages.rs
+++ b/crates/proxy/src/control_messages.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sparlug::id::BackendId;
 
+use crate::list_history::HandoverHistory;
 use crate::listing::HandoverList;
 
 /// The longest line that is accepted.
@@ -62,6 +63,9 @@
     #[serde(rename = "barred")]
     pub disabled: Vec<BackendKey>,
     pub list: Option<HandoverList>,
+    /// What discovery said of backends that are not on the list; empty from older versions of the program.
+    #[serde(default)]
+    pub history: HandoverHistory,
 }
 
 /// Removes the next message from `input`, once its line is complete.
--- a/crates/proxy/src/list_history.rs
+++ b/crates/proxy/src/list_history.rs
@@ -13,8 +13,10 @@
 
 use crate::listing::{BackendEntry, BackendList};
 
+mod handover;
 mod withdrawal;
 
+pub use handover::{HandoverAgent, HandoverHistory, HandoverWithdrawal};
 use withdrawal::{Withdrawal, Withheld};
 
 /// How long a withdrawn backend stays out although the lists name it as ready. Where discovery lost its versions,
@@ -67,6 +69,7 @@
 }
 
 struct BackendRecord {
+    host: String,
     /// The latest start time that a list has stated for it.
     latest_start: Option<Time>,
     state: BackendState,
@@ -118,8 +121,7 @@
     /// Takes a list and returns what to apply of it.
     pub fn merge(&mut self, mut list: BackendList, source: ListSource, now: Time) -> MergedList {
         list.remove_duplicates();
-        self.clean_up(now);
-        match source {
+        let merged = match source {
             ListSource::Agent(agent) => self.merge_answer(list, agent, now),
             ListSource::Predecessor(agent) => {
                 if let Some(agent) = agent {
@@ -128,8 +130,14 @@
                 }
                 self.adopt(list, agent, now)
             }
-            ListSource::File => self.adopt(list, None, now),
-        }
+            ListSource::File => {
+                // What agents said before has no meaning for the lists that follow.
+                self.agents.clear();
+                self.adopt(list, None, now)
+            }
+        };
+        self.clean_up(now);
+        merged
     }
 
     /// Number of backends that lists name as ready and that stay withdrawn.
@@ -347,7 +355,7 @@
     }
 
     fn insert(&mut self, entry: &BackendEntry, state: BackendState) -> &mut BackendRecord {
-        let record = BackendRecord { latest_start: entry.listed_start, state };
+        let record = BackendRecord { host: entry.host.clone(), latest_start: entry.listed_start, state };
         self.records.entry(entry.listing.backend).insert_entry(record).into_mut()
     }
 
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -108,6 +108,8 @@
     pool: Pool,
     discovery: Discovery,
     list_history: ListHistory,
+    /// Until when withdrawals were shared with the other process of a handover.
+    withdrawals_shared_at: Time,
     start_times: StartTimes,
     management: ManagementServer,
     handover: Handover,
@@ -229,7 +231,8 @@
         let classes = Classes { names, deadlines, methods, tenants };
         let clients = Clients::new(Some(listener), shares_listener, classes, initial_budgets);
         let pool = Pool::new(initial_budgets, setup.connect_timeout, setup.backend_idle_timeout);
-        let list_history = ListHistory::default();
+        let mut list_history = ListHistory::default();
+        list_history.import(state.history, now);
         // Versions can only be compared between lists of the same agent; there the newer list is used.
         let handed_over_list =
             state.list.filter(|_| state.agent == config.discovery).map(HandoverList::into_list);
@@ -273,6 +276,7 @@
             pool,
             discovery,
             list_history,
+            withdrawals_shared_at: now,
             start_times: StartTimes::default(),
             management,
             handover,
@@ -502,7 +506,9 @@
                 ProxyEvent::HandoverMessage(HandoverMessage::SetDisabled { backend, disabled }) => {
                     self.set_disabled(control_messages::backend_id(backend), disabled)
                 }
-                ProxyEvent::HandoverMessage(HandoverMessage::State(_)) => {}
+                ProxyEvent::HandoverMessage(HandoverMessage::State(state)) => {
+                    self.apply_withdrawals(state.history)
+                }
             }
         }
     }
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -102,6 +102,7 @@
 
     /// Hands the listener and the state over to a successor process.
     pub(super) fn hand_over(&mut self) {
+        let now = self.io.now;
         let state = || {
             let (agent, version) = self.discovery.agent_and_version();
             let list = version.map(|version| HandoverList { version, hosts: self.pool.current_list() });
@@ -109,6 +110,7 @@
                 agent,
                 disabled: self.balancer.disabled().map(control_messages::backend_key).collect(),
                 list,
+                history: self.list_history.export(now),
             }
         };
         self.handover.accept(self.clients.listener(), state, &mut self.io);
--- a/crates/proxy/src/proxy/lists.rs
+++ b/crates/proxy/src/proxy/lists.rs
@@ -3,7 +3,9 @@
 use sparlug::event::{Event, Listing};
 
 use super::Proxy;
-use crate::list_history::{ListOrder, ListSource, MergedList};
+use crate::control_messages::{HandoverMessage, HandoverState};
+use crate::list_history::{HandoverHistory, ListOrder, ListSource, MergedList};
+use crate::listing::BackendList;
 use crate::shared::ReceivedList;
 
 impl Proxy {
@@ -47,6 +49,36 @@
         }
         self.pool.update_list(list.full, &list.entries, list.version, &mut self.io);
         self.handle_event(Event::ListReceived { full: list.full, listings });
+        self.share_withdrawals();
         Some(order)
     }
+
+    /// Tells the other process of a handover what lists have withdrawn meanwhile: its own answers may be older.
+    fn share_withdrawals(&mut self) {
+        let (since, now) = (self.withdrawals_shared_at, self.io.now);
+        self.withdrawals_shared_at = now;
+        if !self.handover.is_overlapping() {
+            return;
+        }
+        let history = self.list_history.export_withdrawals(since, now);
+        if !history.withdrawn.is_empty() {
+            let state = HandoverState { history, ..HandoverState::default() };
+            self.handover.broadcast(&HandoverMessage::State(state), &mut self.io);
+        }
+    }
+
+    /// Applies what the other process of a handover has heard of withdrawn backends.
+    pub(super) fn apply_withdrawals(&mut self, history: HandoverHistory) {
+        let entries = self.list_history.import_withdrawals(history, self.io.now);
+        if entries.is_empty() {
+            return;
+        }
+        tracing::info!(entries = entries.len(), "backends withdrawn as the other process was told");
+        let version = self.discovery.agent_and_version().1.unwrap_or_default();
+        let mut list = BackendList { version, full: false, entries };
+        self.start_times.correct(&mut list, self.io.now);
+        let listings = list.entries.iter().map(|entry| entry.listing).collect();
+        self.pool.update_list(false, &list.entries, version, &mut self.io);
+        self.handle_event(Event::ListReceived { full: false, listings });
+    }
 }
--- a/crates/proxy/tests/older_lists.rs
+++ b/crates/proxy/tests/older_lists.rs
@@ -314,6 +314,34 @@
     }
 }
 
+/// Guards against a withdrawal that only one of two processes hears during a handover: an answer to the other one
+/// may be older.
+#[test]
+fn withdrawal_during_a_handover_reaches_the_other_process() {
+    let (tier, listeners) = Tier::start(3);
+    let (folder, listen) = helper::handover_folder_and_address("late-news");
+    let environment = [("TMPDIR", folder.to_str().unwrap())];
+    let old = Proxy::start_managed(&listeners.iter().collect::<Vec<_>>(), &listen, &environment);
+    let mut old_watch = Watch::accept(&old.discovery);
+    old_watch.answer(&tier.list(5, false, &[]));
+    let agent = backend();
+    let new = old.start_successor(&agent, &environment);
+    let mut new_watch = Watch::accept(&agent);
+    new_watch.answer(&tier.list(5, true, &[ready(0), ready(1), ready(2)]));
+    old_watch.answer(&tier.list(6, false, &[draining(0)]));
+    new.wait_for_log("condition of backend changed");
+    new_watch.answer(&tier.list(6, false, &[gone(1)]));
+    old.wait_for_log("to=Gone");
+    // Both processes accept requests.
+    for _ in 0..3 {
+        assert_eq!(tier.used_backends(&new), BTreeSet::from([2]));
+    }
+    old.signal("-TERM");
+    assert_eq!(old.wait_for_exit(), Some(0));
+    new_watch.answer(&tier.list(5, true, &[ready(0), ready(1), ready(2)]));
+    assert_eq!(tier.used_backends(&new), BTreeSet::from([2]));
+}
+
 /// Guards against a first answer that is older than the list which the configuration contains.
 #[test]
 fn older_first_answer_does_not_add_a_backend_that_the_known_list_lacks() {
