Request the whole list where changes may not follow the present one; check the history against a model

The model of discovery in tests/list_history.rs found that after an old answer the next changes can build on another list than the proxy has: a backend that joined and went in between is not named and stays in use, or one that an old list omitted is never named again and stays out. Cause: the watch goes on from the version of the last answer, also where that answer was older changes, or changes from an old list. Change: changes below the requested version, changes that lead from an old list past the highest version, and lists of which the omissions were not applied are followed by a request for the whole list; a list service for all proxies is first asked for changes once more. Until the whole list arrives, what such changes don't name and could not be known at their base is withdrawn. Further finds of the model, mended here: a newer list raises the version from which a withdrawal can be lifted; a start shortly before the highest version, in an older list, does not count as a restart; drains of an earlier process confirm nothing; versions that arrived before a restart of discovery are known exactly, not as a range.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -57,11 +57,22 @@
     deadline: Option<DeadlineId>,
     /// The list that was received and not handled yet; the next request waits for that.
     awaited: Option<AwaitedList>,
+    /// The last answer had changes that don't follow the requested version.
+    out_of_step: bool,
+}
+
+/// How a list was applied.
+#[derive(Clone, Copy)]
+pub struct AppliedList {
+    pub order: ListOrder,
+    /// The changes may be incomplete.
+    pub needs_whole_list: bool,
 }
 
 /// A list that the proxy has not applied yet.
 struct AwaitedList {
     version: u64,
+    full: bool,
     is_empty: bool,
 }
 
@@ -93,6 +104,7 @@
             failures,
             deadline,
             awaited: None,
+            out_of_step: false,
         }
     }
 
@@ -308,19 +320,35 @@
         io.deadlines.cancel(self.deadline.take());
         let Some(agent) = self.agent else { return };
         let (source, previous_version) = (ListSource::Agent(agent), self.version);
-        self.awaited = Some(AwaitedList { version: list.version, is_empty: list.entries.is_empty() });
+        let (version, full, is_empty) = (list.version, list.full, list.entries.is_empty());
+        self.awaited = Some(AwaitedList { version, full, is_empty });
         io.events.push_back(ProxyEvent::ListReceived(ReceivedList { list, source, previous_version }));
     }
 
-    /// Continues the watch after the list that was received has been applied, with its order among the agent's
-    /// lists, or ignored (`None`).
-    pub fn list_handled(&mut self, order: Option<ListOrder>, io: &mut IoContext) {
+    /// Sets the version that the next request names. Changes of a version below the requested one don't follow
+    /// from the present list, so the changes since them would not either: the full list is needed. A list
+    /// service that answers all proxies is first asked once more for changes, which another replica may have.
+    fn continue_from(&mut self, list: &AwaitedList, needs_whole_list: bool) {
+        let follows = list.full || self.version.is_some_and(|version| version <= list.version);
+        let may_ask_again = !self.pushed && !self.out_of_step;
+        self.out_of_step = !follows;
+        if needs_whole_list || !follows && !may_ask_again {
+            self.version = None;
+        } else if follows {
+            self.version = Some(list.version);
+        }
+    }
+
+    /// Continues the watch after the list that was received has been applied, or ignored (`None`).
+    pub fn list_handled(&mut self, applied: Option<AppliedList>, io: &mut IoContext) {
         let Some(list) = self.awaited.take() else { return };
         let unchanged = list.is_empty || self.version == Some(list.version);
-        self.version = if order.is_some() { Some(list.version) } else { self.version };
+        if let Some(applied) = applied {
+            self.continue_from(&list, applied.needs_whole_list);
+        }
         // Guards against a busy loop at an agent that responds at once with nothing new. A list service that
         // answers all proxies is asked less often while it has only old lists.
-        let interval = match order {
+        let interval = match applied.map(|applied| applied.order) {
             Some(ListOrder::Older) | None if !self.pushed => self.long_poll_wait,
             Some(ListOrder::First | ListOrder::Newer) if !unchanged => Span::ZERO,
             _ => MIN_REQUEST_INTERVAL,
--- a/crates/proxy/src/list_history.rs
+++ b/crates/proxy/src/list_history.rs
@@ -17,11 +17,13 @@
 mod withdrawal;
 
 pub use handover::{HandoverAgent, HandoverHistory, HandoverWithdrawal};
-use withdrawal::{Withdrawal, Withheld};
+use withdrawal::{Origin, Withdrawal, Withheld};
 
 /// How long a withdrawn backend stays out although the lists name it as ready. Where discovery lost its versions,
 /// these lists are right, and nothing but time tells them from those of a replica that lags.
 pub const MAX_WITHHELD_TIME: Span = Span::from_millis(300_000);
+/// How long a backend may have run without appearing in any list that arrived.
+const MAX_UNSEEN_TIME: Span = Span::from_millis(600_000);
 /// How long a withdrawal is remembered after a list last confirmed it, and an agent after its last answer.
 const RETENTION: Span = Span::from_millis(3_600_000);
 /// Time between two searches for what may be forgotten.
@@ -54,17 +56,24 @@
     highest: u64,
     /// Recent versions, and when each first arrived.
     received: BTreeMap<u64, Time>,
-    /// When the latest whole list that was not older arrived; `None` if there was none, so that backends may
-    /// exist which no list has named.
+    /// When the highest version arrived; `None` as long as no list was whole, so that backends may exist which
+    /// none has named.
     complete_at: Option<Time>,
     /// Version of the first whole list since the answers became older than the highest version.
     restarted_at: Option<u64>,
     last_answer: Time,
 }
 
+/// A backend that lists name as ready.
+struct ReadyBackend {
+    entry: BackendEntry,
+    /// The agent that named it last, and the lowest version of its lists that named it since its latest start.
+    named_by: Option<(SocketAddr, u64)>,
+}
+
 /// What the lists say of a backend.
 enum BackendState {
-    Ready(BackendEntry),
+    Ready(ReadyBackend),
     Withdrawn(Withdrawal),
 }
 
@@ -83,6 +92,9 @@
     pub withheld: Vec<WithheldBackend>,
     /// Whether the backends that the list omits are kept, because it would leave no backend ready.
     pub omissions_ignored: bool,
+    /// The changes that follow may lack some: either this list was not applied whole, or its changes lead from an
+    /// older version past the highest one, and what follows an old answer may be old as well.
+    pub needs_whole_list: bool,
 }
 
 /// A backend that a list names as ready and that stays withdrawn.
@@ -99,11 +111,21 @@
 struct ListContext {
     agent: SocketAddr,
     version: u64,
+    /// The agent's highest version before this list, or that of this list.
+    highest: u64,
+    whole: bool,
+    /// The version that changes follow.
+    base: Option<u64>,
+    /// The list has changes from a version below the highest one up to that or a later one. Changes that follow
+    /// an old answer may be old as well, so some may be missing.
+    leads_past_highest: bool,
     order: ListOrder,
     now: Time,
+    /// The latest start time that the list states.
+    latest_start: Option<Time>,
     /// When a list of this version first arrived, if one did before.
     received_at: Option<Time>,
-    /// When the list arrived that should have named every backend.
+    /// When the highest version arrived, by which every backend was known.
     complete_at: Option<Time>,
     /// Whether an earlier list of the same age was whole and named all backends of that time.
     follows_restart: bool,
@@ -118,11 +140,17 @@
 }
 
 impl ListHistory {
-    /// Takes a list and returns what to apply of it.
-    pub fn merge(&mut self, mut list: BackendList, source: ListSource, now: Time) -> MergedList {
+    /// Takes a list and returns what to apply of it. Changes follow the version `base`.
+    pub fn merge(
+        &mut self,
+        mut list: BackendList,
+        base: Option<u64>,
+        source: ListSource,
+        now: Time,
+    ) -> MergedList {
         list.remove_duplicates();
         let merged = match source {
-            ListSource::Agent(agent) => self.merge_answer(list, agent, now),
+            ListSource::Agent(agent) => self.merge_answer(list, base, agent, now),
             ListSource::Predecessor(agent) => {
                 if let Some(agent) = agent {
                     let versions = self.record_version(agent, list.version, now);
@@ -156,7 +184,10 @@
         for entry in &list.entries {
             let record = self.records.get(&entry.listing.backend);
             let state = match entry.listing.condition {
-                Condition::Ready => BackendState::Ready(entry.clone()),
+                Condition::Ready => {
+                    let named_by = agent.map(|agent| (agent, list.version));
+                    BackendState::Ready(ReadyBackend { entry: entry.clone(), named_by })
+                }
                 // The withdrawal was handed over as well.
                 _ if agent.is_some() && record.is_some_and(|record| record.withdrawal().is_some()) => {
                     continue
@@ -165,11 +196,23 @@
             };
             self.insert(entry, state);
         }
-        MergedList { list, order: ListOrder::Newer, withheld: Vec::new(), omissions_ignored: false }
+        MergedList {
+            list,
+            order: ListOrder::Newer,
+            withheld: Vec::new(),
+            omissions_ignored: false,
+            needs_whole_list: false,
+        }
     }
 
-    fn merge_answer(&mut self, mut list: BackendList, agent: SocketAddr, now: Time) -> MergedList {
-        let context = self.context(&list, agent, now);
+    fn merge_answer(
+        &mut self,
+        mut list: BackendList,
+        base: Option<u64>,
+        agent: SocketAddr,
+        now: Time,
+    ) -> MergedList {
+        let context = self.context(&list, base, agent, now);
         let named: BTreeSet<_> = list.entries.iter().map(|entry| entry.listing.backend).collect();
         let (is_complete, mut withheld) = (list.full, Vec::new());
         let entries = std::mem::take(&mut list.entries);
@@ -177,21 +220,19 @@
             .into_iter()
             .filter_map(|entry| self.merge_entry(entry, &context, &mut withheld))
             .collect();
-        let omissions_ignored = list.full && !self.apply_omissions(&named, &context);
+        let names_withheld = !withheld.is_empty();
+        let omissions_ignored = list.full && !self.apply_omissions(&named, names_withheld, &context);
         list.full &= !omissions_ignored;
-        list.entries.extend(self.release_withheld(&named, &context));
+        self.confirm_unnamed(&named, &context);
+        list.entries.extend(self.withdraw_unconfirmed(&named, &context));
+        list.entries.extend(self.release_withheld(&context));
         let (version, order) = (list.version, context.order);
-        let versions = self.record_version(agent, version, now);
-        if order != ListOrder::Older {
-            versions.restarted_at = None;
-            versions.complete_at = if is_complete { Some(now) } else { versions.complete_at };
-        } else if is_complete {
-            versions.restarted_at.get_or_insert(version);
-        }
-        MergedList { list, order, withheld, omissions_ignored }
+        self.record_version(agent, version, now).record_answer(order, version, is_complete, now);
+        let needs_whole_list = context.leads_past_highest || omissions_ignored;
+        MergedList { list, order, withheld, omissions_ignored, needs_whole_list }
     }
 
-    fn context(&self, list: &BackendList, agent: SocketAddr, now: Time) -> ListContext {
+    fn context(&self, list: &BackendList, base: Option<u64>, agent: SocketAddr, now: Time) -> ListContext {
         let version = list.version;
         let versions = self.agents.get(&agent);
         let order = match versions.map(|versions| version.cmp(&versions.highest)) {
@@ -200,11 +241,17 @@
             Some(std::cmp::Ordering::Equal) => ListOrder::Same,
             Some(std::cmp::Ordering::Less) => ListOrder::Older,
         };
+        let base_is_old = versions.is_some_and(|versions| base.is_some_and(|base| base < versions.highest));
         ListContext {
             agent,
             version,
+            highest: versions.map_or(version, |versions| versions.highest),
+            whole: list.full,
+            base,
+            leads_past_highest: !list.full && order != ListOrder::Older && base_is_old,
             order,
             now,
+            latest_start: list.entries.iter().filter_map(|entry| entry.listed_start).max(),
             received_at: versions.and_then(|versions| versions.received.get(&version).copied()),
             complete_at: versions.and_then(|versions| versions.complete_at),
             follows_restart: versions
@@ -251,37 +298,41 @@
         let record = match self.records.get_mut(&entry.listing.backend) {
             Some(record) => record,
             None if context.adds_backend(&entry) => {
-                self.insert(&entry, BackendState::Ready(entry.clone()));
+                self.insert(&entry, context.ready(&entry));
                 return Some(entry);
             }
             None => self.insert_unlisted(&entry, context),
         };
-        let restarted = entry.listed_start > record.latest_start;
+        let restarted = entry.listed_start > record.latest_start && !context.may_have_ended(&entry);
         match &mut record.state {
-            BackendState::Ready(known) if context.keeps(known, &entry) => return Some(known.clone()),
+            BackendState::Ready(known) if !restarted => {
+                if entry.listed_start == known.entry.listed_start {
+                    known.named_by = Some((context.agent, context.lowest_version(known.named_by)));
+                }
+                if context.keeps(&known.entry, &entry) {
+                    return Some(known.entry.clone());
+                }
+                known.entry = entry.clone();
+            }
             BackendState::Withdrawn(withdrawal) if !restarted && !withdrawal.is_lifted_by(context) => {
-                let first = withdrawal.withheld.is_none();
-                let since = withdrawal.withheld.as_ref().map_or(context.now, |withheld| withheld.since);
-                withdrawal.withheld = Some(Withheld { entry: entry.clone(), since });
-                withheld.push(WithheldBackend {
-                    host: entry.host.clone(),
-                    withdrawn_at: withdrawal.version,
-                    first,
-                });
+                withheld.push(withdrawal.withhold(&entry, context.now));
                 (entry.listing.condition, entry.listed_start) = (withdrawal.condition, record.latest_start);
                 return (withdrawal.condition == Condition::Draining).then_some(entry);
             }
-            _ => {}
+            _ => record.state = context.ready(&entry),
         }
         record.latest_start = record.latest_start.max(entry.listed_start);
-        record.state = BackendState::Ready(entry.clone());
         Some(entry)
     }
 
     /// Merges an entry for a backend that drains or is gone.
     fn merge_withdrawn(&mut self, mut entry: BackendEntry, context: &ListContext) -> BackendEntry {
         let Some(record) = self.records.get_mut(&entry.listing.backend) else {
-            let withdrawal = context.withdrawal(entry.listing.condition);
+            let withdrawal = if context.order == ListOrder::Older && context.complete_at.is_some() {
+                context.earlier_withdrawal(entry.listing.condition)
+            } else {
+                context.withdrawal(entry.listing.condition)
+            };
             let record = self.insert(&entry, BackendState::Withdrawn(withdrawal));
             // Without a start time to compare with, only a later start than now is a newer one.
             record.latest_start = if entry.start_stated { entry.listed_start } else { Some(context.now) };
@@ -291,16 +342,18 @@
         match &mut record.state {
             // The backend has restarted since.
             BackendState::Ready(known) if of_earlier_process && context.order != ListOrder::Newer => {
-                return known.clone();
+                return known.entry.clone();
             }
             BackendState::Ready(_) => {
                 record.state = BackendState::Withdrawn(context.withdrawal(entry.listing.condition));
             }
+            BackendState::Withdrawn(withdrawal)
+                if of_earlier_process && context.order != ListOrder::Newer =>
+            {
+                entry.listing.condition = withdrawal.condition;
+            }
             BackendState::Withdrawn(withdrawal) => {
-                withdrawal.confirm(entry.listing.condition, context.agent, context.version, context.now);
-                if context.order == ListOrder::Newer {
-                    withdrawal.condition = entry.listing.condition;
-                }
+                withdrawal.confirm(entry.listing.condition, context);
                 entry.listing.condition = withdrawal.condition;
             }
         }
@@ -309,46 +362,97 @@
         entry
     }
 
-    /// Withdraws all backends that a whole list does not name. Returns `false` without a change if a list that
-    /// is not newer would leave no backend ready.
-    fn apply_omissions(&mut self, named: &BTreeSet<BackendId>, context: &ListContext) -> bool {
+    /// Withdraws all backends that a whole list does not name. Returns `false` without a change if the list,
+    /// which is not newer, names no ready backend but such as stay withdrawn.
+    fn apply_omissions(
+        &mut self,
+        named: &BTreeSet<BackendId>,
+        names_withheld: bool,
+        context: &ListContext,
+    ) -> bool {
         let is_ready = |record: &BackendRecord| matches!(record.state, BackendState::Ready(_));
-        let (mut ready_named, mut ready_omitted) = (0, 0);
-        for (id, _) in self.records.iter().filter(|(_, record)| is_ready(record)) {
-            *(if named.contains(id) { &mut ready_named } else { &mut ready_omitted }) += 1;
-        }
-        if context.order != ListOrder::Newer && ready_named == 0 && ready_omitted > 0 {
+        let ready_named = self.records.iter().any(|(id, record)| is_ready(record) && named.contains(id));
+        let ready_omitted = self.records.iter().any(|(id, record)| is_ready(record) && !named.contains(id));
+        if context.order != ListOrder::Newer && names_withheld && !ready_named && ready_omitted {
             return false;
         }
         for (_, record) in self.records.iter_mut().filter(|(id, _)| !named.contains(id)) {
             match &mut record.state {
-                BackendState::Ready(_) => {
-                    let withdrawal =
-                        Withdrawal { omitted: true, is_news: false, ..context.withdrawal(Condition::Gone) };
+                BackendState::Ready(known) => {
+                    let withdrawal = context.omission(known, record.latest_start);
                     record.state = BackendState::Withdrawn(withdrawal);
                 }
                 BackendState::Withdrawn(withdrawal) => {
-                    withdrawal.confirm(Condition::Gone, context.agent, context.version, context.now);
+                    withdrawal.confirm(Condition::Gone, context);
                 }
             }
         }
         true
     }
 
-    /// Ends the withdrawals of backends that lists have named as ready for long enough; returns their entries.
-    /// An answer that knows of a withdrawal and doesn't name the backend confirms the withdrawal.
-    fn release_withheld(&mut self, named: &BTreeSet<BackendId>, context: &ListContext) -> Vec<BackendEntry> {
-        let mut released = Vec::new();
-        for (id, record) in &mut self.records {
+    /// Takes the absence of withdrawn backends from an answer as a confirmation, where the answer is recent
+    /// enough to know of the withdrawal.
+    fn confirm_unnamed(&mut self, named: &BTreeSet<BackendId>, context: &ListContext) {
+        for (_, record) in self.records.iter_mut().filter(|(id, _)| !named.contains(id)) {
             let BackendState::Withdrawn(withdrawal) = &mut record.state else { continue };
-            let knows_withdrawal =
-                withdrawal.agent == Some(context.agent) && context.version >= withdrawal.version;
-            if knows_withdrawal && !named.contains(id) {
+            if withdrawal.agent != Some(context.agent) {
+                continue;
+            }
+            let knows_withdrawal = context.version >= withdrawal.version;
+            // What changes don't name is as it was at their base.
+            let was_out_at_base = Some(withdrawal.confirmed_in) == context.base;
+            if knows_withdrawal {
                 withdrawal.withheld = None;
             }
-            let is_due = |withheld: &Withheld| withheld.since + MAX_WITHHELD_TIME <= context.now;
-            let Some(withheld) = withdrawal.withheld.take_if(|withheld| is_due(withheld)) else { continue };
-            record.state = BackendState::Ready(withheld.entry.clone());
+            if was_out_at_base {
+                withdrawal.confirmed_in = context.version;
+            }
+            let is_confirmed = was_out_at_base || context.leads_past_highest;
+            if is_confirmed || knows_withdrawal && withdrawal.origin == Origin::Current {
+                withdrawal.doubtful |= knows_withdrawal && context.leads_past_highest;
+                withdrawal.version = withdrawal.version.max(context.version);
+            }
+        }
+    }
+
+    /// Withdraws ready backends that joined after the base of changes which lead past the highest version, and
+    /// which these don't name: they may be gone again. The whole list that follows decides. Returns their entries.
+    fn withdraw_unconfirmed(
+        &mut self,
+        named: &BTreeSet<BackendId>,
+        context: &ListContext,
+    ) -> Vec<BackendEntry> {
+        let mut withdrawn = Vec::new();
+        if !context.leads_past_highest {
+            return withdrawn;
+        }
+        for (_, record) in self.records.iter_mut().filter(|(id, _)| !named.contains(id)) {
+            let BackendState::Ready(known) = &record.state else { continue };
+            let joined_after_base = known
+                .named_by
+                .is_some_and(|(agent, version)| agent == context.agent && Some(version) > context.base);
+            if joined_after_base {
+                let mut entry = known.entry.clone();
+                entry.listing.condition = Condition::Gone;
+                withdrawn.push(entry);
+                record.state = BackendState::Withdrawn(Withdrawal {
+                    omitted: true,
+                    doubtful: true,
+                    ..context.withdrawal(Condition::Gone)
+                });
+            }
+        }
+        withdrawn
+    }
+
+    /// Ends the withdrawals of backends that lists have named as ready for long enough; returns their entries.
+    fn release_withheld(&mut self, context: &ListContext) -> Vec<BackendEntry> {
+        let mut released = Vec::new();
+        for record in self.records.values_mut() {
+            let BackendState::Withdrawn(withdrawal) = &mut record.state else { continue };
+            let is_due = |withheld: &mut Withheld| withheld.since + MAX_WITHHELD_TIME <= context.now;
+            let Some(withheld) = withdrawal.withheld.take_if(is_due) else { continue };
+            record.state = context.ready(&withheld.entry);
             released.push(withheld.entry);
         }
         released
@@ -361,8 +465,7 @@
 
     /// Records a backend that an older list names and a newer whole list did not, as withdrawn by the latter.
     fn insert_unlisted(&mut self, entry: &BackendEntry, context: &ListContext) -> &mut BackendRecord {
-        let version = self.agents.get(&context.agent).map_or(context.version, |versions| versions.highest);
-        let withdrawal = Withdrawal::new(Condition::Gone, Some(context.agent), version, context.now);
+        let withdrawal = context.earlier_withdrawal(Condition::Gone);
         let record = self.insert(entry, BackendState::Withdrawn(withdrawal));
         record.latest_start = context.complete_at;
         record
@@ -384,6 +487,22 @@
     }
 }
 
+impl AgentVersions {
+    /// Records what the order of an answer says of the agent; `whole` if the answer lists all backends.
+    fn record_answer(&mut self, order: ListOrder, version: u64, whole: bool, now: Time) {
+        let was_complete = self.complete_at.is_some();
+        match order {
+            ListOrder::First | ListOrder::Newer if whole || was_complete => self.complete_at = Some(now),
+            ListOrder::Same if whole && !was_complete => self.complete_at = Some(now),
+            ListOrder::Older if whole => drop(self.restarted_at.get_or_insert(version)),
+            _ => {}
+        }
+        if order != ListOrder::Older {
+            self.restarted_at = None;
+        }
+    }
+}
+
 impl BackendRecord {
     fn withdrawal(&self) -> Option<&Withdrawal> {
         match &self.state {
@@ -397,17 +516,58 @@
     /// A withdrawal by an entry of this list.
     fn withdrawal(&self, condition: Condition) -> Withdrawal {
         let withdrawal = Withdrawal::new(condition, Some(self.agent), self.version, self.now);
-        let is_news = self.order == ListOrder::Older && self.received_at.is_none();
-        Withdrawal { is_news, ..withdrawal }
+        Withdrawal { origin: self.origin(), ..withdrawal }
+    }
+
+    /// The withdrawal of a backend that the lists up to the highest version don't name.
+    fn earlier_withdrawal(&self, condition: Condition) -> Withdrawal {
+        Withdrawal::new(condition, Some(self.agent), self.highest, self.now)
+    }
+
+    fn origin(&self) -> Origin {
+        match self.order {
+            ListOrder::Older if self.received_at.is_none() => Origin::Restart,
+            ListOrder::Older => Origin::Outdated,
+            ListOrder::First | ListOrder::Newer | ListOrder::Same => Origin::Current,
+        }
+    }
+
+    /// The withdrawal of a ready backend that this list, a whole one, does not name.
+    fn omission(&self, known: &ReadyBackend, latest_start: Option<Time>) -> Withdrawal {
+        let withdrawal = self.withdrawal(Condition::Gone);
+        // An older list may be from before the backend joined, unless it names one that started later.
+        let is_before_join = self.lowest_version(known.named_by) == self.version;
+        let may_predate =
+            self.order == ListOrder::Older && is_before_join && latest_start > self.latest_start;
+        let origin = if may_predate { Origin::Outdated } else { withdrawal.origin };
+        Withdrawal { omitted: true, origin, ..withdrawal }
+    }
+
+    /// A ready backend that this list names.
+    fn ready(&self, entry: &BackendEntry) -> BackendState {
+        let named_by = Some((self.agent, self.version));
+        BackendState::Ready(ReadyBackend { entry: entry.clone(), named_by })
+    }
+
+    /// The lower one of this list's version and that of an earlier list of the same agent.
+    fn lowest_version(&self, earlier: Option<(SocketAddr, u64)>) -> u64 {
+        let earlier = earlier.filter(|(agent, _)| *agent == self.agent);
+        earlier.map_or(self.version, |(_, version)| version.min(self.version))
     }
 
     /// Whether a backend without a record is new, and not one that a newer whole list no longer names.
     fn adds_backend(&self, entry: &BackendEntry) -> bool {
         let is_newer = matches!(self.order, ListOrder::First | ListOrder::Newer);
-        is_newer
-            || self.follows_restart
-            || self.complete_at.is_none()
-            || entry.listed_start > self.complete_at
+        let is_unheard = self.complete_at.is_none() || entry.listed_start > self.complete_at;
+        is_newer || is_unheard || self.follows_restart && !self.may_have_ended(entry)
+    }
+
+    /// Whether the entry may be of a process that newer lists have withdrawn already: it started shortly before
+    /// the highest version, and no list with its start has arrived.
+    fn may_have_ended(&self, entry: &BackendEntry) -> bool {
+        let is_newer = matches!(self.order, ListOrder::First | ListOrder::Newer);
+        let (Some(started), Some(complete_at)) = (entry.listed_start, self.complete_at) else { return false };
+        !is_newer && started <= complete_at && complete_at.since(started) < MAX_UNSEEN_TIME
     }
 
     /// Whether the known entry of a ready backend is kept instead of that of this list, which may be about an
--- a/crates/proxy/src/list_history/handover.rs
+++ b/crates/proxy/src/list_history/handover.rs
@@ -6,7 +6,7 @@
 use sparlug::event::Condition;
 use sparlug::time::{Span, Time};
 
-use super::{AgentVersions, BackendRecord, BackendState, ListHistory, Withdrawal};
+use super::{AgentVersions, BackendRecord, BackendState, ListHistory, Origin, Withdrawal};
 use crate::listing::{backend_id, BackendEntry};
 
 /// The most withdrawals, latest first, and versions of each agent that are handed over: the message is bounded.
@@ -30,7 +30,7 @@
     agent: Option<SocketAddr>,
     version: u64,
     omitted: bool,
-    is_news: bool,
+    origin: Origin,
     since_ms: f64,
     age_ms: f64,
 }
@@ -58,7 +58,7 @@
                 agent: withdrawal.agent,
                 version: withdrawal.version,
                 omitted: withdrawal.omitted,
-                is_news: withdrawal.is_news,
+                origin: withdrawal.origin,
                 since_ms: now.since(withdrawal.since).ms(),
                 age_ms: now.since(withdrawal.confirmed_at).ms(),
             });
@@ -110,13 +110,13 @@
         for withdrawn in history.withdrawn {
             let (id, started) = (backend_id(&withdrawn.host), withdrawn.started_ms.map(Time::from_ms));
             let versions = withdrawn.agent.and_then(|agent| self.agents.get(&agent));
-            let is_old =
-                !withdrawn.is_news && versions.is_some_and(|versions| withdrawn.version < versions.highest);
+            let is_old = withdrawn.origin != Origin::Restart
+                && versions.is_some_and(|versions| withdrawn.version < versions.highest);
             match self.records.get(&id).map(|record| (&record.state, record.latest_start)) {
                 Some((BackendState::Withdrawn(_), _)) => continue,
                 Some((BackendState::Ready(_), latest_start)) if is_old || started < latest_start => continue,
-                Some((BackendState::Ready(entry), _)) => {
-                    let mut entry = entry.clone();
+                Some((BackendState::Ready(known), _)) => {
+                    let mut entry = known.entry.clone();
                     entry.listing.condition = withdrawn.condition();
                     changes.push(entry);
                 }
@@ -141,7 +141,7 @@
         let confirmed_at = now - Span::from_ms(self.age_ms);
         let withdrawal = Withdrawal {
             omitted: self.omitted,
-            is_news: self.is_news,
+            origin: self.origin,
             since: now - Span::from_ms(self.since_ms),
             ..Withdrawal::new(self.condition(), self.agent, self.version, confirmed_at)
         };
--- a/crates/proxy/src/list_history/withdrawal.rs
+++ b/crates/proxy/src/list_history/withdrawal.rs
@@ -2,12 +2,25 @@
 
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
 use sparlug::event::Condition;
 use sparlug::time::Time;
 
-use super::{ListContext, ListOrder};
+use super::{ListContext, ListOrder, WithheldBackend};
 use crate::listing::BackendEntry;
 
+/// How the list that withdrew a backend relates to those before it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Origin {
+    /// Its version was the highest one of its agent.
+    Current,
+    /// Its version had arrived before, or was from before the backend joined: it may be out of date.
+    Outdated,
+    /// Its version was below the highest one and had not arrived before: the agent has started again at a low
+    /// version. Higher versions that arrived earlier are from before the withdrawal.
+    Restart,
+}
+
 /// A backend that drains or is gone, by some list.
 pub struct Withdrawal {
     /// Draining or gone.
@@ -16,11 +29,14 @@
     pub agent: Option<SocketAddr>,
     /// The highest version in which that agent reported it.
     pub version: u64,
+    /// The version in which it last reported it.
+    pub confirmed_in: u64,
     /// A whole list omitted the backend, without naming it as draining or gone.
     pub omitted: bool,
-    /// A list of a version that was below the highest one and had not arrived before withdrew it: the agent has
-    /// started again at a low version. Higher versions that arrived earlier are from before the withdrawal.
-    pub is_news: bool,
+    /// It follows from the absence in changes that may not be complete. The whole list of the same version
+    /// decides.
+    pub doubtful: bool,
+    pub origin: Origin,
     pub since: Time,
     /// When a list last confirmed it.
     pub confirmed_at: Time,
@@ -41,8 +57,10 @@
             condition,
             agent,
             version,
+            confirmed_in: version,
             omitted: false,
-            is_news: false,
+            doubtful: false,
+            origin: Origin::Current,
             since: now,
             confirmed_at: now,
             withheld: None,
@@ -58,19 +76,31 @@
             return self.omitted && list.order == ListOrder::Newer;
         }
         let predates = list.received_at.is_some_and(|received_at| received_at < self.since);
-        list.version > self.version && !(self.is_news && predates)
+        let is_newer =
+            list.version > self.version || self.doubtful && list.whole && list.version == self.version;
+        is_newer && !(self.origin == Origin::Restart && predates)
+    }
+
+    /// Keeps the entry of a list that names the backend as ready all the same.
+    pub fn withhold(&mut self, entry: &BackendEntry, now: Time) -> WithheldBackend {
+        let since = self.withheld.as_ref().map(|withheld| withheld.since);
+        self.withheld = Some(Withheld { entry: entry.clone(), since: since.unwrap_or(now) });
+        WithheldBackend { host: entry.host.clone(), withdrawn_at: self.version, first: since.is_none() }
     }
 
     /// Takes another list's report of the withdrawal.
-    pub fn confirm(&mut self, condition: Condition, agent: SocketAddr, version: u64, now: Time) {
-        if self.agent == Some(agent) {
-            self.version = self.version.max(version);
-        } else {
-            (self.agent, self.version, self.is_news) = (Some(agent), version, false);
+    pub fn confirm(&mut self, condition: Condition, list: &ListContext) {
+        let is_same_agent = self.agent == Some(list.agent);
+        self.doubtful &= is_same_agent && list.version < self.version;
+        self.version = if is_same_agent { self.version.max(list.version) } else { list.version };
+        if !is_same_agent || list.order != ListOrder::Older {
+            self.origin = Origin::Current;
         }
-        if condition == Condition::Gone {
-            self.condition = Condition::Gone;
+        // An older list may be from before the backend was gone.
+        if condition == Condition::Gone || list.order == ListOrder::Newer {
+            self.condition = condition;
         }
-        (self.confirmed_at, self.withheld) = (now, None);
+        (self.agent, self.confirmed_in, self.confirmed_at) = (Some(list.agent), list.version, list.now);
+        self.withheld = None;
     }
 }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -492,9 +492,9 @@
                 ProxyEvent::JobEnded(job) => self.job_ended(job),
                 ProxyEvent::ListReceived(received) => {
                     let is_answer = matches!(received.source, ListSource::Agent(_));
-                    let order = self.apply_list(received);
+                    let applied = self.apply_list(received);
                     if is_answer {
-                        self.discovery.list_handled(order, &mut self.io);
+                        self.discovery.list_handled(applied, &mut self.io);
                     }
                 }
                 ProxyEvent::ListFailed => self.handle_event(Event::ListFailed),
--- a/crates/proxy/src/proxy/lists.rs
+++ b/crates/proxy/src/proxy/lists.rs
@@ -4,13 +4,14 @@
 
 use super::Proxy;
 use crate::control_messages::{HandoverMessage, HandoverState};
+use crate::discovery::AppliedList;
 use crate::list_history::{HandoverHistory, ListOrder, ListSource, MergedList};
 use crate::listing::BackendList;
 use crate::shared::ReceivedList;
 
 impl Proxy {
-    /// Applies a list. Returns its order among the lists of its agent, or `None` if the list is ignored.
-    pub(super) fn apply_list(&mut self, received: ReceivedList) -> Option<ListOrder> {
+    /// Applies a list. Returns how, or `None` if the list is ignored.
+    pub(super) fn apply_list(&mut self, received: ReceivedList) -> Option<AppliedList> {
         let ReceivedList { list, source, previous_version } = received;
         let ready = self.pool.ready_count();
         let anomalies = list.anomalies(ready, previous_version);
@@ -23,8 +24,8 @@
             self.io.counters.lists_ignored += 1;
             return None;
         }
-        let MergedList { mut list, order, withheld, omissions_ignored } =
-            self.list_history.merge(list, source, self.io.now);
+        let MergedList { mut list, order, withheld, omissions_ignored, needs_whole_list } =
+            self.list_history.merge(list, previous_version, source, self.io.now);
         if previous_version != Some(version) || entries > 0 {
             let agent = match source {
                 ListSource::Agent(agent) | ListSource::Predecessor(Some(agent)) => Some(agent.to_string()),
@@ -50,7 +51,7 @@
         self.pool.update_list(list.full, &list.entries, list.version, &mut self.io);
         self.handle_event(Event::ListReceived { full: list.full, listings });
         self.share_withdrawals();
-        Some(order)
+        Some(AppliedList { order, needs_whole_list })
     }
 
     /// Tells the other process of a handover what lists have withdrawn meanwhile: its own answers may be older.
--- a/crates/proxy/tests/older_lists.rs
+++ b/crates/proxy/tests/older_lists.rs
@@ -438,6 +438,28 @@
     tier.wait_until_used(&proxy, 2);
 }
 
+/// Guards against changes that build on another list than the proxy has: old changes don't follow the requested
+/// version, and changes from an old list past the highest version may lack what other old answers held.
+#[test]
+fn whole_list_is_requested_where_changes_do_not_follow_the_present_list() {
+    let (tier, _proxy, mut watch) = start_with_first_backend_gone(PUSHED);
+    watch.answer(&tier.list(4, false, &[ready(0)]));
+    assert_eq!(watch.index(), None, "after older changes");
+    watch.answer(&tier.list(4, true, &[ready(0), ready(1), ready(2)]));
+    assert_eq!(watch.index(), Some(4));
+    watch.answer(&tier.list(6, false, &[gone(0)]));
+    assert_eq!(watch.index(), None, "after changes from an old list");
+    watch.answer(&tier.list(6, true, &[ready(1), ready(2)]));
+    assert_eq!(watch.index(), Some(6));
+
+    // A list service for all proxies is asked for changes once more first.
+    let (tier, _proxy, mut watch) = start_with_first_backend_gone(ON_REQUEST);
+    for index in [Some(6), None] {
+        watch.answer(&tier.list(4, false, &[ready(0)]));
+        assert_eq!(watch.index(), index);
+    }
+}
+
 /// Guards against a watch that spins on an agent which answers each request at once with an older version.
 #[test]
 fn agent_that_answers_at_once_with_an_older_version_is_asked_at_a_bounded_rate() {
