--- a/crates/proxy/src/list_history.rs
+++ b/crates/proxy/src/list_history.rs
@@ -13,17 +13,18 @@
 
 use crate::listing::{BackendEntry, BackendList};
 
+mod context;
 mod handover;
 mod withdrawal;
 
+pub use context::ListOrder;
+use context::{AgentVersions, ListContext};
 pub use handover::{HandoverAgent, HandoverHistory, HandoverWithdrawal};
 use withdrawal::{Origin, Withdrawal, Withheld};
 
 /// How long a withdrawn backend stays out although the lists name it as ready. Where discovery lost its versions,
 /// these lists are right, and nothing but time tells them from those of a replica that lags.
 pub const MAX_WITHHELD_TIME: Span = Span::from_millis(300_000);
-/// How long a backend may have run without appearing in any list that arrived.
-const MAX_UNSEEN_TIME: Span = Span::from_millis(600_000);
 /// How long a withdrawal is remembered after a list last confirmed it, and an agent after its last answer.
 const RETENTION: Span = Span::from_millis(3_600_000);
 /// Time between two searches for what may be forgotten.
@@ -40,30 +41,6 @@
     File,
 }
 
-/// How a list's version relates to those that its agent sent before.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum ListOrder {
-    /// The agent sent none before.
-    First,
-    Newer,
-    /// The highest version, once more.
-    Same,
-    Older,
-}
-
-/// The versions that one agent has sent.
-struct AgentVersions {
-    highest: u64,
-    /// Recent versions, and when each first arrived.
-    received: BTreeMap<u64, Time>,
-    /// When the highest version arrived; `None` as long as no list was whole, so that backends may exist which
-    /// none has named.
-    complete_at: Option<Time>,
-    /// Version of the first whole list since the answers became older than the highest version.
-    restarted_at: Option<u64>,
-    last_answer: Time,
-}
-
 /// A backend that lists name as ready.
 struct ReadyBackend {
     entry: BackendEntry,
@@ -107,30 +84,6 @@
     pub first: bool,
 }
 
-/// What the entries of one list are judged by.
-struct ListContext {
-    agent: SocketAddr,
-    version: u64,
-    /// The agent's highest version before this list, or that of this list.
-    highest: u64,
-    whole: bool,
-    /// The version that changes follow.
-    base: Option<u64>,
-    /// The list has changes from a version below the highest one up to that or a later one. Changes that follow
-    /// an old answer may be old as well, so some may be missing.
-    leads_past_highest: bool,
-    order: ListOrder,
-    now: Time,
-    /// The latest start time that the list states.
-    latest_start: Option<Time>,
-    /// When a list of this version first arrived, if one did before.
-    received_at: Option<Time>,
-    /// When the highest version arrived, by which every backend was known.
-    complete_at: Option<Time>,
-    /// Whether an earlier list of the same age was whole and named all backends of that time.
-    follows_restart: bool,
-}
-
 /// The states of all backends by the lists so far.
 #[derive(Default)]
 pub struct ListHistory {
@@ -212,7 +165,7 @@
         agent: SocketAddr,
         now: Time,
     ) -> MergedList {
-        let context = self.context(&list, base, agent, now);
+        let context = ListContext::new(&list, base, agent, self.agents.get(&agent), now);
         let named: BTreeSet<_> = list.entries.iter().map(|entry| entry.listing.backend).collect();
         let (is_complete, mut withheld) = (list.full, Vec::new());
         let entries = std::mem::take(&mut list.entries);
@@ -232,34 +185,6 @@
         MergedList { list, order, withheld, omissions_ignored, needs_whole_list }
     }
 
-    fn context(&self, list: &BackendList, base: Option<u64>, agent: SocketAddr, now: Time) -> ListContext {
-        let version = list.version;
-        let versions = self.agents.get(&agent);
-        let order = match versions.map(|versions| version.cmp(&versions.highest)) {
-            None => ListOrder::First,
-            Some(std::cmp::Ordering::Greater) => ListOrder::Newer,
-            Some(std::cmp::Ordering::Equal) => ListOrder::Same,
-            Some(std::cmp::Ordering::Less) => ListOrder::Older,
-        };
-        let base_is_old = versions.is_some_and(|versions| base.is_some_and(|base| base < versions.highest));
-        ListContext {
-            agent,
-            version,
-            highest: versions.map_or(version, |versions| versions.highest),
-            whole: list.full,
-            base,
-            leads_past_highest: !list.full && order != ListOrder::Older && base_is_old,
-            order,
-            now,
-            latest_start: list.entries.iter().filter_map(|entry| entry.listed_start).max(),
-            received_at: versions.and_then(|versions| versions.received.get(&version).copied()),
-            complete_at: versions.and_then(|versions| versions.complete_at),
-            follows_restart: versions
-                .and_then(|versions| versions.restarted_at)
-                .is_some_and(|restarted_at| order == ListOrder::Older && restarted_at < version),
-        }
-    }
-
     /// Records the version of an agent's list.
     fn record_version(&mut self, agent: SocketAddr, version: u64, now: Time) -> &mut AgentVersions {
         let versions = self.agents.entry(agent).or_insert(AgentVersions {
@@ -487,22 +412,6 @@
     }
 }
 
-impl AgentVersions {
-    /// Records what the order of an answer says of the agent; `whole` if the answer lists all backends.
-    fn record_answer(&mut self, order: ListOrder, version: u64, whole: bool, now: Time) {
-        let was_complete = self.complete_at.is_some();
-        match order {
-            ListOrder::First | ListOrder::Newer if whole || was_complete => self.complete_at = Some(now),
-            ListOrder::Same if whole && !was_complete => self.complete_at = Some(now),
-            ListOrder::Older if whole => drop(self.restarted_at.get_or_insert(version)),
-            _ => {}
-        }
-        if order != ListOrder::Older {
-            self.restarted_at = None;
-        }
-    }
-}
-
 impl BackendRecord {
     fn withdrawal(&self) -> Option<&Withdrawal> {
         match &self.state {
@@ -511,72 +420,3 @@
         }
     }
 }
-
-impl ListContext {
-    /// A withdrawal by an entry of this list.
-    fn withdrawal(&self, condition: Condition) -> Withdrawal {
-        let withdrawal = Withdrawal::new(condition, Some(self.agent), self.version, self.now);
-        Withdrawal { origin: self.origin(), ..withdrawal }
-    }
-
-    /// The withdrawal of a backend that the lists up to the highest version don't name.
-    fn earlier_withdrawal(&self, condition: Condition) -> Withdrawal {
-        Withdrawal::new(condition, Some(self.agent), self.highest, self.now)
-    }
-
-    fn origin(&self) -> Origin {
-        match self.order {
-            ListOrder::Older if self.received_at.is_none() => Origin::Restart,
-            ListOrder::Older => Origin::Outdated,
-            ListOrder::First | ListOrder::Newer | ListOrder::Same => Origin::Current,
-        }
-    }
-
-    /// The withdrawal of a ready backend that this list, a whole one, does not name.
-    fn omission(&self, known: &ReadyBackend, latest_start: Option<Time>) -> Withdrawal {
-        let withdrawal = self.withdrawal(Condition::Gone);
-        // An older list may be from before the backend joined, unless it names one that started later.
-        let is_before_join = self.lowest_version(known.named_by) == self.version;
-        let may_predate =
-            self.order == ListOrder::Older && is_before_join && latest_start > self.latest_start;
-        let origin = if may_predate { Origin::Outdated } else { withdrawal.origin };
-        Withdrawal { omitted: true, origin, ..withdrawal }
-    }
-
-    /// A ready backend that this list names.
-    fn ready(&self, entry: &BackendEntry) -> BackendState {
-        let named_by = Some((self.agent, self.version));
-        BackendState::Ready(ReadyBackend { entry: entry.clone(), named_by })
-    }
-
-    /// The lower one of this list's version and that of an earlier list of the same agent.
-    fn lowest_version(&self, earlier: Option<(SocketAddr, u64)>) -> u64 {
-        let earlier = earlier.filter(|(agent, _)| *agent == self.agent);
-        earlier.map_or(self.version, |(_, version)| version.min(self.version))
-    }
-
-    /// Whether a backend without a record is new, and not one that a newer whole list no longer names.
-    fn adds_backend(&self, entry: &BackendEntry) -> bool {
-        let is_newer = matches!(self.order, ListOrder::First | ListOrder::Newer);
-        let is_unheard = self.complete_at.is_none() || entry.listed_start > self.complete_at;
-        is_newer || is_unheard || self.follows_restart && !self.may_have_ended(entry)
-    }
-
-    /// Whether the entry may be of a process that newer lists have withdrawn already: it started shortly before
-    /// the highest version, and no list with its start has arrived.
-    fn may_have_ended(&self, entry: &BackendEntry) -> bool {
-        let is_newer = matches!(self.order, ListOrder::First | ListOrder::Newer);
-        let (Some(started), Some(complete_at)) = (entry.listed_start, self.complete_at) else { return false };
-        !is_newer && started <= complete_at && complete_at.since(started) < MAX_UNSEEN_TIME
-    }
-
-    /// Whether the known entry of a ready backend is kept instead of that of this list, which may be about an
-    /// earlier process or address.
-    fn keeps(&self, known: &BackendEntry, entry: &BackendEntry) -> bool {
-        match self.order {
-            ListOrder::Newer => false,
-            ListOrder::First | ListOrder::Same => entry.listed_start < known.listed_start,
-            ListOrder::Older => entry.listed_start <= known.listed_start,
-        }
-    }
-}
