Lab: a list that is not newer does not end a drain for the rule

Now it ends only with a newer version or with a restart of the backend. rules.rs: the case of a ready report at the version of the drain expected no breach and now expects one; the newer version, the older one, the restart and an older second report stand beside it.

--- a/crates/lab/src/rules.rs
+++ b/crates/lab/src/rules.rs
@@ -106,6 +106,9 @@
     abandoned: BTreeSet<String>,
     /// By proxy and backend: when the agent announced the backend's state, and whether it was ready.
     announcements: BTreeMap<(String, String), Vec<(Timestamp, bool)>>,
+    /// By proxy and backend that is not ready: when that was first announced, and the highest version of the list
+    /// that did.
+    withdrawals: BTreeMap<(String, String), (Timestamp, u64)>,
     /// By proxy and backend: the latest announced state, which a restarted proxy knows from its start.
     latest_health: BTreeMap<(String, String), bool>,
     downtimes: Spans,
@@ -178,10 +181,8 @@
                 self.offered.entry(component.clone()).or_default().push(t);
             }
             RecordKind::CallerGone { id, .. } => drop(self.abandoned.insert(id.clone())),
-            RecordKind::HealthReported { proxy, host, health, .. } => {
-                let announcements = self.announcements.entry((proxy.clone(), host.clone())).or_default();
-                announcements.push((t, health == "Ready"));
-                self.latest_health.insert((proxy.clone(), host.clone()), health == "Ready");
+            RecordKind::HealthReported { proxy, host, health, seq } => {
+                self.add_announcement(t, (proxy.clone(), host.clone()), health == "Ready", *seq);
             }
             RecordKind::ProxyDown { proxy, how } => {
                 start_span(&mut self.downtimes, proxy, t, how);
@@ -214,6 +215,29 @@
         }
     }
 
+    /// Adds an announcement. A list that is not newer than the one that withdrew a backend does not end the
+    /// withdrawal, unless the backend has restarted since. Lists of the lab's own balancer have no version (0).
+    fn add_announcement(&mut self, t: Timestamp, key: (String, String), ready: bool, version: u64) {
+        if ready {
+            let withdrawal = self.withdrawals.get(&key).copied();
+            let restarted_after = |since: Timestamp| {
+                self.starts.get(&key.1).is_some_and(|starts| starts.iter().any(|(at, _)| *at > since))
+            };
+            let is_older = |(since, withdrawn_in): (Timestamp, u64)| {
+                version > 0 && version <= withdrawn_in && !restarted_after(since)
+            };
+            if withdrawal.is_some_and(is_older) {
+                return;
+            }
+            self.withdrawals.remove(&key);
+        } else {
+            let withdrawal = self.withdrawals.entry(key.clone()).or_insert((t, version));
+            withdrawal.1 = withdrawal.1.max(version);
+        }
+        self.latest_health.insert(key.clone(), ready);
+        self.announcements.entry(key).or_default().push((t, ready));
+    }
+
     /// How long planned faults kept a proxy from running within a time span.
     fn paused_time(&self, proxy: &str, from: Timestamp, to: Timestamp) -> Micros {
         let mut all = Micros::ZERO;
--- a/crates/lab/tests/rules.rs
+++ b/crates/lab/tests/rules.rs
@@ -79,8 +79,13 @@
 }
 
 fn health_reported(ms: i64, host: &str, health: &str) -> Record {
+    health_reported_in(7, ms, host, health)
+}
+
+/// A report of the list of version `seq`.
+fn health_reported_in(seq: u64, ms: i64, host: &str, health: &str) -> Record {
     let (proxy, host, health) = (PROXY.to_string(), host.to_string(), health.to_string());
-    record(ms, "front/a", RecordKind::HealthReported { proxy, host, health, seq: 7 })
+    record(ms, "front/a", RecordKind::HealthReported { proxy, host, health, seq })
 }
 
 fn proxy_down(ms: i64, how: &str) -> Record {
@@ -274,7 +279,16 @@
     // are not affected.
     let again = [drain[0].clone(), health_reported(1400, "front/s-2", "Terminating")];
     assert_eq!(breaches_at(1460, &again), [Rule::DrainGrace]);
-    assert!(breaches_at(1960, &[drain[0].clone(), health_reported(1500, "front/s-2", "Ready")]).is_empty());
+    let ready = |seq| health_reported_in(seq, 1500, "front/s-2", "Ready");
+    assert!(breaches_at(1960, &[drain[0].clone(), ready(8)]).is_empty());
+    // A list of the same or of an older version does not end the drain, unless the backend has restarted.
+    for seq in [7, 6] {
+        assert_eq!(breaches_at(1960, &[drain[0].clone(), ready(seq)]), [Rule::DrainGrace]);
+        let restart = record(1200, "front/s-2", RecordKind::Started { warm: true, generation: 2 });
+        assert!(breaches_at(1960, &[drain[0].clone(), restart, ready(seq)]).is_empty());
+    }
+    let older_drain = [drain[0].clone(), health_reported_in(5, 1300, "front/s-2", "Gone"), ready(7)];
+    assert_eq!(breaches_at(1960, &older_drain), [Rule::DrainGrace], "an older report lowers no version");
     assert!(breaches_at(1960, &[health_reported(1000, "front/s-3", "Terminating")]).is_empty());
     // A restarted proxy has not been told yet.
     let up = record(1700, "lab", RecordKind::ProxyUp { proxy: PROXY.to_string() });
