--- a/crates/proxy/tests/fault_matrix.rs
+++ b/crates/proxy/tests/fault_matrix.rs
@@ -97,7 +97,10 @@
     let records = clients.finish();
     assert_eq!(code, Some(0), "{case}: the proxy exits before SIGKILL");
     let faults = vec![InjectedFault { fault, side, from, to }];
-    check_run(&case, &RunRecord { records, arrivals, faults, fault_free, sigterm_at });
+    check_run(
+        &case,
+        &RunRecord { start: from, records, arrivals, faults, fault_free, sigterms: vec![sigterm_at] },
+    );
 }
 
 #[test]
--- a/crates/proxy/tests/fault_soak.rs
+++ b/crates/proxy/tests/fault_soak.rs
@@ -94,7 +94,7 @@
     drop(idle_connections);
     check_run(
         &format!("seed {seed}"),
-        &RunRecord { records, arrivals, faults: injected, fault_free, sigterm_at },
+        &RunRecord { start, records, arrivals, faults: injected, fault_free, sigterms: vec![sigterm_at] },
     );
 }
 
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -107,8 +107,18 @@
     /// Starts a proxy with a management listener, at the given listen address and with extra environment
     /// variables.
     pub fn start_managed(backends: &[&TcpListener], listen: &str, environment: &[(&str, &str)]) -> Proxy {
+        Proxy::start_managed_with(backends, listen, &settings(5000, ""), environment)
+    }
+
+    /// As `start_managed`, with these settings.
+    pub fn start_managed_with(
+        backends: &[&TcpListener],
+        listen: &str,
+        settings: &str,
+        environment: &[(&str, &str)],
+    ) -> Proxy {
         let addresses = format!(r#""listen":"{listen}","management":"127.0.0.1:0""#);
-        Proxy::spawn(config(backends, 1024, &settings(5000, ""), &addresses), 1024, environment)
+        Proxy::spawn(config(backends, 1024, settings, &addresses), 1024, environment)
     }
 
     /// Starts the proxy with the given JSON keys for its addresses.
--- a/crates/proxy/tests/soak/checks.rs
+++ b/crates/proxy/tests/soak/checks.rs
@@ -8,6 +8,8 @@
 
 /// Time after SIGTERM from which on the proxy closes open connections.
 const CLOSES_AFTER: Duration = Duration::from_millis(550);
+/// Time after SIGTERM at which the proxy has ended.
+const MAX_SHUTDOWN_TIME: Duration = Duration::from_millis(2_000);
 /// A fault may end a connection up to this long before the client sends on it, too late for the client to
 /// detect it before sending.
 const UNSEEN_CLOSE: Duration = Duration::from_millis(20);
@@ -26,14 +28,15 @@
 
 /// What a run has recorded.
 pub struct RunRecord {
+    pub start: Instant,
     pub records: Vec<RequestRecord>,
     /// Requests received, by backend.
     pub arrivals: Vec<Arrivals>,
     pub faults: Vec<InjectedFault>,
     /// Start and end of the time without faults in which requests have to be served.
     pub fault_free: (Instant, Instant),
-    /// When SIGTERM was sent.
-    pub sigterm_at: Instant,
+    /// When SIGTERM was sent, to each process of the proxy.
+    pub sigterms: Vec<Instant>,
 }
 
 /// Panics if any check fails; `case` names the run.
@@ -56,22 +59,22 @@
     }
     let (count, shown) =
         (violations.len(), violations.iter().take(5).cloned().collect::<Vec<_>>().join("\n"));
-    let start = run.faults[0].from;
+    let start = run.start;
     let describe = |injected: &InjectedFault| {
         let (from, to) = (injected.from - start, injected.to - start);
         format!("{from:?} to {to:?} {:?} {:?}", injected.fault, injected.side)
     };
     let faults = run.faults.iter().map(describe).collect::<Vec<_>>().join("\n");
-    let sigterm_at = run.sigterm_at - start;
+    let sigterms: Vec<_> = run.sigterms.iter().map(|at| *at - start).collect();
     assert!(
         violations.is_empty(),
-        "{case}: {count} violations\n{shown}\nSIGTERM at {sigterm_at:?}, faults:\n{faults}"
+        "{case}: {count} violations\n{shown}\nSIGTERM at {sigterms:?}, faults:\n{faults}"
     );
 }
 
 /// Describes a request that got no complete response in time, unless a fault or the shutdown excuses that.
 fn check_answered(record: &RequestRecord, run: &RunRecord) -> Option<String> {
-    let start = run.faults[0].from;
+    let start = run.start;
     let violation = || {
         Some(format!(
             "no complete response, sent at {:?}, ended at {:?}: {record:?}",
@@ -97,7 +100,9 @@
     let arrived = run.arrivals.iter().any(|all| !all.with_id(&record.id).is_empty());
     // The request was sent while the proxy closed its connection, or the listener, during the shutdown, and
     // was never read.
-    let crossed_close = record.sent > run.sigterm_at + CLOSES_AFTER
+    let is_shutting_down =
+        |at: &Instant| record.sent > *at + CLOSES_AFTER && record.sent < *at + MAX_SHUTDOWN_TIME;
+    let crossed_close = run.sigterms.iter().any(is_shutting_down)
         && !arrived
         && matches!(record.end, RequestEnd::ConnectionEnded { bytes: 0, .. })
         && record.ended - record.sent < SLACK;
--- a/crates/proxy/tests/soak/mod.rs
+++ b/crates/proxy/tests/soak/mod.rs
@@ -4,5 +4,6 @@
 
 pub mod checks;
 pub mod clients;
+pub mod discovery;
 pub mod faults;
 pub mod stub_servers;
