Hand the present list over while the whole list is requested

Callers saw: nothing yet; a successor started with the old list of its configuration. Cause: the state of a handover took the version that the next list request names, which is none while the whole list is requested, and then left the list out. Change: Discovery keeps agent and version of the list that was applied apart from the version that the next request names.

The agent now counts nothing as told on a closed connection, and repeats a version with other contents only where the process has that version.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -37,8 +37,10 @@
     /// always outstanding.
     pushed: bool,
     zone_names: Vec<String>,
-    /// The version of the list that the proxy has; `None` requests the full list.
+    /// The version that the next request names; `None` requests the full list.
     version: Option<u64>,
+    /// The agent and the version of the list that the proxy has, also while the full list is requested.
+    applied: Option<(SocketAddr, u64)>,
     /// The long-poll time of this proxy's requests. It is short because a connection that dies without being
     /// closed shows only by an overdue response: until then, all changes to the list stay unseen.
     long_poll_wait: Span,
@@ -94,6 +96,7 @@
             pushed,
             zone_names,
             version,
+            applied: agent.zip(version),
             long_poll_wait,
             stream,
             connection_number: 0,
@@ -113,9 +116,9 @@
         self.connection_number
     }
 
-    /// The agent, and the version of the current list.
+    /// The agent that the current list comes from, and its version.
     pub fn agent_and_version(&self) -> (Option<SocketAddr>, Option<u64>) {
-        (self.agent, self.version)
+        self.applied.map_or((self.agent, None), |(agent, version)| (Some(agent), Some(version)))
     }
 
     /// Requests changes to the current list, unless such a request is outstanding.
@@ -344,6 +347,7 @@
         let Some(list) = self.awaited.take() else { return };
         let unchanged = list.is_empty || self.version == Some(list.version);
         if let Some(applied) = applied {
+            self.applied = self.agent.map(|agent| (agent, list.version));
             self.continue_from(&list, applied.needs_whole_list);
         }
         // Guards against a busy loop at an agent that responds at once with nothing new. A list service that
--- a/crates/proxy/tests/discovery_soak.rs
+++ b/crates/proxy/tests/discovery_soak.rs
@@ -109,16 +109,15 @@
     timer.join().unwrap();
     let records = clients.finish();
     drop(idle_connections);
-    check_backends(seed, &world.lock().unwrap(), &arrivals, fault_free, start);
-    check_run(
-        &format!("seed {seed}"),
-        &RunRecord { start, records, arrivals, faults: Vec::new(), fault_free, sigterms },
-    );
+    let case =
+        format!("seed {seed}, SIGTERM at {:?}", sigterms.iter().map(|at| *at - start).collect::<Vec<_>>());
+    check_backends(&case, &world.lock().unwrap(), &arrivals, fault_free, start);
+    check_run(&case, &RunRecord { start, records, arrivals, faults: Vec::new(), fault_free, sigterms });
 }
 
 /// Checks which backends got requests.
 fn check_backends(
-    seed: u64,
+    case: &str,
     world: &World,
     arrivals: &[helper::Arrivals],
     fault_free: (Instant, Instant),
@@ -134,7 +133,7 @@
         let late = world.late_requests(number, &times, DRAIN_GRACE);
         assert!(
             late.is_empty(),
-            "seed {seed}: {} late requests, {:?}, start {start:?}\n{}",
+            "{case}: {} late requests, {:?}, start {start:?}\n{}",
             late.len(),
             late[0],
             history()
@@ -143,7 +142,7 @@
         let is_used = times.iter().any(|at| (fault_free.0..fault_free.1).contains(at));
         assert!(
             is_used || !is_ready || !world.restarts_only(),
-            "seed {seed}: h{number} is ready and gets no requests\n{}",
+            "{case}: h{number} is ready and gets no requests\n{}",
             history()
         );
     }
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -143,7 +143,13 @@
     ) -> Proxy {
         let (mut child, log) = spawn_proxy(&config, descriptors, &path, environment);
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| log.0.send(line)));
+        let pid = child.id();
+        std::thread::spawn(move || {
+            lines.map_while(Result::ok).try_for_each(|line| {
+                keep_log_line(pid, &line);
+                log.0.send(line)
+            })
+        });
         let (mut address, mut management) = (String::new(), String::new());
         while address.is_empty() {
             let line = log.1.recv_timeout(MAX_WAIT).expect("the proxy logs its listen address");
@@ -271,6 +277,13 @@
     }
 }
 
+/// Appends a log line of a proxy process to the file that `TEST_PROXY_LOG` names, if it is set.
+fn keep_log_line(pid: u32, line: &str) {
+    let Some(path) = std::env::var_os("TEST_PROXY_LOG") else { return };
+    let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+    let _ = file.and_then(|mut file| file.write_all(format!("{pid} {line}\n").as_bytes()));
+}
+
 /// A child process that is killed on drop.
 pub struct KillOnDrop(pub Child);
 
--- a/crates/proxy/tests/older_lists.rs
+++ b/crates/proxy/tests/older_lists.rs
@@ -314,6 +314,24 @@
     }
 }
 
+/// Guards against a successor that starts with the list of its configuration because its predecessor was waiting for
+/// the whole list at that moment.
+#[test]
+fn list_is_handed_over_while_the_whole_list_is_requested() {
+    let (tier, listeners) = Tier::start(3);
+    let (folder, listen) = helper::handover_folder_and_address("pending-list");
+    let environment = [("TMPDIR", folder.to_str().unwrap())];
+    let old = Proxy::start_managed(&listeners[..2].iter().collect::<Vec<_>>(), &listen, &environment);
+    let mut watch = Watch::accept(&old.discovery);
+    watch.answer(&tier.list(6, false, &[gone(0), ready(2)]));
+    watch.answer(&tier.list(5, false, &[ready(0)]));
+    assert_eq!(watch.index(), None);
+    let new = old.start_successor(&old.discovery, &environment);
+    old.signal("-TERM");
+    assert_eq!(old.wait_for_exit(), Some(0));
+    assert_eq!(tier.used_backends(&new), BTreeSet::from([1, 2]));
+}
+
 /// Guards against a withdrawal that only one of two processes hears during a handover: an answer to the other one
 /// may be older.
 #[test]
--- a/crates/proxy/tests/soak/discovery.rs
+++ b/crates/proxy/tests/soak/discovery.rs
@@ -231,6 +231,12 @@
     let _ = conn.set_read_timeout(Some(Duration::from_secs(20)));
     let _ = conn.set_nodelay(true);
     while let Some((index, wait)) = read_request(&mut conn) {
+        let is_open = |conn: &TcpStream| {
+            let _ = conn.set_nonblocking(true);
+            let ended = matches!(conn.peek(&mut [0]), Ok(0));
+            let _ = conn.set_nonblocking(false);
+            !ended
+        };
         let answer = world.lock().unwrap().draw();
         let index = index.map(|index| index.saturating_sub(offset));
         let deadline = Instant::now() + wait;
@@ -238,6 +244,10 @@
         while waits && index == Some(world.lock().unwrap().latest()) && Instant::now() < deadline {
             std::thread::sleep(POLL_INTERVAL);
         }
+        // A process that has ended is told nothing.
+        if !is_open(&conn) {
+            return;
+        }
         if !send_answer(&mut conn, world, offset, index, answer) {
             return;
         }
@@ -266,8 +276,10 @@
             (Some(old), locked.list(old, false, &locked.changed_hosts(from, old)))
         }
         Answer::SameVersion => {
-            let known = locked.told.last().map_or(latest, |(_, version)| *version);
-            (None, locked.list(known, false, &locked.whole_hosts(old)))
+            // The version that this process has: contents of a version that it has not seen would be a first
+            // answer, not another one.
+            let known = index.unwrap_or(old).clamp(locked.first_version, latest);
+            (None, locked.list(known, false, &locked.whole_hosts(old.min(known))))
         }
         Answer::Doubled => {
             let mut hosts = locked.whole_hosts(latest);
