Let the longest time run for a withheld backend while no list names it again

Callers saw: nothing yet; a backend that one list of the highest version omitted stayed out for good if nothing changed afterwards. Cause: changes that don't name a withdrawn backend counted as a confirmation, also where the list that they follow had named it as ready. Evidence: backend_that_one_list_of_the_version_omits_returns_after_the_longest_time failed before. Change: what changes don't name is as it was at their base, so a withheld entry of the base stays, and its time runs on.

--- a/crates/proxy/src/list_history.rs
+++ b/crates/proxy/src/list_history.rs
@@ -240,7 +240,7 @@
                 known.entry = entry.clone();
             }
             BackendState::Withdrawn(withdrawal) if !restarted && !withdrawal.is_lifted_by(context) => {
-                withheld.push(withdrawal.withhold(&entry, context.now));
+                withheld.push(withdrawal.withhold(&entry, context));
                 (entry.listing.condition, entry.listed_start) = (withdrawal.condition, record.latest_start);
                 return (withdrawal.condition == Condition::Draining).then_some(entry);
             }
@@ -326,8 +326,13 @@
             let knows_withdrawal = context.version >= withdrawal.version;
             // What changes don't name is as it was at their base.
             let was_out_at_base = Some(withdrawal.confirmed_in) == context.base;
-            if knows_withdrawal {
-                withdrawal.withheld = None;
+            // The same holds for a backend that the base named as ready all the same.
+            match &mut withdrawal.withheld {
+                Some(withheld) if Some(withheld.version) == context.base => {
+                    withheld.version = context.version
+                }
+                withheld if knows_withdrawal => *withheld = None,
+                _ => {}
             }
             if was_out_at_base {
                 withdrawal.confirmed_in = context.version;
--- a/crates/proxy/src/list_history/withdrawal.rs
+++ b/crates/proxy/src/list_history/withdrawal.rs
@@ -47,6 +47,8 @@
 /// An entry for a ready backend that is not applied.
 pub struct Withheld {
     pub entry: BackendEntry,
+    /// The version of the latest list that names it so, or that follows one that did.
+    pub version: u64,
     /// Since when lists have named the backend as ready, without one that confirms the withdrawal.
     pub since: Time,
 }
@@ -82,9 +84,10 @@
     }
 
     /// Keeps the entry of a list that names the backend as ready all the same.
-    pub fn withhold(&mut self, entry: &BackendEntry, now: Time) -> WithheldBackend {
+    pub fn withhold(&mut self, entry: &BackendEntry, list: &ListContext) -> WithheldBackend {
         let since = self.withheld.as_ref().map(|withheld| withheld.since);
-        self.withheld = Some(Withheld { entry: entry.clone(), since: since.unwrap_or(now) });
+        self.withheld =
+            Some(Withheld { entry: entry.clone(), version: list.version, since: since.unwrap_or(list.now) });
         WithheldBackend { host: entry.host.clone(), withdrawn_at: self.version, first: since.is_none() }
     }
 
--- a/crates/proxy/tests/list_history.rs
+++ b/crates/proxy/tests/list_history.rs
@@ -299,3 +299,22 @@
         }
     }
 }
+
+/// Guards against a backend that is out for good because one list of a version omitted it and the others of that
+/// version don't count as newer. Nothing else changes, so no list ever names it again.
+#[test]
+fn backend_that_one_list_of_the_version_omits_returns_after_the_longest_time() {
+    let all = Discovery::new(40, false);
+    let mut some = all.state(40).clone();
+    some.remove(&1);
+    let mut proxy = Proxy::new(whole_list(39, all.state(40)));
+    proxy.receive(whole_list(40, &some));
+    proxy.receive(whole_list(40, all.state(40)));
+    assert!(!proxy.uses(1), "the version is not newer");
+    for _ in 0..2 {
+        assert!(!proxy.uses(1));
+        proxy.now = proxy.now + MAX_WITHHELD_TIME.scaled(0.5);
+        proxy.receive(BackendList { version: 40, full: false, entries: Vec::new() });
+    }
+    assert!(proxy.uses(1));
+}
