Request the whole list after old changes that withdraw a backend, also from a list service

Callers saw: nothing yet; a backend that had returned without a restart stayed out for good after an old answer from before its return. Cause: where one service answers all proxies, changes of an old version were followed by one more request for changes. Where nothing changed since, these are empty, so no list named the backend again. Evidence: backend_that_old_changes_drain_returns_with_the_whole_list failed before where lists are fetched on request. Change: old changes that withdraw a backend are followed by a request for the whole list in both forms.

--- a/crates/proxy/src/list_history.rs
+++ b/crates/proxy/src/list_history.rs
@@ -69,8 +69,9 @@
     pub withheld: Vec<WithheldBackend>,
     /// Whether the backends that the list omits are kept, because it would leave no backend ready.
     pub omissions_ignored: bool,
-    /// The changes that follow may lack some: either this list was not applied whole, or its changes lead from an
-    /// older version past the highest one, and what follows an old answer may be old as well.
+    /// The changes that follow may lack some: this list was not applied whole, its changes are old and withdraw
+    /// backends, or they lead from an older version past the highest one, and what follows an old answer may be
+    /// old as well.
     pub needs_whole_list: bool,
 }
 
@@ -121,6 +122,10 @@
         merged
     }
 
+    fn ready_count(&self) -> usize {
+        self.records.values().filter(|record| record.withdrawal().is_none()).count()
+    }
+
     /// Number of backends that lists name as ready and that stay withdrawn.
     pub fn withheld_count(&self) -> usize {
         let withheld = |record: &&BackendRecord| record.withdrawal().is_some_and(|w| w.withheld.is_some());
@@ -167,7 +172,7 @@
     ) -> MergedList {
         let context = ListContext::new(&list, base, agent, self.agents.get(&agent), now);
         let named: BTreeSet<_> = list.entries.iter().map(|entry| entry.listing.backend).collect();
-        let (is_complete, mut withheld) = (list.full, Vec::new());
+        let (is_complete, ready_before, mut withheld) = (list.full, self.ready_count(), Vec::new());
         let entries = std::mem::take(&mut list.entries);
         list.entries = entries
             .into_iter()
@@ -181,7 +186,8 @@
         list.entries.extend(self.release_withheld(&context));
         let (version, order) = (list.version, context.order);
         self.record_version(agent, version, now).record_answer(order, version, is_complete, now);
-        let needs_whole_list = context.leads_past_highest || omissions_ignored;
+        let withdrew_by_old_changes = context.goes_back && self.ready_count() < ready_before;
+        let needs_whole_list = context.leads_past_highest || omissions_ignored || withdrew_by_old_changes;
         MergedList { list, order, withheld, omissions_ignored, needs_whole_list }
     }
 
--- a/crates/proxy/src/list_history/context.rs
+++ b/crates/proxy/src/list_history/context.rs
@@ -50,6 +50,8 @@
     /// The list has changes from a version below the highest one up to that or a later one. Changes that follow
     /// an old answer may be old as well, so some may be missing.
     pub leads_past_highest: bool,
+    /// The list has changes of a version below the requested one.
+    pub goes_back: bool,
     pub order: ListOrder,
     pub now: Time,
     /// The latest start time that the list states.
@@ -102,6 +104,7 @@
             whole: list.full,
             base,
             leads_past_highest: !list.full && order != ListOrder::Older && base_is_old,
+            goes_back: !list.full && base.is_some_and(|base| version < base),
             order,
             now,
             latest_start: list.entries.iter().filter_map(|entry| entry.listed_start).max(),
--- a/crates/proxy/tests/older_lists.rs
+++ b/crates/proxy/tests/older_lists.rs
@@ -478,6 +478,25 @@
     }
 }
 
+/// Guards against a backend that is out for good because an old list drained it, and no list that follows names it:
+/// nothing has changed.
+#[test]
+fn backend_that_old_changes_drain_returns_with_the_whole_list() {
+    for mode in [PUSHED, ON_REQUEST] {
+        let (tier, listeners) = Tier::start(2);
+        let settings = settings(5000, "").replace(PUSHED, mode);
+        let proxy = Proxy::start_with(&listeners.iter().collect::<Vec<_>>(), 1024, &settings);
+        let mut watch = Watch::accept(&proxy.discovery);
+        watch.answer(&tier.list(5, false, &[draining(0)]));
+        watch.answer(&tier.list(7, false, &[ready(0)]));
+        tier.wait_until_used(&proxy, 0);
+        watch.answer(&tier.list(5, false, &[draining(0)]));
+        assert_eq!(watch.index(), None, "{mode}");
+        watch.answer(&tier.list(7, true, &[ready(0), ready(1)]));
+        tier.wait_until_used(&proxy, 0);
+    }
+}
+
 /// Guards against a watch that spins on an agent which answers each request at once with an older version.
 #[test]
 fn agent_that_answers_at_once_with_an_older_version_is_asked_at_a_bounded_rate() {
