Spread the whole lists that are requested again from one list service

Callers saw: nothing; found in review of this fix. Change: each proxy waits up to 1.5 s, a time of its own, as for its first request. Test: whole_lists_are_requested_from_a_list_service_at_different_times.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -25,6 +25,9 @@
 /// of the service's list: at most 1.25 s of long polling, 2 s of grace and a pause of 1.5 s, which leaves
 /// 1.25 s for the response.
 const ON_REQUEST_GRACE: Span = Span::from_millis(2_000);
+/// The longest time before a list service is asked for the full list because changes may be missing: all proxies
+/// of a fleet receive the same answers, and they must not all ask at once.
+const MAX_FULL_LIST_DELAY: Span = Span::from_millis(1_500);
 /// Least time between the starts of requests that fail, or return nothing new, without waiting.
 const MIN_REQUEST_INTERVAL: Span = Span::from_millis(100);
 const MAX_LIST_BYTES: usize = 4 * 1024 * 1024;
@@ -44,6 +47,8 @@
     /// The long-poll time of this proxy's requests. It is short because a connection that dies without being
     /// closed shows only by an overdue response: until then, all changes to the list stay unseen.
     long_poll_wait: Span,
+    /// This proxy's delay before it asks a list service for the full list once more.
+    full_list_delay: Span,
     stream: Option<BufferedStream>,
     /// The number of the current connection, by which events of earlier connections are recognized and
     /// ignored.
@@ -98,6 +103,7 @@
             version,
             applied: agent.zip(version),
             long_poll_wait,
+            full_list_delay: if pushed { Span::ZERO } else { MAX_FULL_LIST_DELAY.scaled(jitter) },
             stream,
             connection_number: 0,
             head,
@@ -357,8 +363,10 @@
             Some(ListOrder::First | ListOrder::Newer) if !unchanged => Span::ZERO,
             _ => MIN_REQUEST_INTERVAL,
         };
-        if io.now < self.requested_at + interval {
-            self.deadline = Some(io.deadlines.set(self.requested_at + interval, TimerEvent::Discovery));
+        let delay = if self.version.is_none() { self.full_list_delay } else { Span::ZERO };
+        let request_at = (self.requested_at + interval).max(io.now + delay);
+        if io.now < request_at {
+            self.deadline = Some(io.deadlines.set(request_at, TimerEvent::Discovery));
         } else {
             self.send_request(io);
         }
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -92,6 +92,13 @@
         Proxy::start_limited(backends, sockets, sockets, settings)
     }
 
+    /// Starts the proxy with another seed (hexadecimal).
+    pub fn start_seeded(backends: &[&TcpListener], settings: &str, seed: &str) -> Proxy {
+        let (text, discovery) = config(backends, 1024, settings, r#""listen":"127.0.0.1:0""#);
+        let text = text.replace(r#""seed":"1f""#, &format!(r#""seed":"{seed}""#));
+        Proxy::spawn((text, discovery), 1024, &[])
+    }
+
     /// Starts the proxy with a limit of open descriptors (`ulimit -n`) other than the configured number of
     /// sockets.
     pub fn start_limited(
--- a/crates/proxy/tests/older_lists.rs
+++ b/crates/proxy/tests/older_lists.rs
@@ -513,6 +513,28 @@
     }
 }
 
+/// Guards against a fleet whose proxies all ask a list service for the whole list at once, because all of them
+/// received the same old answer. Where lists are pushed, each asks the agent on its own machine.
+#[test]
+fn whole_lists_are_requested_from_a_list_service_at_different_times() {
+    let delay = |mode: &str, seed: &str| {
+        let (tier, listeners) = Tier::start(2);
+        let settings = settings(5000, "").replace(PUSHED, mode);
+        let proxy = Proxy::start_seeded(&listeners.iter().collect::<Vec<_>>(), &settings, seed);
+        let mut watch = Watch::accept(&proxy.discovery);
+        watch.answer(&tier.list(3, true, &[ready(0), ready(1)]));
+        let start = Instant::now();
+        watch.answer(&tier.list(4, false, &[draining(0)]));
+        assert_eq!(watch.index(), None);
+        start.elapsed()
+    };
+    assert!(delay(PUSHED, "1f") < Duration::from_millis(300));
+    let mut delays = ["1f", "2e", "3d", "4c", "5b"].map(|seed| delay(ON_REQUEST, seed));
+    delays.sort();
+    assert!(delays[4] < Duration::from_millis(2_000), "{delays:?}");
+    assert!(delays[4] - delays[0] > Duration::from_millis(300), "{delays:?}");
+}
+
 /// Guards against reports of each older answer that would fill the log, and against none at all.
 #[test]
 fn older_lists_are_logged_and_counted() {
