Tests of old lists: send several requests at once and wait until all expected backends are used

A test failed once beside the soak, six beside ten busy processes: of two ready backends one got none of 30 requests. The processes' logs (TEST_PROXY_LOG) show no list that withdrew it and no ejection: requests that come one at a time all go to the backend that answered faster, which is how the decision module chooses. The check relied on chance there. In its place, as strict: at no time may another backend than the expected ones get a request, and each of these has to get one within 8 s.

--- a/crates/proxy/tests/older_lists.rs
+++ b/crates/proxy/tests/older_lists.rs
@@ -13,8 +13,9 @@
 
 const PUSHED: &str = r#""discovery":"pushed""#;
 const ON_REQUEST: &str = r#""discovery":"on_request""#;
-/// Requests after which every eligible backend has been sent one.
-const PROBE_REQUESTS: usize = 30;
+/// Rounds of requests that are sent at once, fewer than one backend's limit refuses.
+const PROBE_ROUNDS: usize = 6;
+const CONCURRENT_REQUESTS: usize = 6;
 /// Time in which a returning backend gets its first request; its slow start delays that.
 const RETURN_TIME: Duration = Duration::from_secs(8);
 /// Start times of two processes of one backend, in Unix milliseconds.
@@ -64,17 +65,35 @@
         self.arrivals.iter().map(|arrivals| arrivals.all().len()).collect()
     }
 
-    /// The backends that get some of the next requests.
+    /// The backends that get some of the next requests. Several are sent at once: one after the other, all would
+    /// go to the backend that answers fastest.
     fn used_backends(&self, proxy: &Proxy) -> BTreeSet<usize> {
-        let before = self.arrival_counts();
-        for _ in 0..PROBE_REQUESTS {
-            let text = proxy.fetch(&request("GET", "/read", "4"));
-            assert!(text.ends_with("fine"), "{text}");
+        let (before, address) = (self.arrival_counts(), proxy.address.as_str());
+        for _ in 0..PROBE_ROUNDS {
+            std::thread::scope(|scope| {
+                for _ in 0..CONCURRENT_REQUESTS {
+                    scope.spawn(|| {
+                        let text = helper::fetch(address, &request("GET", "/read", "4"));
+                        assert!(text.ends_with("fine"), "{text}");
+                    });
+                }
+            });
         }
         let after = self.arrival_counts();
         (0..before.len()).filter(|number| after[*number] > before[*number]).collect()
     }
 
+    /// Checks that the next requests go to all of these backends and to no other one.
+    fn check_used<const N: usize>(&self, proxy: &Proxy, expected: [usize; N], case: &str) {
+        let (expected, mut used) = (BTreeSet::from(expected), BTreeSet::new());
+        let start = Instant::now();
+        while used != expected {
+            used.append(&mut self.used_backends(proxy));
+            assert!(used.is_subset(&expected), "{case}: {used:?} in place of {expected:?}");
+            assert!(start.elapsed() < RETURN_TIME, "{case}: only {used:?} of {expected:?}");
+        }
+    }
+
     fn wait_until_used(&self, proxy: &Proxy, number: usize) {
         let start = Instant::now();
         while !self.used_backends(proxy).contains(&number) {
@@ -138,7 +157,7 @@
     let mut watch = Watch::accept(&proxy.discovery);
     watch.answer(&tier.list(5, false, &[draining(0)]));
     watch.answer(&tier.list(6, false, &[gone(0)]));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]));
+    tier.check_used(&proxy, [1, 2], "after the last list");
     (tier, proxy, watch)
 }
 
@@ -146,7 +165,7 @@
 fn check_first_backend_stays_removed(mode: &str, list: impl Fn(&Tier) -> String) {
     let (tier, proxy, mut watch) = start_with_first_backend_gone(mode);
     watch.answer(&list(&tier));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]), "{mode}");
+    tier.check_used(&proxy, [1, 2], mode);
     watch.answer(&tier.list(7, true, &[ready(0), ready(1), ready(2)]));
     tier.wait_until_used(&proxy, 0);
 }
@@ -182,7 +201,7 @@
     for version in [5, 4, 5, 3] {
         let hosts = [if version == 5 { draining(0) } else { ready(0) }, ready(1)];
         watch.answer(&tier.list(version, true, &hosts));
-        assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1]), "after version {version}");
+        tier.check_used(&proxy, [1], &format!("after version {version}"));
     }
 }
 
@@ -197,7 +216,7 @@
     }
     let mut watch = Watch::accept(&proxy.discovery);
     watch.answer(&tier.list(4, true, &[ready(0), ready(1), ready(2)]));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]));
+    tier.check_used(&proxy, [1, 2], "after the last list");
 }
 
 /// Guards against a backend that an omission removed: a whole list removes what it does not name.
@@ -209,7 +228,7 @@
     watch.answer(&tier.list(5, true, &[ready(1), ready(2)]));
     for version in [4, 5] {
         watch.answer(&tier.list(version, true, &[ready(0), ready(1), ready(2)]));
-        assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]), "after version {version}");
+        tier.check_used(&proxy, [1, 2], &format!("after version {version}"));
     }
     watch.answer(&tier.list(6, false, &[ready(0)]));
     tier.wait_until_used(&proxy, 0);
@@ -222,7 +241,7 @@
     let mut watch = Watch::accept(&proxy.discovery);
     for (version, hosts) in [(5, [draining(0), ready(0)]), (6, [ready(0), draining(0)])] {
         watch.answer(&tier.list(version, false, &hosts));
-        assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1]), "{hosts:?}");
+        tier.check_used(&proxy, [1], &format!("{hosts:?}"));
     }
     let (earlier, later) = ((0, "Terminating", Some(FIRST_START_MS)), (0, "Ready", Some(SECOND_START_MS)));
     for (version, hosts) in [(7, [earlier, later]), (8, [later, earlier])] {
@@ -238,7 +257,7 @@
     watch.answer(&tier.list(7, true, &[]));
     assert_eq!(watch.index(), Some(6));
     watch.answer(&tier.list(7, false, &[draining(1)]));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([2]));
+    tier.check_used(&proxy, [2], "after the last list");
 }
 
 #[test]
@@ -251,7 +270,7 @@
         let mut watch = Watch::accept(agent);
         for version in versions {
             watch.answer(&tier.list(version, true, &all));
-            assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]), "after version {version}");
+            tier.check_used(&proxy, [1, 2], &format!("after version {version}"));
         }
     }
     let mut watch = Watch::accept(&first);
@@ -268,13 +287,13 @@
     proxy.switch_agent(&other);
     let mut watch = Watch::accept(&other);
     watch.answer(&tier.list(1_000, true, &all));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]));
+    tier.check_used(&proxy, [1, 2], "after the last list");
     watch.answer(&tier.list(1_001, false, &[draining(1)]));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([2]));
+    tier.check_used(&proxy, [2], "after the last list");
     proxy.switch_agent(&first);
     let mut watch = Watch::accept(&first);
     watch.answer(&tier.list(6, true, &[ready(1), ready(2)]));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([2]));
+    tier.check_used(&proxy, [2], "after the last list");
     watch.answer(&tier.list(6, false, &[(1, "Ready", Some(SECOND_START_MS))]));
     tier.wait_until_used(&proxy, 1);
 }
@@ -286,7 +305,7 @@
     let config = proxy.current_config();
     proxy.reconfigure(&config);
     watch.answer(&tier.list(4, true, &[ready(0), ready(1), ready(2)]));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]));
+    tier.check_used(&proxy, [1, 2], "after the last list");
 }
 
 #[test]
@@ -304,10 +323,10 @@
         old.signal("-TERM");
         assert_eq!(old.wait_for_exit(), Some(0));
         let mut watch = Watch::accept(&agent);
-        assert_eq!(tier.used_backends(&new), BTreeSet::from([1, 2]), "same agent: {same_agent}");
+        tier.check_used(&new, [1, 2], &format!("same agent: {same_agent}"));
         for _ in 0..2 {
             watch.answer(&tier.list(4, true, &[ready(0), ready(1), ready(2)]));
-            assert_eq!(tier.used_backends(&new), BTreeSet::from([1, 2]), "same agent: {same_agent}");
+            tier.check_used(&new, [1, 2], &format!("same agent: {same_agent}"));
         }
         watch.answer(&tier.list(7, false, &[(0, "Ready", Some(SECOND_START_MS))]));
         tier.wait_until_used(&new, 0);
@@ -329,7 +348,7 @@
     let new = old.start_successor(&old.discovery, &environment);
     old.signal("-TERM");
     assert_eq!(old.wait_for_exit(), Some(0));
-    assert_eq!(tier.used_backends(&new), BTreeSet::from([1, 2]));
+    tier.check_used(&new, [1, 2], "after the last list");
 }
 
 /// Guards against a withdrawal that only one of two processes hears during a handover: an answer to the other one
@@ -352,12 +371,12 @@
     old.wait_for_log("to=Gone");
     // Both processes accept requests.
     for _ in 0..3 {
-        assert_eq!(tier.used_backends(&new), BTreeSet::from([2]));
+        tier.check_used(&new, [2], "after the last list");
     }
     old.signal("-TERM");
     assert_eq!(old.wait_for_exit(), Some(0));
     new_watch.answer(&tier.list(5, true, &[ready(0), ready(1), ready(2)]));
-    assert_eq!(tier.used_backends(&new), BTreeSet::from([2]));
+    tier.check_used(&new, [2], "after the last list");
 }
 
 /// Guards against a first answer that is older than the list which the configuration contains.
@@ -373,7 +392,7 @@
     };
     let hosts = [entry("h9", 0), entry("h0", 1), entry("h1", 2)].join(",");
     watch.answer(&format!(r#"{{"seq":3,"whole":true,"hosts":[{hosts}]}}"#));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]));
+    tier.check_used(&proxy, [1, 2], "after the last list");
 }
 
 /// Guards against a backend that restarted and is drained again by an older report on its earlier process.
@@ -386,7 +405,7 @@
     watch.answer(&tier.list(7, false, &[(0, "Ready", Some(SECOND_START_MS))]));
     tier.wait_until_used(&proxy, 0);
     watch.answer(&tier.list(5, false, &[(0, "Terminating", Some(FIRST_START_MS))]));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([0, 1]));
+    tier.check_used(&proxy, [0, 1], "after the last list");
 }
 
 /// Guards against following nothing that discovery says after it has lost its versions.
@@ -398,9 +417,9 @@
     watch.answer(&tier.list(1006, false, &[gone(0)]));
     watch.answer(&tier.list(1, true, &[ready(0), ready(1), ready(2)]));
     assert_eq!(watch.index(), Some(1), "the agent knows no other version");
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]), "backends that were never removed serve");
+    tier.check_used(&proxy, [1, 2], "backends that were never removed serve");
     watch.answer(&tier.list(2, false, &[draining(1)]));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([2]), "its drains take effect");
+    tier.check_used(&proxy, [2], "its drains take effect");
     watch.answer(&tier.list(3, false, &[ready(3)]));
     tier.wait_until_used(&proxy, 3);
     watch.answer(&tier.list(4, true, &[ready(0), ready(2), ready(3), ready(4)]));
@@ -410,7 +429,7 @@
     watch.answer(&tier.list(6, false, &[ready(1)]));
     tier.wait_until_used(&proxy, 1);
     watch.answer(&tier.list(7, true, &[ready(1), ready(2)]));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]), "what a whole list omits is removed");
+    tier.check_used(&proxy, [1, 2], "what a whole list omits is removed");
 }
 
 /// Guards against a replica with the versions from before such a loss, which answers in between.
@@ -425,7 +444,7 @@
     watch.answer(&tier.list(2, false, &[draining(0)]));
     for version in [1005, 1006] {
         watch.answer(&tier.list(version, true, &[ready(0), ready(1), ready(2)]));
-        assert_eq!(tier.used_backends(&proxy), BTreeSet::from([1, 2]), "after version {version}");
+        tier.check_used(&proxy, [1, 2], &format!("after version {version}"));
     }
     watch.answer(&tier.list(1007, true, &[ready(0), ready(1), ready(2)]));
     tier.wait_until_used(&proxy, 0);
@@ -439,7 +458,7 @@
     let mut watch = Watch::accept(&proxy.discovery);
     watch.answer(&tier.list(5, false, &[gone(0), gone(1), ready(2)]));
     watch.answer(&tier.list(4, true, &[ready(0), ready(1)]));
-    assert_eq!(tier.used_backends(&proxy), BTreeSet::from([2]));
+    tier.check_used(&proxy, [2], "after the last list");
 }
 
 /// Guards against a backend that stays out because an older list, from before it joined, omits it.
