--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -38,7 +38,9 @@
                     let path = message.head.split(' ').nth(1).unwrap_or_default();
                     if path.starts_with("/health") || path.starts_with("/status") {
                         let body = "TEXT inflight=0, queue=0, util=0.1";
-                        if write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).is_err() {
+                        if write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+                            .is_err()
+                        {
                             return;
                         }
                         continue;
@@ -47,7 +49,10 @@
                     ran.lock().unwrap().insert(id.clone(), now_ms());
                     thread::sleep(WORK);
                     let sent = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
-                    note(&format!("backend answers {id}: {}", if sent.is_ok() { "written" } else { "connection broke" }));
+                    note(&format!(
+                        "backend answers {id}: {}",
+                        if sent.is_ok() { "written" } else { "connection broke" }
+                    ));
                 }
             });
         }
@@ -96,7 +101,9 @@
     let pieces = (duration.as_millis() / 20) as usize;
     let mut answered_early = false;
     for piece in 1..=pieces {
-        thread::sleep((began + Duration::from_millis(20) * piece as u32).saturating_duration_since(Instant::now()));
+        thread::sleep(
+            (began + Duration::from_millis(20) * piece as u32).saturating_duration_since(Instant::now()),
+        );
         // An answer or an end that comes before the last byte ends the upload.
         let _ = stream.set_nonblocking(true);
         let peeked = stream.peek(&mut [0; 1]);
@@ -153,7 +160,10 @@
         // The platform kills no sooner than the longest deadline and 0.7 s after SIGTERM; here later still.
         match proxy.wait(Duration::from_millis(u64::from(CUT_OFF_MS) + 2_000)) {
             Some(status) => {
-                say(&format!("the proxy ended by itself {:.0} ms after SIGTERM: {status}", now_ms() - signal_ms));
+                say(&format!(
+                    "the proxy ended by itself {:.0} ms after SIGTERM: {status}",
+                    now_ms() - signal_ms
+                ));
             }
             None => proxy.signal("KILL"),
         }
@@ -163,10 +173,13 @@
     let ran = ran.lock().unwrap();
     let (mut lost, mut served, mut refused, mut open) = (0, 0, 0, 0);
     for Upload { id, sent_ms, end_ms, end } in &results {
-        let sent = sent_ms.map_or("not sent whole".to_string(), |at| format!("sent whole at {:.0}", at - signal_ms));
+        let sent =
+            sent_ms.map_or("not sent whole".to_string(), |at| format!("sent whole at {:.0}", at - signal_ms));
         let run = ran.get(id).map_or("not run".to_string(), |at| format!("run at {:.0}", at - signal_ms));
         let ending = match end {
-            End::Status(status, own) => format!("status {status}{}", if *own { "" } else { ", own or no body" }),
+            End::Status(status, own) => {
+                format!("status {status}{}", if *own { "" } else { ", own or no body" })
+            }
             End::NoAnswer(why) => format!("no answer: {why}"),
         };
         note(&format!("{id}: {sent}, {run}, ended at {:.0} with {ending}", end_ms - signal_ms));
@@ -176,7 +189,10 @@
             // Taken for certain: a backend got its last byte, and ran it.
             End::NoAnswer(_) if sent_ms.is_some() && ran.contains_key(id) => {
                 lost += 1;
-                say(&format!("lost: {id} was {sent}, {run}, and ended at {:.0} with {ending}", end_ms - signal_ms));
+                say(&format!(
+                    "lost: {id} was {sent}, {run}, and ended at {:.0} with {ending}",
+                    end_ms - signal_ms
+                ));
             }
             End::NoAnswer(_) => open += 1,
         }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -38,7 +38,8 @@
                         *ran.lock().unwrap().entry(id.clone()).or_insert(0) += 1;
                         thread::sleep(Duration::from_millis(20));
                     }
-                    if write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len()).is_err() {
+                    if write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len()).is_err()
+                    {
                         return;
                     }
                 }
@@ -53,7 +54,8 @@
 fn bad_client(proxy: SocketAddr, id: &str) -> std::io::Result<String> {
     let hidden = request_head("POST", "book-slot", id, f64::from(CUT_OFF_MS) / 1000.0, 0);
     let length = if trouble() { BODY_BYTES } else { 0 };
-    let mut message = format!("GET /ready HTTP/1.1\r\nHost: api.internal\r\nContent-Length: {length}\r\n\r\n");
+    let mut message =
+        format!("GET /ready HTTP/1.1\r\nHost: api.internal\r\nContent-Length: {length}\r\n\r\n");
     if length > 0 {
         message.push_str(&"\r\n".repeat((length - hidden.len()) / 2));
         message.push_str(if hidden.len() % 2 == 0 { "" } else { "\n" });
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -66,9 +66,10 @@
 
 /// Sends a signal to a process that the case started.
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("/bin/kill").args([format!("-{name}"), pid.to_string()]).status().or_else(|_| {
-        Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).status()
-    });
+    let _ = Command::new("/bin/kill")
+        .args([format!("-{name}"), pid.to_string()])
+        .status()
+        .or_else(|_| Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).status());
 }
 
 pub fn started(pid: u32) {
@@ -144,7 +145,8 @@
     pub fn start(version: u64, hosts: Vec<Host>) -> Agent {
         let listener = TcpListener::bind("127.0.0.1:0").expect("no port for the agent");
         let address = listener.local_addr().unwrap();
-        let state = Arc::new((Mutex::new(AgentState { version, hosts, changes: Vec::new() }), Condvar::new()));
+        let state =
+            Arc::new((Mutex::new(AgentState { version, hosts, changes: Vec::new() }), Condvar::new()));
         let shared = state.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -191,9 +193,14 @@
             Some(index) => {
                 let wait = Duration::from_millis(number("wait").unwrap_or(0).min(60_000));
                 let state = state.lock().unwrap();
-                let (state, _) = changed.wait_timeout_while(state, wait, |state| state.version <= index).unwrap();
-                let news: Vec<Host> =
-                    state.changes.iter().filter(|(at, _)| *at > index).map(|(_, host)| host.clone()).collect();
+                let (state, _) =
+                    changed.wait_timeout_while(state, wait, |state| state.version <= index).unwrap();
+                let news: Vec<Host> = state
+                    .changes
+                    .iter()
+                    .filter(|(at, _)| *at > index)
+                    .map(|(_, host)| host.clone())
+                    .collect();
                 list_json(state.version, false, &news)
             }
         };
@@ -226,7 +233,13 @@
 
 impl Proxy {
     /// Starts a proxy and waits until it is ready. `limits` are the sockets and the memory in MB.
-    pub fn start(name: &str, discovery: SocketAddr, known: &str, settings: &str, limits: (u32, u32)) -> Proxy {
+    pub fn start(
+        name: &str,
+        discovery: SocketAddr,
+        known: &str,
+        settings: &str,
+        limits: (u32, u32),
+    ) -> Proxy {
         Proxy::start_at(name, free_address(), discovery, known, settings, limits)
     }
 
