--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -80,10 +80,16 @@
     PROCESSES.lock().unwrap().retain(|other| *other != pid);
 }
 
-/// Ends all processes that the case started, and the case.
+extern "C" {
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
+}
+
+/// Ends all processes that the case started, waits for their ends, and ends the case.
 pub fn finish(status: i32) -> ! {
     for pid in std::mem::take(&mut *PROCESSES.lock().unwrap()) {
         signal(pid, "KILL");
+        // SAFETY: the process is a child of this one, and no status is asked for.
+        unsafe { waitpid(pid as i32, std::ptr::null_mut(), 0) };
     }
     let _ = fs::remove_dir_all(folder());
     let verdict = match status {
