Count and log the responses that are incomplete when the process ends

A shutdown that ends in its time left no trace of the requests whose connections ended with it: closed_unanswered counts only connections that the loop closes.

closed_unanswered.process_ended counts them, a warning gives their number, and debug lines give for each request the time that it still had, whether its body was complete, and its attempts.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -275,6 +275,19 @@
         }
     }
 
+    /// Counts and logs the connections whose response is incomplete when the process ends; returns their number.
+    pub fn report_unfinished(&self, io: &mut IoContext) -> usize {
+        let unfinished = self.connections.iter().filter(|(_, client)| client.has_pending_response());
+        let mut count = 0;
+        for (_, client) in unfinished {
+            count += 1;
+            io.counters.closed_unanswered.count(CloseReason::ProcessEnded);
+            let (id, incomplete_body) = (&client.request_id, client.incoming_body.is_some());
+            tracing::debug!(id, state = ?client.state, incomplete_body, "process ends with incomplete response");
+        }
+        count
+    }
+
     /// Whether the connection is still open.
     pub fn is_connected(&self, slot: ClientSlot) -> bool {
         self.connections.get(slot).is_some()
--- a/crates/proxy/src/close_reason.rs
+++ b/crates/proxy/src/close_reason.rs
@@ -19,9 +19,11 @@
     MadeRoom,
     /// The client read the last response, or the time to do so is over.
     Done,
+    /// The process ended.
+    ProcessEnded,
 }
 
-const CLOSE_REASONS: [CloseReason; 7] = [
+const CLOSE_REASONS: [CloseReason; 8] = [
     CloseReason::ByClient,
     CloseReason::ReadFailed,
     CloseReason::WriteFailed,
@@ -29,6 +31,7 @@
     CloseReason::AnswerNotTaken,
     CloseReason::MadeRoom,
     CloseReason::Done,
+    CloseReason::ProcessEnded,
 ];
 
 impl CloseReason {
@@ -41,6 +44,7 @@
             CloseReason::AnswerNotTaken => "answer_not_taken",
             CloseReason::MadeRoom => "made_room",
             CloseReason::Done => "done",
+            CloseReason::ProcessEnded => "process_ended",
         }
     }
 }
--- a/crates/proxy/src/deadlines.rs
+++ b/crates/proxy/src/deadlines.rs
@@ -26,6 +26,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct DeadlineId(Time, u64);
 
+impl DeadlineId {
+    /// When it is due.
+    pub fn due_at(self) -> Time {
+        self.0
+    }
+}
+
 /// Pending deadlines, ordered by time and, where times are equal, by the order in which they were set.
 pub struct Deadlines<T> {
     pending: BTreeMap<DeadlineId, T>,
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -362,6 +362,7 @@
                 self.dispatch_events();
             }
         }
+        self.report_unfinished();
         self.handover.remove_socket();
         tracing::info!(counters = %self.io.counters, "stopped");
         Ok(())
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -133,6 +133,32 @@
             || now >= since + SHUTDOWN_ACCEPT_TIME + self.longest_deadline + SHUTDOWN_GRACE
     }
 
+    /// Counts and logs what has no complete response when the process ends, and how much of its time each request
+    /// still had.
+    pub(super) fn report_unfinished(&mut self) {
+        let now = self.io.now;
+        for (slot, pending) in self.pending.iter().filter(|(_, pending)| pending.client.is_some()) {
+            let request = slot.to_number();
+            let id = pending.incoming.head.id.as_deref();
+            let time_left_ms = pending.deadline.map(|deadline| deadline.due_at().since(now).ms());
+            let body_complete = pending.streamed_body.as_ref().is_none_or(|body| body.complete);
+            let (attempts, response_started) = (pending.attempts.len(), pending.streamed_response.is_some());
+            tracing::debug!(
+                id,
+                request,
+                attempts,
+                body_complete,
+                response_started,
+                time_left_ms,
+                "process ends before the request does"
+            );
+        }
+        let connections = self.clients.report_unfinished(&mut self.io);
+        if connections > 0 {
+            tracing::warn!(connections, "process ends with incomplete responses");
+        }
+    }
+
     /// Handles all sockets as if they were ready, since failing waits do not report which ones are.
     pub(super) fn check_all_sockets(&mut self) {
         if self.io.now < self.last_socket_check + SOCKET_CHECK_PAUSE {
