Give every request its response before a shutdown's end, also uploads that end late

Cause: the process ends 0.65 s and the longest deadline after SIGTERM, and a streamed request got its whole timeout from its last byte, beyond that. The same cause on related paths: an upload that can't be read since its backend takes no more; requests with a longer Request-Timeout than any class allows, running or queued; a process that is held up until its end; a connection whose response ends after the idle ones were closed and that stayed open for requests.

ShutdownSchedule holds the times. From the signal on every request's deadline is at most the schedule's respond_by. An upload that is incomplete a latency target before that is refused and its unwritten attempt cancelled: it has not run. What is open when the loop ends gets its response then.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -69,10 +69,6 @@
     /// New connections wait because the limit is reached.
     full: bool,
     pub ready: bool,
-    /// The proxy is shutting down: responses close their connections.
-    pub shutting_down: bool,
-    /// When the process ends at the latest, if it is shutting down.
-    pub shutdown_deadline: Option<Time>,
 }
 
 impl Clients {
@@ -83,16 +79,7 @@
         classes: Classes,
         budgets: Budgets,
     ) -> Clients {
-        let (
-            connections,
-            eviction_order,
-            unread_bytes,
-            active_ids,
-            full,
-            ready,
-            shutting_down,
-            shutdown_deadline,
-        ) = Default::default();
+        let (connections, eviction_order, unread_bytes, active_ids, full, ready) = Default::default();
         Clients {
             acceptor: Acceptor::new(listener, Owner::Listener),
             shares_listener,
@@ -105,8 +92,6 @@
             descriptor_limit: None,
             full,
             ready,
-            shutting_down,
-            shutdown_deadline,
         }
     }
 
@@ -382,7 +367,10 @@
                 }
                 if let Err(e) = client.stream.flush() {
                     io.counters.failures.count(SystemCall::Write, &e);
-                    self.close(slot, CloseReason::WriteFailed, io);
+                    return self.close(slot, CloseReason::WriteFailed, io);
+                }
+                if io.refuses_requests() {
+                    self.refuse_further_requests(slot, io);
                 }
             }
             Ok(Some((head, message, complete))) => {
@@ -440,7 +428,7 @@
         io: &mut IoContext,
     ) {
         if head.path == "/ready" {
-            let ready = self.ready && !self.shutting_down;
+            let ready = self.ready && io.shutdown.is_none();
             // Clients that only check readiness must not keep connections that clients with requests need.
             let close = head.close || self.connections.count() > self.limit() / 2;
             return self.respond(slot, if ready { 200 } else { 503 }, close, io);
@@ -476,7 +464,7 @@
             client.request_id = Some(id);
         }
         // A request must not run beyond the end of the process.
-        let timeout = self.shutdown_deadline.map_or(timeout, |end| timeout.min(end.since(io.now)));
+        let timeout = io.shutdown.map_or(timeout, |schedule| timeout.min(schedule.respond_by.since(io.now)));
         // The client's timeout starts when it sends, which may have been while the loop was busy or reads
         // failed.
         let read_failed_since =
@@ -497,9 +485,9 @@
 
     /// Whether a connection closes after its response: the proxy is shutting down, there are too many
     /// connections, or the request's body is not completely read.
-    pub fn closes_after_response(&self, slot: ClientSlot) -> bool {
+    pub fn closes_after_response(&self, slot: ClientSlot, io: &IoContext) -> bool {
         let unread_body = self.connections.get(slot).is_some_and(|client| client.incoming_body.is_some());
-        self.shutting_down || unread_body || self.connections.count() > self.limit()
+        io.shutdown.is_some() || unread_body || self.connections.count() > self.limit()
     }
 
     /// The next bytes of a streamed request body, at most `capacity`, and whether the body ends with them.
@@ -606,18 +594,22 @@
         self.acceptor.listener().is_some()
     }
 
-    /// Closes the connections without a pending response. An incomplete request is refused, since it could
-    /// not get its response before the process ends.
+    /// Closes the connections without a pending response, after a last look at what has arrived on them.
     pub fn close_idle(&mut self, io: &mut IoContext) {
         let slots: Vec<_> = self.connections.iter().map(|(slot, _)| slot).collect();
         for slot in slots {
-            // A request that has arrived but was not read yet must not be lost to the close.
             self.handle_ready(slot, io);
-            match self.connections.get(slot).filter(|client| client.state == ClientState::Reading) {
-                None => {}
-                Some(client) if client.stream.input.is_empty() => self.linger(slot, io),
-                Some(_) => self.respond(slot, 503, true, io),
-            }
+        }
+    }
+
+    /// Closes a connection on which no complete request has arrived. An incomplete one is refused, since it could not
+    /// get its response before the process ends.
+    fn refuse_further_requests(&mut self, slot: ClientSlot, io: &mut IoContext) {
+        let Some(client) = self.connections.get(slot) else { return };
+        if client.stream.input.is_empty() {
+            self.linger(slot, io);
+        } else {
+            self.respond(slot, 503, true, io);
         }
     }
 }
--- a/crates/proxy/src/clients/responses.rs
+++ b/crates/proxy/src/clients/responses.rs
@@ -54,7 +54,7 @@
 
     /// Sends a response of the proxy itself, without a body.
     pub fn respond(&mut self, slot: ClientSlot, status: u16, close: bool, io: &mut IoContext) {
-        let close = close || self.shutting_down;
+        let close = close || io.shutdown.is_some();
         self.send_response(slot, status, &http::proxy_response(status, None, close), close, io);
     }
 
@@ -120,8 +120,9 @@
         client.state = ClientState::Reading;
         client.deadline = Some(io.deadlines.set(io.now + IDLE_TIMEOUT, TimerEvent::ClientTimeout(slot)));
         // Pipelined requests that were already received cause no further event. They wait for the next
-        // iteration of the loop, so that one client's many requests do not delay all others.
-        if client.stream.has_unread() || !client.stream.input.is_empty() {
+        // iteration of the loop, so that one client's many requests do not delay all others. Where the shutdown has
+        // closed the other idle connections, this one follows.
+        if client.stream.has_unread() || !client.stream.input.is_empty() || io.refuses_requests() {
             io.deadlines.set(io.now, TimerEvent::Recheck(Owner::Client(slot)));
         }
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod pool;
 pub mod proxy;
 pub mod shared;
+pub mod shutdown_schedule;
 pub mod signals;
 pub mod slots;
 pub mod start_times;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -40,11 +40,10 @@
 mod lifecycle;
 mod lists;
 mod requests;
+mod shutdown;
 
 const OVERSLEEP_TOLERANCE: Span = Span::from_millis(3); // more than the timer's resolution
 const LISTEN_BACKLOG: i32 = 1024;
-/// How long new connections are accepted after the signal to shut down.
-const SHUTDOWN_ACCEPT_TIME: Span = Span::from_millis(600);
 const FLEET_JOIN_RETRY_PAUSE: Span = Span::from_millis(1_000);
 const RELOAD_RETRY_TIME: Span = Span::from_millis(30_000); // how long a failed reload is retried
 const MIN_RELOAD_RETRY_PAUSE: Span = Span::from_millis(50);
@@ -58,7 +57,6 @@
 const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(1);
 const LISTENER_DRAIN_PAUSE: Span = Span::from_millis(5); // between attempts to empty the accept queue
 const MAX_REPLAY_BYTES: usize = 512 * 1024; // of a streamed request that are kept so that it can be retried
-const SHUTDOWN_GRACE: Span = Span::from_millis(50); // after the last deadline, until the process ends
 
 /// A request that has no response yet or still has running attempts.
 struct PendingRequest {
@@ -67,7 +65,8 @@
     incoming: IncomingRequest,
     /// The connection of each attempt, by its number; `None` for one that has ended.
     attempts: Vec<Option<ConnSlot>>,
-    /// `None` until the request is complete.
+    /// When it is given a response whatever the balancer decides. `None` until the request is complete, except
+    /// during a shutdown.
     deadline: Option<DeadlineId>,
     /// Set if the request is streamed to the backend.
     streamed_body: Option<StreamedBody>,
@@ -86,6 +85,16 @@
 }
 
 impl PendingRequest {
+    /// Whether its client is still to get the start of a response.
+    fn awaits_response(&self) -> bool {
+        self.client.is_some() && self.streamed_response.is_none()
+    }
+
+    /// Whether the rest of the request's body is still to come from the client.
+    fn is_incomplete_upload(&self) -> bool {
+        self.streamed_body.as_ref().is_some_and(|body| !body.complete)
+    }
+
     fn is_streaming(&self) -> bool {
         self.streamed_body.is_some() || self.streamed_response.is_some()
     }
@@ -122,11 +131,11 @@
     /// The path that checks request: that of the load report, or `/health` where backends have none.
     check_path: &'static str,
     longest_deadline: Span,
+    /// The latency target of each class.
+    latency_targets: Vec<Span>,
     /// The settings that need a restart, for a warning when a new configuration changes them.
     immutable: ImmutableSettings,
     source: ConfigSource,
-    /// When the shutdown began.
-    shutdown_since: Option<Time>,
     /// When a reload was requested that is not done yet.
     reload_requested: Option<Time>,
     reload_timer: Option<DeadlineId>,
@@ -204,6 +213,7 @@
             events,
             streaming_requests,
             streaming_bytes,
+            shutdown: None,
         };
         let management = ManagementServer::new(config.management, &io)?;
         let handover = Handover::new(path, can_hand_over, predecessor, &mut io);
@@ -225,6 +235,7 @@
         let ordinal = setup.settings.ordinal;
         let deadlines: Vec<_> = setup.settings.classes.iter().map(|class| class.deadline).collect();
         let longest_deadline = deadlines.iter().copied().max().unwrap_or_default();
+        let latency_targets = setup.settings.classes.iter().map(|class| class.target).collect();
         let method = |effect| if effect == Effect::Safe { "GET" } else { "POST" };
         let methods = setup.settings.classes.iter().map(|class| method(class.effect)).collect();
         let (names, tenants) = (setup.class_names, setup.tenant_names);
@@ -261,7 +272,7 @@
         }
         let mut actions = Vec::new();
         let balancer = Balancer::new(setup.settings, config.seed, now, &mut actions);
-        let (pending, buffered_bytes, shutdown_since) = (Slots::default(), 0, None);
+        let (pending, buffered_bytes) = (Slots::default(), 0);
         let mut proxy = Proxy {
             poll,
             clock,
@@ -286,9 +297,9 @@
             budgets,
             check_path,
             longest_deadline,
+            latency_targets,
             immutable: config.immutable,
             source,
-            shutdown_since,
             reload_requested: None,
             reload_timer: None,
             failed_waits: 0,
@@ -362,6 +373,7 @@
                 self.dispatch_events();
             }
         }
+        self.end_pending_requests();
         self.report_unfinished();
         self.handover.remove_socket();
         tracing::info!(counters = %self.io.counters, "stopped");
@@ -469,7 +481,7 @@
         self.fleet.set_overlapping(self.handover.is_overlapping(), &mut self.io);
         if self.handover.has_successor() {
             self.fleet.stop_for_successor(&mut self.io);
-        } else if !self.fleet.is_running() && self.shutdown_since.is_none() {
+        } else if !self.fleet.is_running() && self.io.shutdown.is_none() {
             match self.fleet.start(&mut self.io) {
                 Ok(events) => self.handle_fleet_events(events),
                 Err(error) => {
@@ -516,9 +528,7 @@
 
     fn handle_admin_request(&mut self, slot: AdminSlot, request: AdminRequest) {
         let (status, body) = match request {
-            AdminRequest::Ready if self.clients.ready && self.shutdown_since.is_none() => {
-                (200, String::new())
-            }
+            AdminRequest::Ready if self.clients.ready && self.io.shutdown.is_none() => (200, String::new()),
             AdminRequest::Ready => (503, String::new()),
             AdminRequest::Metrics => (200, self.metrics()),
             AdminRequest::SetDutyPaused { name, paused } => {
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -1,10 +1,9 @@
-//! Signals, configuration reloads, the handover to another process, shutdown, and failures of the wait for
-//! events.
+//! Signals, configuration reloads, the handover to another process, and failures of the wait for events.
 
 use super::{
-    Proxy, CONCLUSIVE_WAIT, FAILED_WAIT_PAUSE, INTERRUPTED_WAIT_PAUSE, LISTENER_DRAIN_PAUSE,
-    MAX_FAILED_WAITS, MAX_INTERRUPTED_WAITS, MAX_RELOAD_RETRY_PAUSE, MIN_RELOAD_RETRY_PAUSE,
-    RELOAD_RETRY_TIME, SHUTDOWN_ACCEPT_TIME, SHUTDOWN_GRACE, SOCKET_CHECK_PAUSE,
+    Proxy, CONCLUSIVE_WAIT, FAILED_WAIT_PAUSE, INTERRUPTED_WAIT_PAUSE, MAX_FAILED_WAITS,
+    MAX_INTERRUPTED_WAITS, MAX_RELOAD_RETRY_PAUSE, MIN_RELOAD_RETRY_PAUSE, RELOAD_RETRY_TIME,
+    SOCKET_CHECK_PAUSE,
 };
 use crate::config::{Config, ConfigError};
 use crate::control_messages::{self, HandoverState};
@@ -24,21 +23,8 @@
                 self.reload_requested = Some(self.io.now);
                 self.reload();
             }
-            if matches!(signal, SIGTERM | SIGINT) && self.shutdown_since.is_none() {
-                self.shutdown_since = Some(self.io.now);
-                self.clients.shutting_down = true;
-                self.clients.shutdown_deadline =
-                    Some(self.io.now + SHUTDOWN_ACCEPT_TIME + self.longest_deadline);
-                if self.handover.has_successor() {
-                    self.clients.stop_listening(true, &mut self.io);
-                } else {
-                    self.fleet.leave(&mut self.io);
-                }
-                self.io.deadlines.set(self.io.now + SHUTDOWN_ACCEPT_TIME, TimerEvent::Shutdown);
-                self.io.deadlines.set(
-                    self.io.now + SHUTDOWN_ACCEPT_TIME + self.longest_deadline + SHUTDOWN_GRACE,
-                    TimerEvent::Shutdown,
-                );
+            if matches!(signal, SIGTERM | SIGINT) {
+                self.begin_shutdown();
             }
         }
     }
@@ -116,49 +102,6 @@
         self.handover.accept(self.clients.listener(), state, &mut self.io);
     }
 
-    /// Takes the next step of the shutdown; called again until the accept queue is drained.
-    pub(super) fn continue_shutdown(&mut self) {
-        self.clients.stop_listening(self.handover.has_successor(), &mut self.io);
-        if self.clients.is_listening() {
-            self.io.deadlines.set(self.io.now + LISTENER_DRAIN_PAUSE, TimerEvent::Shutdown);
-        }
-        self.clients.close_idle(&mut self.io);
-    }
-
-    /// Whether the shutdown is complete: no response is due any more.
-    pub(super) fn is_shut_down(&self) -> bool {
-        let Some(since) = self.shutdown_since else { return false };
-        let now = self.io.now;
-        now >= since + SHUTDOWN_ACCEPT_TIME && self.clients.is_empty() && !self.clients.is_listening()
-            || now >= since + SHUTDOWN_ACCEPT_TIME + self.longest_deadline + SHUTDOWN_GRACE
-    }
-
-    /// Counts and logs what has no complete response when the process ends, and how much of its time each request
-    /// still had.
-    pub(super) fn report_unfinished(&mut self) {
-        let now = self.io.now;
-        for (slot, pending) in self.pending.iter().filter(|(_, pending)| pending.client.is_some()) {
-            let request = slot.to_number();
-            let id = pending.incoming.head.id.as_deref();
-            let time_left_ms = pending.deadline.map(|deadline| deadline.due_at().since(now).ms());
-            let body_complete = pending.streamed_body.as_ref().is_none_or(|body| body.complete);
-            let (attempts, response_started) = (pending.attempts.len(), pending.streamed_response.is_some());
-            tracing::debug!(
-                id,
-                request,
-                attempts,
-                body_complete,
-                response_started,
-                time_left_ms,
-                "process ends before the request does"
-            );
-        }
-        let connections = self.clients.report_unfinished(&mut self.io);
-        if connections > 0 {
-            tracing::warn!(connections, "process ends with incomplete responses");
-        }
-    }
-
     /// Handles all sockets as if they were ready, since failing waits do not report which ones are.
     pub(super) fn check_all_sockets(&mut self) {
         if self.io.now < self.last_socket_check + SOCKET_CHECK_PAUSE {
--- a/crates/proxy/src/proxy/requests.rs
+++ b/crates/proxy/src/proxy/requests.rs
@@ -19,6 +19,7 @@
         let (tenant, key, cost) = (incoming.tenant, incoming.head.key, None);
         // Large requests that wait must not fill the memory.
         let bytes = incoming.message.len();
+        let due = self.response_due(&incoming, complete.then_some(deadline));
         let fits = bytes + self.buffered_bytes <= self.clients.budgets.buffer_bytes;
         let deadlines = &mut self.io.deadlines;
         let slot = self.pending.insert_with(|slot| {
@@ -26,7 +27,7 @@
                 return None;
             }
             let timer = TimerEvent::RequestDeadline(RequestId(slot.to_number()));
-            let deadline = complete.then(|| deadlines.set(deadline, timer));
+            let deadline = due.map(|due| deadlines.set(due, timer));
             let streamed_body =
                 (!complete).then_some(StreamedBody { sent: 0, discarded: false, complete: false });
             Some(PendingRequest {
@@ -191,8 +192,12 @@
 
     /// The last byte of a streamed request was received: its deadline starts from here.
     pub(super) fn request_complete(&mut self, request: RequestId) {
-        let Some(pending) = self.pending.get_mut(RequestSlot::from_number(request.0)) else { return };
+        let slot = RequestSlot::from_number(request.0);
+        let Some(pending) = self.pending.get(slot) else { return };
         let deadline = self.io.earliest_arrival + pending.incoming.timeout;
+        let deadline = self.response_due(&pending.incoming, Some(deadline)).unwrap_or(deadline);
+        let Some(pending) = self.pending.get_mut(slot) else { return };
+        self.io.deadlines.cancel(pending.deadline.take());
         pending.deadline = Some(self.io.deadlines.set(deadline, TimerEvent::RequestDeadline(request)));
         self.handle_event(Event::RequestComplete { request, deadline });
     }
@@ -212,7 +217,7 @@
         let Some(client) = pending.client else {
             return conn.into_iter().for_each(|slot| self.pool.cancel(slot, &mut self.io));
         };
-        let close = pending.incoming.head.close || self.clients.closes_after_response(client);
+        let close = pending.incoming.head.close || self.clients.closes_after_response(client, &self.io);
         self.io.streaming_requests += usize::from(!pending.is_streaming());
         self.io.deadlines.cancel(pending.deadline.take());
         self.clients.start_response(
@@ -311,7 +316,8 @@
             }
             let is_final = matches!(outcome, Outcome::Served | Outcome::Faulted);
             if let (true, Some(client), Some((head, message))) = (is_final, pending.client, response) {
-                let close = pending.incoming.head.close || self.clients.closes_after_response(client);
+                let close =
+                    pending.incoming.head.close || self.clients.closes_after_response(client, &self.io);
                 let close = close || outcome == Outcome::Faulted;
                 self.io.counters.served += u64::from(outcome == Outcome::Served);
                 let bytes = head.for_client(&message, close);
@@ -369,7 +375,7 @@
             backoff = backoff.map(Span::ms),
             "responded without a backend's response"
         );
-        let close = pending.incoming.head.close || self.clients.closes_after_response(client);
+        let close = pending.incoming.head.close || self.clients.closes_after_response(client, &self.io);
         let bytes = http::proxy_response(status, backoff, close);
         self.clients.send_response(client, status, &bytes, close, &mut self.io);
         self.finish(request);
@@ -396,15 +402,31 @@
         }
     }
 
-    /// Fails a request that has no response by its deadline, whatever the balancer decides, so that no
+    /// Gives a response to a request that has none by its deadline, whatever the balancer decides, so that no
     /// request is left without one.
     pub(super) fn deadline_expired(&mut self, request: RequestId) {
+        // What has arrived of an upload still counts.
+        self.forward_request_body(request);
+        let Some(pending) = self.pending.get(RequestSlot::from_number(request.0)) else { return };
+        let completed_now = pending.deadline.is_some_and(|deadline| deadline.due_at() > self.io.now);
+        if !completed_now {
+            self.end_unanswered(request);
+        }
+    }
+
+    /// Gives a request without a response its final one. It is refused where it cannot have run: no attempt was
+    /// started, or no backend has its last byte.
+    pub(super) fn end_unanswered(&mut self, request: RequestId) {
         let pending = self.pending.get(RequestSlot::from_number(request.0));
-        if pending.is_some_and(|pending| pending.client.is_some()) {
-            self.io.counters.overdue += 1;
-            tracing::warn!(request = request.0, "no response by the deadline");
-            self.respond(request, 504, None);
-            self.handle_event(Event::ClientGone(request));
+        let Some(pending) = pending.filter(|pending| pending.awaits_response()) else { return };
+        if pending.is_incomplete_upload() || pending.attempts.is_empty() {
+            self.io.counters.refused += 1;
+            self.respond(request, 503, None);
+            return self.client_gone(request);
         }
+        self.io.counters.overdue += 1;
+        tracing::warn!(request = request.0, "no response by the deadline");
+        self.respond(request, 504, None);
+        self.handle_event(Event::ClientGone(request));
     }
 }
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::io_failures::SystemCall;
 use crate::list_history::ListSource;
 use crate::listing::BackendList;
+use crate::shutdown_schedule::ShutdownSchedule;
 use crate::slots::Slot;
 
 /// Tags that keep the kinds of slots apart.
@@ -57,9 +58,16 @@
     /// direction.
     pub streaming_requests: usize,
     pub streaming_bytes: usize,
+    /// The times of the shutdown, once the process was told to end.
+    pub shutdown: Option<ShutdownSchedule>,
 }
 
 impl IoContext {
+    /// Whether the shutdown has come to where no new request is accepted.
+    pub fn refuses_requests(&self) -> bool {
+        self.shutdown.is_some_and(|schedule| self.now >= schedule.accept_until)
+    }
+
     /// Registers the stream unless that is done, and schedules a retry where a call failed and no event will
     /// tell when it may succeed. Returns whether it scheduled one.
     pub fn schedule_retry<S: Read + Write + Source>(
