Close a connection whose request is answered before its body is read, also by /ready

Cause: a long body is streamed, so its request is answered when its head is read, and only the event loop's responses asked closes_after_response, which looks for an unread body.

Now respond asks the same, and flush never returns a connection with an unread body to reading requests.

--- a/crates/proxy/src/clients/client.rs
+++ b/crates/proxy/src/clients/client.rs
@@ -80,6 +80,14 @@
         }
     }
 
+    /// Counts and logs a response that is given before the request's body is read.
+    pub(super) fn count_unread_body(&self, status: u16, close: bool, io: &mut IoContext) {
+        if self.incoming_body.is_some() {
+            io.counters.responses_before_body += 1;
+            tracing::debug!(status, close, "response before the end of the request's body");
+        }
+    }
+
     /// Reads until `max_bytes` are buffered, and updates the progress of an incomplete body. Fails if the
     /// connection broke.
     pub(super) fn read(&mut self, max_bytes: usize, now: Time) -> std::io::Result<()> {
--- a/crates/proxy/src/clients/responses.rs
+++ b/crates/proxy/src/clients/responses.rs
@@ -7,6 +7,8 @@
 use crate::shared::{ClientSlot, IoContext, Owner, ProxyEvent, TimerEvent};
 use sparlug::id::RequestId;
 
+const STREAMED_STATUS: u16 = 200; // only responses with this status are streamed
+
 impl Clients {
     /// Starts a streamed response.
     pub fn start_response(
@@ -18,6 +20,7 @@
         io: &mut IoContext,
     ) {
         let Some(client) = self.connections.get_mut(slot) else { return };
+        client.count_unread_body(STREAMED_STATUS, close, io);
         io.deadlines.cancel(client.deadline.take());
         client.state = ClientState::Streaming { request, close, done: false };
         client.deadline =
@@ -52,9 +55,10 @@
         self.close(slot, CloseReason::AnswerBroke, io);
     }
 
-    /// Sends a response of the proxy itself, without a body.
+    /// Sends a response of the proxy itself, without a body. `close` asks to close the connection after it, which is
+    /// also done where the connection must not be used further.
     pub fn respond(&mut self, slot: ClientSlot, status: u16, close: bool, io: &mut IoContext) {
-        let close = close || io.shutdown.is_some();
+        let close = close || self.closes_after_response(slot, io);
         self.send_response(slot, status, &http::proxy_response(status, None, close), close, io);
     }
 
@@ -68,6 +72,7 @@
         io: &mut IoContext,
     ) {
         let Some(client) = self.connections.get_mut(slot) else { return };
+        client.count_unread_body(status, close, io);
         io.counters.count_response(client.open_class.take(), status);
         io.deadlines.cancel(client.deadline.take());
         if let Some(id) = client.request_id.take() {
@@ -113,8 +118,9 @@
             self.active_ids.remove(&id);
         }
         // Only streamed responses are counted here; all others were counted when they were queued.
-        io.counters.count_response(client.open_class.take(), 200);
-        if close {
+        io.counters.count_response(client.open_class.take(), STREAMED_STATUS);
+        // What follows on the connection is the rest of this request's body and not a further request.
+        if close || client.incoming_body.is_some() {
             return self.linger(slot, io);
         }
         client.state = ClientState::Reading;
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -39,6 +39,8 @@
     pub entries_withheld: u64,
     /// Attempts whose last byte was written.
     pub attempts_sent: u64,
+    /// Responses that were given before the request's body was read, which end their connections.
+    pub responses_before_body: u64,
     pub failures: IoFailures,
     pub closed_unanswered: UnansweredCounts,
     /// Attempts by `Outcome`.
@@ -72,6 +74,7 @@
             }
         }
         let _ = writeln!(text, "svc.attempts:{}|c", self.attempts_sent);
+        let _ = writeln!(text, "svc.responses_before_body:{}|c", self.responses_before_body);
         let _ = writeln!(text, "svc.lists.received:{}|c", self.lists_received);
         let _ = writeln!(text, "svc.lists.failed:{}|c", self.lists_failed);
         let _ = writeln!(text, "svc.lists.suspicious:{}|c", self.suspicious_lists);
