Tests: share the tier of backends and the agent's side of a watch

older_lists.rs held a tier of backends, the lists that name them and a scripted watch, which the tests of empty lists need as well.

--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -2,6 +2,7 @@
 //! Helpers shared by the tests that talk to a real proxy process over sockets: starting the proxy on a free
 //! port, clients, stub backends and a stub discovery agent.
 
+pub mod lists;
 pub mod shim;
 
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
