Refuse requests at once while the list names no backend as ready

Where all backends of the list drain or are gone, a request waited until its time was over and was refused then: 3.998 s of 4 s, seen with a real process whose backends had drained one by one. Only backends that operators disable were refused for at once. Cause: send_next looked for that case alone, and a list without a ready backend just left requests in the queue.

unavailability gives the reason for both cases. Waiting requests, also those that wait for load reports, are given up with the reason NoBackend; before the first list they go on waiting. What runs is not touched.

--- a/src/event.rs
+++ b/src/event.rs
@@ -246,6 +246,8 @@
     TooLate,
     /// Its time is over.
     OutOfTime,
+    /// The list names no backend as ready.
+    NoBackend,
     /// Operators have disabled every backend.
     AllDisabled,
     /// The proxy itself could not send the attempt.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -18,7 +18,7 @@
 use crate::peer_message::{decode, encode};
 use crate::settings::{Effect, Group, Settings};
 use crate::state::{
-    all_disabled, excluded_count, observations, summarize_backends, Backend, PendingRequest, RequestQueue,
+    excluded_count, observations, summarize_backends, unavailability, Backend, PendingRequest, RequestQueue,
     Tier,
 };
 use crate::stats::Mean;
@@ -408,6 +408,8 @@
     tier: Tier,
     tier_inbox: Vec<TierMessage>,
     queue: RequestQueue,
+    /// Whether a list has arrived, be it an empty one.
+    list_received: bool,
     list_failures: u32,
 }
 
@@ -420,7 +422,8 @@
             actions.push(Action::SetTimer { after, id: WATCH_TIMER });
         }
         let queue = RequestQueue::new(&settings, MAX_RETRY_BUDGET_ATTEMPTS / 2.0);
-        let (backends, disabled, unread, sampler, tier, tier_inbox, list_failures) = Default::default();
+        let (backends, disabled, unread, sampler, tier, tier_inbox) = Default::default();
+        let (list_received, list_failures) = (false, 0);
         Balancer {
             settings,
             rng,
@@ -432,6 +435,7 @@
             tier,
             tier_inbox,
             queue,
+            list_received,
             list_failures,
         }
     }
@@ -472,7 +476,7 @@
     }
 
     fn update_list(&mut self, full: bool, listings: &[Listing]) {
-        self.list_failures = 0;
+        (self.list_received, self.list_failures) = (true, 0);
         self.sampler = BackendSampler::default();
         let gone = self.backends.values().filter(|_| full);
         let gone: Vec<_> = gone.map(|b| Listing { condition: Condition::Gone, ..b.listing }).collect();
@@ -729,12 +733,14 @@
         // client must not repeat, is tried as long as a mean response would be in time.
         let times_needed = [self.tier.latency, self.tier.response_ms]
             .map(|mean| Span::from_ms(MIN_TIME_LEFT_RATIO * mean.or(0.0)));
-        let none_enabled = all_disabled(&self.backends, &self.disabled);
+        // Before the first list no backend is known, and requests wait for it.
+        let unavailable = unavailability(&self.backends, &self.disabled)
+            .filter(|reason| self.list_received || *reason != Reason::NoBackend);
         let is_late = |id: &&RequestId| {
             let pending = &self.queue.pending[id];
             let time_needed =
                 times_needed[usize::from(pending.attempts > 0 && pending.class.effect == Effect::AtMostOnce)];
-            none_enabled
+            unavailable.is_some()
                 || self.now + time_needed.min(pending.target.since(pending.arrived).scaled(0.9))
                     >= pending.target
         };
@@ -743,11 +749,12 @@
             .first_attempts
             .iter()
             .chain(&self.queue.retries)
+            .chain(self.queue.awaiting_reports.iter().filter(|_| unavailable.is_some()))
             .filter(is_late)
             .copied()
             .collect::<Vec<_>>()
         {
-            self.give_up(id, if none_enabled { Reason::AllDisabled } else { Reason::TooLate }, actions);
+            self.give_up(id, unavailable.unwrap_or(Reason::TooLate), actions);
         }
         for id in self.queue.awaiting_reports.clone() {
             let Some(backend) = self.choose_by_reports(id) else { continue };
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -807,6 +807,43 @@
     assert!(matches!(actions.last(), Some(Action::Refuse { .. })), "{actions:?}");
 }
 
+/// Guards against requests that wait for their whole time although the list names no backend that could serve them.
+#[test]
+fn without_a_ready_backend_waiting_requests_are_refused_at_once() {
+    let mut balancer = balancer(Effect::Safe, 1);
+    let mut actions = Vec::new();
+    let list =
+        |condition| Event::ListReceived { full: true, listings: vec![Listing { condition, ..listing(0) }] };
+    for condition in [Condition::Draining, Condition::Gone] {
+        balancer.handle(START, list(Condition::Ready), &mut actions);
+        // More than the limit allows at a time, so that some wait.
+        (0..13).for_each(|n| balancer.handle(START, Event::RequestReceived(request(n)), &mut actions));
+        let waiting = balancer.queue.waiting_count();
+        assert!(waiting > 0.0, "{condition:?}");
+        actions.clear();
+        balancer.handle(START, list(condition), &mut actions);
+        let is_refused =
+            |action: &&Action| matches!(action, Action::Refuse { reason: Reason::NoBackend, .. });
+        assert_eq!(actions.iter().filter(is_refused).count() as f64, waiting, "{condition:?}: {actions:?}");
+        balancer.handle(START, Event::RequestReceived(request(1_000)), &mut actions);
+        assert!(actions.last().as_ref().is_some_and(is_refused), "{condition:?}: {actions:?}");
+        (0..13).for_each(|n| balancer.handle(START, Event::ClientGone(RequestId(n)), &mut actions));
+    }
+}
+
+/// Before the first list a request waits for it.
+#[test]
+fn before_the_first_list_requests_wait() {
+    let mut actions = Vec::new();
+    let mut balancer =
+        Balancer::new(Settings::for_classes(vec![class(Effect::Safe)]), 1, START, &mut actions);
+    balancer.handle(START, Event::RequestReceived(request(1)), &mut actions);
+    assert!(!actions.iter().any(|action| matches!(action, Action::Refuse { .. })), "{actions:?}");
+    let list = Event::ListReceived { full: true, listings: vec![listing(0)] };
+    balancer.handle(START + ms(20), list, &mut actions);
+    assert!(matches!(actions.last(), Some(Action::Attempt { .. })), "{actions:?}");
+}
+
 #[test]
 fn an_incomplete_request_is_not_counted_and_its_time_starts_with_its_last_byte() {
     let mut balancer = balancer(Effect::AtMostOnce, 1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::event::{BackendMessage, Condition, Event, Listing, Load, TierMessage};
+use crate::event::{BackendMessage, Condition, Event, Listing, Load, Reason, TierMessage};
 use crate::id::{BackendId, RequestId, TenantId, ZoneId};
 use crate::peer_message::{Observation, MAX_OBSERVATION_AGE};
 use crate::settings::{Class, Effect, Settings};
@@ -366,8 +366,16 @@
     listed.filter(|(id, b)| b.ejected_until.is_some() || disabled.contains(id)).count()
 }
 
-/// Whether there are backends listed as ready and all of them are disabled.
-pub fn all_disabled(backends: &BTreeMap<BackendId, Backend>, disabled: &BTreeSet<BackendId>) -> bool {
+/// Why no request can be sent to any backend, if that is so: none is listed as ready, or operators have disabled
+/// all that are.
+pub fn unavailability(
+    backends: &BTreeMap<BackendId, Backend>,
+    disabled: &BTreeSet<BackendId>,
+) -> Option<Reason> {
     let mut ready = backends.iter().filter(|(_, b)| b.listing.condition == Condition::Ready).peekable();
-    !disabled.is_empty() && ready.peek().is_some() && ready.all(|(id, _)| disabled.contains(id))
+    if ready.peek().is_none() {
+        return Some(Reason::NoBackend);
+    }
+    let all_disabled = !disabled.is_empty() && ready.all(|(id, _)| disabled.contains(id));
+    all_disabled.then_some(Reason::AllDisabled)
 }
