Keep a backend out that an agent has left out, also where another agent still names it

New requests went to a backend 0.66 s after its agent had left it out of a whole list (grace 0.55 s): a reload moved the proxy to an agent that lags and names it as ready. Cause: an omission counted as a weak withdrawal, which any newer list of another agent lifts. Whole lists leave out backends that drain, so the omission by an agent that has named a backend is news of it.

The history keeps which agents have named a backend since its latest start. Only the omission by another one can be lifted by another agent's newer list. An entry that confirms an omission makes it a full withdrawal.

--- a/crates/proxy/src/list_history.rs
+++ b/crates/proxy/src/list_history.rs
@@ -44,8 +44,8 @@
 /// A backend that lists name as ready.
 struct ReadyBackend {
     entry: BackendEntry,
-    /// The agent that named it last, and the lowest version of its lists that named it since its latest start.
-    named_by: Option<(SocketAddr, u64)>,
+    /// The agents that have named it since its latest start, each with the lowest version of its lists that did.
+    named_by: BTreeMap<SocketAddr, u64>,
 }
 
 /// What the lists say of a backend.
@@ -143,7 +143,7 @@
             let record = self.records.get(&entry.listing.backend);
             let state = match entry.listing.condition {
                 Condition::Ready => {
-                    let named_by = agent.map(|agent| (agent, list.version));
+                    let named_by = agent.map(|agent| (agent, list.version)).into_iter().collect();
                     BackendState::Ready(ReadyBackend { entry: entry.clone(), named_by })
                 }
                 // The withdrawal was handed over as well.
@@ -238,7 +238,7 @@
         match &mut record.state {
             BackendState::Ready(known) if !restarted => {
                 if entry.listed_start == known.entry.listed_start {
-                    known.named_by = Some((context.agent, context.lowest_version(known.named_by)));
+                    known.named_by.insert(context.agent, context.lowest_version(&known.named_by));
                 }
                 if context.keeps(&known.entry, &entry) {
                     return Some(known.entry.clone());
@@ -285,6 +285,7 @@
             }
             BackendState::Withdrawn(withdrawal) => {
                 withdrawal.confirm(entry.listing.condition, context);
+                withdrawal.omitted = false;
                 entry.listing.condition = withdrawal.condition;
             }
         }
@@ -364,9 +365,8 @@
         }
         for (_, record) in self.records.iter_mut().filter(|(id, _)| !named.contains(id)) {
             let BackendState::Ready(known) = &record.state else { continue };
-            let joined_after_base = known
-                .named_by
-                .is_some_and(|(agent, version)| agent == context.agent && Some(version) > context.base);
+            let joined_after_base =
+                known.named_by.get(&context.agent).is_some_and(|version| Some(*version) > context.base);
             if joined_after_base {
                 let mut entry = known.entry.clone();
                 entry.listing.condition = Condition::Gone;
--- a/crates/proxy/src/list_history/context.rs
+++ b/crates/proxy/src/list_history/context.rs
@@ -138,24 +138,24 @@
     /// The withdrawal of a ready backend that this list, a whole one, does not name.
     pub fn omission(&self, known: &ReadyBackend, latest_start: Option<Time>) -> Withdrawal {
         let withdrawal = self.withdrawal(Condition::Gone);
-        // An older list may be from before the backend joined, unless it names one that started later.
-        let is_before_join = self.lowest_version(known.named_by) == self.version;
+        // An agent that never named the backend may know only what was before it joined. Its older lists do, unless
+        // they name one that started later.
+        let is_before_join = self.lowest_version(&known.named_by) == self.version;
         let may_predate =
             self.order == ListOrder::Older && is_before_join && latest_start > self.latest_start;
         let origin = if may_predate { Origin::Outdated } else { withdrawal.origin };
-        Withdrawal { omitted: true, origin, ..withdrawal }
+        Withdrawal { omitted: is_before_join, origin, ..withdrawal }
     }
 
     /// A ready backend that this list names.
     pub fn ready(&self, entry: &BackendEntry) -> BackendState {
-        let named_by = Some((self.agent, self.version));
+        let named_by = BTreeMap::from([(self.agent, self.version)]);
         BackendState::Ready(ReadyBackend { entry: entry.clone(), named_by })
     }
 
-    /// The lower one of this list's version and that of an earlier list of the same agent.
-    pub fn lowest_version(&self, earlier: Option<(SocketAddr, u64)>) -> u64 {
-        let earlier = earlier.filter(|(agent, _)| *agent == self.agent);
-        earlier.map_or(self.version, |(_, version)| version.min(self.version))
+    /// The lowest version of this agent's lists that named a backend, this list included.
+    pub fn lowest_version(&self, named_by: &BTreeMap<SocketAddr, u64>) -> u64 {
+        named_by.get(&self.agent).map_or(self.version, |version| self.version.min(*version))
     }
 
     /// Whether a backend without a record is new, and not one that a newer whole list no longer names.
--- a/crates/proxy/src/list_history/withdrawal.rs
+++ b/crates/proxy/src/list_history/withdrawal.rs
@@ -31,7 +31,8 @@
     pub version: u64,
     /// The version in which it last reported it.
     pub confirmed_in: u64,
-    /// A whole list omitted the backend, without naming it as draining or gone.
+    /// A whole list omitted the backend, of an agent that never named it: that agent may know only what was before
+    /// the backend joined. The omission of one that an agent has named is as good as its report that it is gone.
     pub omitted: bool,
     /// It follows from the absence in changes that may not be complete. The whole list of the same version
     /// decides.
@@ -73,8 +74,8 @@
     pub fn is_lifted_by(&self, list: &ListContext) -> bool {
         let Some(withdrawn_by) = self.agent else { return true };
         if withdrawn_by != list.agent {
-            // Versions of two agents can't be compared. An omission says little where another agent, which has
-            // learned something since, names the backend.
+            // Versions of two agents can't be compared. The omission by an agent that never named the backend says
+            // little where another agent, which has learned something since, names it.
             return self.omitted && list.order == ListOrder::Newer;
         }
         let predates = list.received_at.is_some_and(|received_at| received_at < self.since);
--- a/crates/proxy/tests/older_lists.rs
+++ b/crates/proxy/tests/older_lists.rs
@@ -142,6 +142,52 @@
     tier.wait_until_used(&proxy, 0);
 }
 
+/// Guards against taking a backend back from another agent that lags, where the agent that knew it left it out: whole
+/// lists leave out backends that drain.
+#[test]
+fn backend_that_an_agent_has_left_out_stays_out_at_another_agent() {
+    let all = [ready(0), ready(1), ready(2)];
+    let (tier, listeners) = Tier::start(3);
+    let proxy = Proxy::start(&listeners.iter().collect::<Vec<_>>());
+    let (other, first) = (backend(), proxy.discovery.try_clone().unwrap());
+    let mut watch = Watch::accept(&first);
+    watch.answer(&tier.list(5, true, &all));
+    proxy.switch_agent(&other);
+    let mut watch = Watch::accept(&other);
+    watch.answer(&tier.list(1_005, true, &all));
+    proxy.switch_agent(&first);
+    let mut watch = Watch::accept(&first);
+    watch.answer(&tier.list(7, true, &[ready(1), ready(2)]));
+    tier.check_used(&proxy, [1, 2], "left out");
+    proxy.switch_agent(&other);
+    let mut watch = Watch::accept(&other);
+    for version in [1_006, 1_007] {
+        watch.answer(&tier.list(version, true, &all));
+        tier.check_used(&proxy, [1, 2], &format!("after version {version} of the other agent"));
+    }
+    watch.answer(&tier.list(1_008, true, &[(0, "Ready", Some(SECOND_START_MS)), ready(1), ready(2)]));
+    tier.wait_until_used(&proxy, 0);
+}
+
+/// Guards against a backend that stays out because an agent left it out which had never named it.
+#[test]
+fn backend_that_an_agent_never_named_returns_with_news_of_another_agent() {
+    let all = [ready(0), ready(1), ready(2)];
+    let (tier, listeners) = Tier::start(3);
+    let proxy = Proxy::start(&listeners.iter().collect::<Vec<_>>());
+    let (other, first) = (backend(), proxy.discovery.try_clone().unwrap());
+    proxy.switch_agent(&other);
+    let mut watch = Watch::accept(&other);
+    for version in [1_005, 1_006] {
+        watch.answer(&tier.list(version, true, &[ready(1), ready(2)]));
+        tier.check_used(&proxy, [1, 2], "left out");
+    }
+    proxy.switch_agent(&first);
+    let mut watch = Watch::accept(&first);
+    watch.answer(&tier.list(5, true, &all));
+    tier.wait_until_used(&proxy, 0);
+}
+
 /// Guards against versions of two agents that are compared with each other.
 #[test]
 fn drain_told_by_one_agent_holds_at_another_whose_versions_are_higher() {
