Judge whole lists without a backend by version and agent, like every other list

New requests went on to backends that had all begun to drain: the whole list that leaves them out is empty, and an empty whole list was dropped while any backend was ready, before the list history saw it, whatever its version and agent.

list_history decides alone. An empty list is ignored only if it is older than its agent's highest version: that protects against a service that lost its data. A successor is ready with its predecessor's empty list.

--- a/crates/proxy/src/list_history.rs
+++ b/crates/proxy/src/list_history.rs
@@ -73,6 +73,8 @@
     /// backends, or they lead from an older version past the highest one, and what follows an old answer may be
     /// old as well.
     pub needs_whole_list: bool,
+    /// Nothing of the list is applied: it is older than the agent's highest version and names no backend.
+    pub ignored: bool,
 }
 
 /// A backend that a list names as ready and that stays withdrawn.
@@ -160,6 +162,22 @@
             withheld: Vec::new(),
             omissions_ignored: false,
             needs_whole_list: false,
+            ignored: false,
+        }
+    }
+
+    /// Ignores a list but for its version.
+    fn ignore(&mut self, list: BackendList, context: &ListContext) -> MergedList {
+        let order = context.order;
+        let versions = self.record_version(context.agent, list.version, context.now);
+        versions.record_answer(order, list.version, list.full, context.now);
+        MergedList {
+            list: BackendList { full: false, ..list },
+            order,
+            withheld: Vec::new(),
+            omissions_ignored: true,
+            needs_whole_list: false,
+            ignored: true,
         }
     }
 
@@ -171,6 +189,10 @@
         now: Time,
     ) -> MergedList {
         let context = ListContext::new(&list, base, agent, self.agents.get(&agent), now);
+        // Guards against a discovery service that has lost its data: it starts again at a low version.
+        if context.order == ListOrder::Older && list.full && list.entries.is_empty() {
+            return self.ignore(list, &context);
+        }
         let named: BTreeSet<_> = list.entries.iter().map(|entry| entry.listing.backend).collect();
         let (is_complete, ready_before, mut withheld) = (list.full, self.ready_count(), Vec::new());
         let entries = std::mem::take(&mut list.entries);
@@ -188,7 +210,7 @@
         self.record_version(agent, version, now).record_answer(order, version, is_complete, now);
         let withdrew_by_old_changes = context.goes_back && self.ready_count() < ready_before;
         let needs_whole_list = context.leads_past_highest || omissions_ignored || withdrew_by_old_changes;
-        MergedList { list, order, withheld, omissions_ignored, needs_whole_list }
+        MergedList { list, order, withheld, omissions_ignored, needs_whole_list, ignored: false }
     }
 
     /// Records the version of an agent's list.
--- a/crates/proxy/src/listing.rs
+++ b/crates/proxy/src/listing.rs
@@ -91,7 +91,7 @@
         let names: BTreeSet<_> = self.entries.iter().map(|entry| &entry.host).collect();
         let has_unknown_zone = |entry: &BackendEntry| entry.listing.zone == ZoneId(u16::MAX);
         let checks = [
-            (self.is_suspiciously_empty(ready), "no backend at all, the last list is kept"),
+            (self.full && self.entries.is_empty() && ready > 0, "no backend at all"),
             (self.full && names.len() * 2 < ready && !names.is_empty(), "less than half of the backends"),
             (
                 names.len() < self.entries.len(),
@@ -123,13 +123,6 @@
         }
         self.entries = kept.into_values().collect();
     }
-
-    /// Whether a full list without any backends follows one with ready backends. Such a list is ignored:
-    /// guards against a discovery service that lost its data removing every backend at once. Backends that a
-    /// list names as gone, or leaves out while naming others, are removed at once.
-    pub fn is_suspiciously_empty(&self, ready: usize) -> bool {
-        self.full && self.entries.is_empty() && ready > 0
-    }
 }
 
 /// The decision module's id of a backend: a hash (FNV-1a, 64 bits) of the host's name. The name is the same
--- a/crates/proxy/src/proxy/lists.rs
+++ b/crates/proxy/src/proxy/lists.rs
@@ -20,12 +20,18 @@
             tracing::warn!(version = list.version, ready, "suspicious list: {}", anomalies.join("; "));
         }
         let (version, whole, entries) = (list.version, list.full, list.entries.len());
-        if list.is_suspiciously_empty(ready) {
+        let MergedList { mut list, order, withheld, omissions_ignored, needs_whole_list, ignored } =
+            self.list_history.merge(list, previous_version, source, self.io.now);
+        if ignored {
+            self.io.counters.lists_older += 1;
             self.io.counters.lists_ignored += 1;
+            tracing::warn!(
+                version,
+                ?order,
+                "list without any backend ignored: it is older than an earlier one"
+            );
             return None;
         }
-        let MergedList { mut list, order, withheld, omissions_ignored, needs_whole_list } =
-            self.list_history.merge(list, previous_version, source, self.io.now);
         if previous_version != Some(version) || entries > 0 {
             let agent = match source {
                 ListSource::Agent(agent) | ListSource::Predecessor(Some(agent)) => Some(agent.to_string()),
@@ -45,7 +51,8 @@
         }
         self.start_times.correct(&mut list, self.io.now);
         let listings: Vec<Listing> = list.entries.iter().map(|entry| entry.listing).collect();
-        if !listings.is_empty() {
+        // A process that replaces a ready one is as ready as that, also where no backend is left.
+        if !listings.is_empty() || matches!(source, ListSource::Predecessor(_)) {
             self.clients.set_ready(&mut self.io);
         }
         self.pool.update_list(list.full, &list.entries, list.version, &mut self.io);
--- a/crates/proxy/tests/discovery_soak.rs
+++ b/crates/proxy/tests/discovery_soak.rs
@@ -1,6 +1,6 @@
 //! Soak test with a discovery agent whose answers are old, late, cut, doubled or out of order, drawn from a seed,
-//! while backends drain, go and return. Some runs have a crowd of idle clients, a reload of the same or of
-//! another agent in each direction, or a handover to a new process.
+//! while backends drain, go and return. In some runs all backends drain at once. Some runs have a crowd of idle
+//! clients, a reload of the same or of another agent in each direction, or a handover to a new process.
 //!
 //! Checked, beside the checks for each request of `soak::checks`:
 //! - No request reaches a backend later than the grace after the proxy was told that it drains or is gone.
@@ -40,6 +40,8 @@
 const RECOVERY: Duration = Duration::from_millis(1_500);
 /// `stopSendingWithinMs` and the protocol's 50 ms.
 const DRAIN_GRACE: Duration = Duration::from_millis(550);
+/// How long all backends drain, in runs in which they do: longer than the grace.
+const ALL_DRAINED_TIME: Duration = Duration::from_millis(1_200);
 const TARGET_MS: u32 = 500;
 const LONGEST_DEADLINE: Duration = Duration::from_millis(1_000);
 /// SIGKILL may come this long after SIGTERM plus the longest deadline.
@@ -81,11 +83,17 @@
         (0..idle_count).map(|_| TcpStream::connect(&proxy.address).unwrap()).collect();
     let clients = Clients::start(&proxy.address, CLIENTS, seed);
     let (start, mut sigterms) = (Instant::now(), Vec::new());
+    let mut drain_all_at =
+        (seed % 4 == 2).then(|| Duration::from_millis(rng.rand_range(1_000..6_000).into()));
     let handover_at = (seed % 3 == 1).then(|| Duration::from_millis(rng.rand_range(1_500..6_000).into()));
     let mut current_agent = agent.try_clone().unwrap();
     while start.elapsed() < FAULT_PHASE {
         std::thread::sleep(Duration::from_millis(rng.rand_range(50..350).into()));
         world.lock().unwrap().change();
+        if drain_all_at.take_if(|at| start.elapsed() > *at).is_some() {
+            world.lock().unwrap().drain_all(ALL_DRAINED_TIME);
+            std::thread::sleep(ALL_DRAINED_TIME);
+        }
         if seed % 2 == 1 && rng.rand_range(0..8) == 0 {
             let next = if rng.rand_range(0..2) == 0 { &agent } else { &second_agent };
             proxy.switch_agent(next);
@@ -96,6 +104,7 @@
             end_process(std::mem::replace(&mut proxy, successor), seed, &mut rng, &mut sigterms);
         }
     }
+    world.lock().unwrap().recover();
     world.lock().unwrap().faulty = false;
     let fault_free_from = Instant::now() + RECOVERY;
     std::thread::sleep(FAULT_FREE_PHASE);
--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -139,6 +139,11 @@
         Proxy::spawn_at(new_config_path().with_extension("toml"), (text.to_string(), backend()), 1024, &[])
     }
 
+    /// Starts the proxy with the full text of a configuration, which names the agent at this listener.
+    pub fn start_text(text: &str, discovery: TcpListener) -> Proxy {
+        Proxy::spawn((text.to_string(), discovery), 1024, &[])
+    }
+
     fn spawn(config: (String, TcpListener), descriptors: usize, environment: &[(&str, &str)]) -> Proxy {
         Proxy::spawn_at(new_config_path(), config, descriptors, environment)
     }
