Request the list every 250 ms while discovery does not respond

For up to 1.1 s after an outage of discovery new requests went to backends that drained then: 83 after the grace of 0.45 s in the reproduction. Cause: a silent agent held the one open request, which was given up 1.05 to 1.55 s after it was sent. Where an agent answers only new requests when it is back, the first came that much later.

From the first request without a response until the next answer a further one is sent every 250 ms, with no wait, on a connection of its own. Earlier ones stay open for their time. Where lists are on request nothing changes. The connection and its response move to discovery/connection.rs.

The file's grace is the stated 0.45 s in place of 1.5 s. cargo test -p sparlug-proxy: all pass.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,18 +1,21 @@
 //! Watches the list of backends by long polling: one connection to the discovery agent, on which the next
 //! request follows each response at once. Where lists are pushed, a failed request is followed by the next
-//! one too, so that one is always outstanding. Where lists are fetched on request, a failure is reported to
-//! the decision module, which decides when to fetch again.
+//! one too, so that one is always outstanding, and until the agent responds again further requests are sent on
+//! connections of their own. Where lists are fetched on request, a failure is reported to the decision module,
+//! which decides when to fetch again.
 
 use std::net::SocketAddr;
 
 use sparlug::time::{Span, Time};
 
-use crate::buffered_stream::BufferedStream;
 use crate::deadlines::DeadlineId;
-use crate::http::{self, ResponseHead};
 use crate::list_history::{ListOrder, ListSource};
 use crate::listing;
-use crate::shared::{IoContext, Owner, ProxyEvent, ReceivedList, TimerEvent};
+use crate::shared::{IoContext, ProxyEvent, ReceivedList, TimerEvent};
+
+mod connection;
+
+use connection::{ListConnection, Progress};
 
 /// Long-poll time, which each proxy varies by a quarter up or down: how long the agent may hold a request
 /// until it has a newer list.
@@ -30,7 +33,9 @@
 const MAX_FULL_LIST_DELAY: Span = Span::from_millis(1_500);
 /// Least time between the starts of requests that fail, or return nothing new, without waiting.
 const MIN_REQUEST_INTERVAL: Span = Span::from_millis(100);
-const MAX_LIST_BYTES: usize = 4 * 1024 * 1024;
+/// Time between requests while the agent does not respond. It is shorter than the grace for drains, because an agent
+/// that is back may respond to new requests only.
+const OUTAGE_REQUEST_INTERVAL: Span = Span::from_millis(250);
 
 /// The client of the discovery agent.
 pub struct Discovery {
@@ -49,11 +54,11 @@
     long_poll_wait: Span,
     /// This proxy's delay before it asks a list service for the full list once more.
     full_list_delay: Span,
-    stream: Option<BufferedStream>,
-    /// The number of the current connection, by which events of earlier connections are recognized and
-    /// ignored.
+    connection: Option<ListConnection>,
+    /// The connections of requests that had no response when the next one was sent. A late response still counts.
+    earlier: Vec<ListConnection>,
+    /// The number of the latest connection.
     connection_number: u32,
-    head: Option<ResponseHead>,
     /// Whether a request is outstanding.
     requested: bool,
     /// Whether the request was sent on a connection that had carried a response before.
@@ -93,7 +98,7 @@
         version: Option<u64>,
         jitter: f64,
     ) -> Discovery {
-        let (stream, head, failures, deadline) = Default::default();
+        let (connection, earlier, failures, deadline) = Default::default();
         let long_poll_wait = LONG_POLL_WAIT.scaled(0.75 + 0.5 * jitter);
         let requested_at = Time::default();
         Discovery {
@@ -104,9 +109,9 @@
             applied: agent.zip(version),
             long_poll_wait,
             full_list_delay: if pushed { Span::ZERO } else { MAX_FULL_LIST_DELAY.scaled(jitter) },
-            stream,
+            connection,
+            earlier,
             connection_number: 0,
-            head,
             requested: false,
             reused: false,
             requested_at,
@@ -117,9 +122,9 @@
         }
     }
 
-    /// The number of the current connection.
-    pub fn connection_number(&self) -> u32 {
-        self.connection_number
+    /// The numbers of the open connections.
+    pub fn connection_numbers(&self) -> impl Iterator<Item = u32> + '_ {
+        self.connection.iter().chain(&self.earlier).map(|connection| connection.number)
     }
 
     /// The agent that the current list comes from, and its version.
@@ -152,26 +157,43 @@
         changed
     }
 
-    /// Cancels the outstanding request and closes the connection.
+    /// Cancels all outstanding requests and closes their connections.
     pub fn stop(&mut self, io: &mut IoContext) {
+        self.close_current(io);
+        self.close_earlier(io);
+    }
+
+    fn close_current(&mut self, io: &mut IoContext) {
         io.deadlines.cancel(self.deadline.take());
-        if let Some(stream) = self.stream.take() {
-            stream.close(&io.registry);
+        if let Some(connection) = self.connection.take() {
+            connection.close(&io.registry);
         }
-        (self.requested, self.head, self.awaited) = (false, None, None);
+        (self.requested, self.awaited) = (false, None);
+    }
+
+    fn close_earlier(&mut self, io: &mut IoContext) {
+        for connection in self.earlier.drain(..) {
+            connection.close(&io.registry);
+        }
+    }
+
+    /// Whether the agent does not respond, and requests follow each other without a response.
+    fn is_in_outage(&self) -> bool {
+        self.pushed && self.failures.is_some()
+    }
+
+    /// How long a request may stay without a response: the long-poll time and a grace.
+    fn response_time(&self, wait: Span) -> Span {
+        wait + if self.pushed { PUSHED_GRACE } else { ON_REQUEST_GRACE }
     }
 
     fn send_request(&mut self, io: &mut IoContext) {
         let Some(agent) = self.agent else { return };
-        (self.requested_at, self.reused) = (io.now, self.stream.is_some());
-        if self.stream.is_none() {
+        (self.requested_at, self.reused) = (io.now, self.connection.is_some());
+        if self.connection.is_none() {
             self.connection_number = self.connection_number.wrapping_add(1);
-            match BufferedStream::connect_to(
-                agent,
-                &io.registry,
-                Owner::Discovery(self.connection_number).token(),
-            ) {
-                Ok(stream) => self.stream = Some(stream),
+            match ListConnection::connect(agent, self.connection_number, io.now, &io.registry) {
+                Ok(connection) => self.connection = Some(connection),
                 Err(e) => return self.fail(&e.to_string(), io),
             }
         }
@@ -182,125 +204,144 @@
             reused = self.reused,
             "requesting the list"
         );
-        let query =
-            self.version.map(|version| format!("?index={version}&wait={:.0}", self.long_poll_wait.ms()));
-        let wait = if query.is_some() { self.long_poll_wait } else { Span::ZERO };
-        let host = agent;
+        // In an outage a response shows that the agent is back, so it must not wait for a newer list.
+        let poll_wait = if self.is_in_outage() { Span::ZERO } else { self.long_poll_wait };
+        let query = self.version.map(|version| format!("?index={version}&wait={:.0}", poll_wait.ms()));
+        let wait = if query.is_some() { poll_wait } else { Span::ZERO };
         let request =
-            format!("GET /v1/endpoints{} HTTP/1.1\r\nHost: {host}\r\n\r\n", query.unwrap_or_default());
+            format!("GET /v1/endpoints{} HTTP/1.1\r\nHost: {agent}\r\n\r\n", query.unwrap_or_default());
+        let timeout = if self.is_in_outage() { OUTAGE_REQUEST_INTERVAL } else { self.response_time(wait) };
         io.deadlines.cancel(self.deadline.take());
-        let grace = if self.pushed { PUSHED_GRACE } else { ON_REQUEST_GRACE };
-        self.deadline = Some(io.deadlines.set(io.now + wait + grace, TimerEvent::Discovery));
-        if let Some(stream) = &mut self.stream {
-            stream.queue(request.as_bytes());
+        self.deadline = Some(io.deadlines.set(io.now + timeout, TimerEvent::Discovery));
+        if let Some(connection) = &mut self.connection {
+            connection.request(&request, io.now);
         }
         self.process_io(io);
     }
 
-    /// Handles an event on the socket of connection `connection_number`.
+    /// Handles an event on the socket of a connection.
     pub fn handle_event(&mut self, connection_number: u32, io: &mut IoContext) {
-        if connection_number == self.connection_number && self.stream.is_some() {
-            self.process_io(io);
+        if self.connection.as_ref().is_some_and(|connection| connection.number == connection_number) {
+            return self.process_io(io);
+        }
+        let is_source = |connection: &ListConnection| connection.number == connection_number;
+        if let Some(index) = self.earlier.iter().position(is_source) {
+            self.process_earlier(index, io);
         }
     }
 
     /// Handles an overdue response, or the time for the next request.
     pub fn handle_timer(&mut self, io: &mut IoContext) {
         self.deadline = None;
-        if self.requested {
-            self.fail("no response", io);
-        } else {
+        if !self.requested {
             self.send_request(io);
+        } else if self.is_in_outage() {
+            self.send_further_request(io);
+        } else {
+            self.fail("no response", io);
         }
     }
 
-    fn fail(&mut self, why: &str, io: &mut IoContext) {
+    /// Sends a request on a new connection while earlier ones have no response. Gives up those that have waited for
+    /// as long as any request may.
+    fn send_further_request(&mut self, io: &mut IoContext) {
+        self.earlier.extend(self.connection.take());
+        let oldest = io.now - self.response_time(self.long_poll_wait);
+        let (overdue, waiting) =
+            self.earlier.drain(..).partition(|connection| connection.requested_at <= oldest);
+        self.earlier = waiting;
+        for connection in overdue {
+            connection.close(&io.registry);
+            self.record_failure("no response", io);
+        }
+        self.send_request(io);
+    }
+
+    fn record_failure(&mut self, why: &str, io: &mut IoContext) {
         io.counters.lists_failed += 1;
-        self.stop(io);
         let (count, since) = self.failures.map_or((1, io.now), |(count, since)| (count + 1, since));
         self.failures = Some((count, since));
         // Limits the log lines while an agent refuses every connection.
         if count.is_power_of_two() || !self.pushed {
             tracing::warn!(why, lost = count, "discovery failed");
         }
+    }
+
+    fn fail(&mut self, why: &str, io: &mut IoContext) {
+        self.close_current(io);
+        self.record_failure(why, io);
         if !self.pushed {
             return io.events.push_back(ProxyEvent::ListFailed);
         }
         // The next request follows soon, since from the moment that a silent agent is back, its list counts
-        // as known to the proxy: it responds to the request that is outstanding then. Without one, the proxy
-        // would notice a drain late.
+        // as known to the proxy. Without an outstanding request, the proxy would notice a drain late.
         self.deadline =
             Some(io.deadlines.set(self.requested_at + MIN_REQUEST_INTERVAL, TimerEvent::Discovery));
     }
 
     fn process_io(&mut self, io: &mut IoContext) {
         self.advance(io);
-        if let Some(stream) = &mut self.stream {
-            io.schedule_retry(stream, Owner::Discovery(self.connection_number));
+        if let Some(connection) = &mut self.connection {
+            connection.schedule_retry(io);
         }
     }
 
     fn advance(&mut self, io: &mut IoContext) {
-        let Some(stream) = &mut self.stream else { return };
-        match stream.is_established() {
-            Ok(true) => {}
-            Ok(false) => return,
-            Err(e) => return self.fail(&e.to_string(), io),
-        }
-        let sent = stream.flush();
-        let read = stream.fill(MAX_LIST_BYTES);
-        let io_error = sent.err().or(read.err());
-        let complete = match self.parse_response() {
-            Ok(complete) => complete,
-            Err(why) => return self.fail(&why, io),
-        };
-        match (complete, &self.stream) {
-            (Some(()), _) if !self.requested => self.fail("response without a request", io),
-            (Some(()), _) => self.receive_list(io),
-            (None, Some(stream)) if stream.ended || io_error.is_some() => {
-                let why = io_error.map_or("connection ended".to_string(), |e| e.to_string());
-                let (requested, stale) = (self.requested, self.reused && stream.input.is_empty());
+        let Some(connection) = &mut self.connection else { return };
+        match connection.advance() {
+            Err(why) => self.fail(&why, io),
+            Ok(Progress::Waiting) => {}
+            Ok(Progress::Complete) if !self.requested => self.fail("response without a request", io),
+            Ok(Progress::Complete) => self.receive_list(io),
+            Ok(Progress::Ended(why)) => {
+                let (requested, stale) = (self.requested, self.reused && connection.has_no_input());
                 // An agent may close an idle connection, also just as it is reused. Only a request that got
                 // part of a response, or was sent on a new connection, has failed: guards against losing the
                 // watch at an agent that closes each connection.
                 if requested && !stale {
                     return self.fail(&why, io);
                 }
-                self.stop(io);
+                self.close_current(io);
                 if requested {
                     self.send_request(io);
                 }
             }
-            _ => {}
         }
     }
 
-    /// Parses the response so far; `Some` once it is complete.
-    fn parse_response(&mut self) -> Result<Option<()>, String> {
-        let Some(stream) = &mut self.stream else { return Ok(None) };
-        if self.head.is_none() {
-            self.head = http::parse_response_head(&stream.input).map_err(|error| format!("{error:?}"))?;
+    /// Handles an event on the connection of an earlier request.
+    fn process_earlier(&mut self, index: usize, io: &mut IoContext) {
+        let connection = &mut self.earlier[index];
+        match connection.advance() {
+            Ok(Progress::Waiting) => connection.schedule_retry(io),
+            Ok(Progress::Complete) => {
+                let connection = self.earlier.swap_remove(index);
+                self.close_current(io);
+                (self.connection, self.requested) = (Some(connection), true);
+                self.receive_list(io);
+            }
+            Ok(Progress::Ended(why)) | Err(why) => {
+                self.earlier.swap_remove(index).close(&io.registry);
+                self.record_failure(&why, io);
+            }
         }
-        let Some(head) = &mut self.head else { return Ok(None) };
-        let body = head.body.parse_buffered(&stream.input[head.length..], stream.ended, MAX_LIST_BYTES);
-        let complete = body.map_err(|error| format!("{error:?}"))?;
-        Ok(complete.map(|_| ()))
     }
 
     fn receive_list(&mut self, io: &mut IoContext) {
-        let (Some(head), Some(stream)) = (self.head.take(), &mut self.stream) else { return };
-        let message = stream.take_input(head.length + head.body.parsed_len());
+        let Some(connection) = &mut self.connection else { return };
+        let Some(response) = connection.take_response() else { return };
         // Guards against an agent that sends response after response without requests.
-        if !stream.input.is_empty() {
+        if !connection.has_no_input() {
             return self.fail("response without a request", io);
         }
-        if head.status != 200 {
-            return self.fail(&format!("status {}", head.status), io);
+        if response.status != 200 {
+            return self.fail(&format!("status {}", response.status), io);
         }
-        let list = match listing::decode(&head.body.decode(&message[head.length..]), &self.zone_names) {
+        let list = match listing::decode(&response.body, &self.zone_names) {
             Ok(list) => list,
             Err(why) => return self.fail(&why, io),
         };
+        self.close_earlier(io);
         io.counters.lists_received += 1;
         let waited = io.now.since(self.requested_at).ms();
         let [ready, draining, gone] = list.condition_counts();
@@ -322,8 +363,8 @@
                 "discovery responds again"
             );
         }
-        if head.close || self.stream.as_ref().is_some_and(|stream| stream.ended) {
-            self.stop(io);
+        if response.close || self.connection.as_ref().is_some_and(ListConnection::has_ended) {
+            self.close_current(io);
         }
         self.requested = false;
         io.deadlines.cancel(self.deadline.take());
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -110,7 +110,7 @@
         self.last_socket_check = self.io.now;
         let mut owners =
             vec![Owner::Listener, Owner::Management, Owner::Handover, Owner::Peers, Owner::Fleet];
-        owners.push(Owner::Discovery(self.discovery.connection_number()));
+        owners.extend(self.discovery.connection_numbers().map(Owner::Discovery));
         owners.extend(self.clients.slots().map(Owner::Client));
         owners.extend(self.pool.slots().map(Owner::Conn));
         for owner in owners {
--- a/crates/proxy/tests/discovery_outage.rs
+++ b/crates/proxy/tests/discovery_outage.rs
@@ -4,17 +4,23 @@
 mod helper;
 
 use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
+
 use helper::{
     accept, backend, fetch, read_message, refusing_backend, request, response, settings, write, Proxy,
 };
 
-/// More than any grace period for a drain, and far less than a pause that doubles would reach in these tests.
-const DRAIN_GRACE: Duration = Duration::from_millis(1500);
+/// `stopSendingWithinMs` of the settings and the protocol's 50 ms.
+const DRAIN_GRACE: Duration = Duration::from_millis(450);
+/// Time after an outage of discovery within which the list is requested, which leaves some of the grace for the answer.
+const MAX_REQUEST_DELAY: Duration = Duration::from_millis(300);
+/// How often an agent that is out looks for connections.
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Backends that serve every request, and when the first byte of each request reached which of them.
 struct Backends {
@@ -120,11 +126,93 @@
     check_drain_after_outage(&proxy, &backends, || {
         proxy.switch_agent(&agent);
         std::thread::sleep(Duration::from_secs(4));
-        socket2::SockRef::from(&agent).listen(64).unwrap();
+        SockRef::from(&agent).listen(64).unwrap();
         agent.try_clone().unwrap()
     });
 }
 
+/// How an agent is out of reach, and what it does with the requests of that time when it is back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Outage {
+    /// It accepts connections, says nothing, and answers the last request when it is back.
+    Silent,
+    /// The same, but it answers only requests that come when it is back.
+    Forgetful,
+    /// It resets each connection.
+    Reset,
+    /// Connections are refused.
+    Refused,
+}
+
+impl Outage {
+    /// Plays the outage. Returns the connections that the agent still holds.
+    fn play(self, agent: &TcpListener, length: Duration) -> Vec<TcpStream> {
+        let (end, mut held) = (Instant::now() + length, Vec::new());
+        agent.set_nonblocking(true).unwrap();
+        while Instant::now() < end {
+            match agent.accept() {
+                Ok((conn, _)) if self == Outage::Reset => {
+                    SockRef::from(&conn).set_linger(Some(Duration::ZERO)).unwrap();
+                }
+                Ok((conn, _)) => held.push(conn),
+                Err(_) => std::thread::sleep(POLL_INTERVAL),
+            }
+        }
+        agent.set_nonblocking(false).unwrap();
+        if self == Outage::Refused {
+            SockRef::from(agent).listen(64).unwrap();
+        }
+        held
+    }
+}
+
+/// Guards against a first request that comes late after an outage, in whatever state that leaves the watch. The
+/// outages end at different moments of the request that is open then.
+#[test]
+fn list_is_requested_soon_after_each_kind_of_outage() {
+    std::thread::scope(|scope| {
+        for outage in [Outage::Silent, Outage::Forgetful, Outage::Reset, Outage::Refused] {
+            for length_ms in [3_000, 3_350, 3_700, 4_050] {
+                scope.spawn(move || check_request_after_outage(outage, Duration::from_millis(length_ms)));
+            }
+        }
+    });
+}
+
+fn check_request_after_outage(outage: Outage, length: Duration) {
+    let backend = backend();
+    let proxy = Proxy::start(&[&backend]);
+    let mut agent = proxy.discovery.try_clone().unwrap();
+    if outage == Outage::Refused {
+        agent = refusing_backend();
+        proxy.switch_agent(&agent);
+    }
+    let mut held = outage.play(&agent, length);
+    let back = Instant::now();
+    let mut conn = match outage {
+        Outage::Silent => held.pop().unwrap(),
+        _ => accept(&agent),
+    };
+    conn.set_nonblocking(false).unwrap();
+    read_message(&mut conn);
+    assert!(back.elapsed() < MAX_REQUEST_DELAY, "{outage:?} for {length:?}: {:?}", back.elapsed());
+    write(&mut conn, &response("200 OK", "", r#"{"seq":9,"whole":true,"hosts":[]}"#));
+    assert!(read_message(&mut conn).contains("index=9&"), "{outage:?} for {length:?}: the answer was used");
+}
+
+/// Guards against a drain that is heard late because the agent does not answer the request that is open when
+/// discovery is back.
+#[test]
+fn drain_takes_effect_within_the_grace_when_an_agent_answers_only_new_requests() {
+    let backends = Backends::new();
+    let proxy = Proxy::start(&[&backends.listeners[0], &backends.listeners[1]]);
+    let mut held = Vec::new();
+    check_drain_after_outage(&proxy, &backends, || {
+        held = Outage::Forgetful.play(&proxy.discovery, Duration::from_millis(3_350));
+        proxy.discovery.try_clone().unwrap()
+    });
+}
+
 /// In the `on_request` mode one service handles the requests of all proxies one after another. Guards against
 /// requests that time out before the service gets to them, each of which delays the next: a busy service then
 /// completes none.
