--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -9,14 +9,13 @@
 use oorandom::Rand32;
 use socket2::{Domain, Socket, Type};
 use sparlug::event::{Action, Event};
-use sparlug::id::BackendId;
 use sparlug::policy::Balancer;
 use sparlug::settings::Effect;
 use sparlug::time::{Span, Time};
 
 use crate::clients::{Classes, Clients};
 use crate::config::{Budgets, Config, ConfigSource, ImmutableSettings, RESERVED_SOCKETS};
-use crate::control_messages::{self, AdminRequest, HandoverMessage, HandoverState};
+use crate::control_messages::{self, HandoverMessage, HandoverState};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, DeadlineId, Deadlines};
 use crate::discovery::Discovery;
@@ -24,19 +23,20 @@
 use crate::handover::{self, Handover};
 use crate::http::ResponseHead;
 use crate::list_history::{ListHistory, ListSource};
-use crate::listing::{backend_id, BackendList, HandoverList};
+use crate::listing::{BackendList, HandoverList};
 use crate::management::ManagementServer;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::shared::{
-    AdminSlot, ClientSlot, ConnSlot, IncomingRequest, IoContext, Owner, ProxyEvent, ReceivedList,
-    RequestSlot, RequestTag, TimerEvent,
+    ClientSlot, ConnSlot, IncomingRequest, IoContext, Owner, ProxyEvent, ReceivedList, RequestSlot,
+    RequestTag, TimerEvent,
 };
 use crate::signals::SignalQueue;
 use crate::slots::Slots;
 use crate::start_times::StartTimes;
 use crate::startup::retry_transient;
 
+mod admin;
 mod lifecycle;
 mod lists;
 mod requests;
@@ -526,61 +526,6 @@
         }
     }
 
-    fn handle_admin_request(&mut self, slot: AdminSlot, request: AdminRequest) {
-        let (status, body) = match request {
-            AdminRequest::Ready if self.clients.ready && self.io.shutdown.is_none() => (200, String::new()),
-            AdminRequest::Ready => (503, String::new()),
-            AdminRequest::Metrics => (200, self.metrics()),
-            AdminRequest::SetDutyPaused { name, paused } => {
-                if self.fleet.set_duty_paused(&name, paused, &mut self.io) {
-                    (200, String::new())
-                } else {
-                    (404, format!("no duty {name} is configured here\n"))
-                }
-            }
-            AdminRequest::Fleet => match self.fleet.status_json(self.io.now) {
-                Some(json) => (200, json),
-                None => (404, "no fleet is configured, or the next process is its member\n".to_string()),
-            },
-            AdminRequest::SetBackendDisabled { host, disabled } => {
-                let backend = backend_id(&host);
-                let is_disabled = self.balancer.disabled().any(|other| other == backend);
-                if is_disabled || self.pool.is_listed(backend) {
-                    self.set_disabled(backend, disabled);
-                    (200, String::new())
-                } else {
-                    (404, format!("the list has no backend {host:?}\n"))
-                }
-            }
-        };
-        self.management.respond(slot, status, "", &body, &mut self.io);
-    }
-
-    fn metrics(&self) -> String {
-        let counts = self.io.counters.report(self.clients.class_names());
-        let corrected = self.start_times.corrected;
-        let (in_flight, known) = (self.clients.in_flight_count(), self.pool.listed_count());
-        let (excluded, withheld) = (self.balancer.excluded_count(), self.list_history.withheld_count());
-        let (fleet, clients) = (self.fleet.metrics(self.io.now), self.clients.report());
-        format!("{counts}{fleet}{clients}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{excluded}|g\nsvc.backends_withheld:{withheld}|g\nsvc.start_times_corrected:{corrected}|c\n")
-    }
-
-    /// Disables or enables a backend, also in the other process of a handover.
-    fn set_disabled(&mut self, backend: BackendId, disabled: bool) {
-        if self.balancer.disabled().any(|other| other == backend) == disabled {
-            return;
-        }
-        tracing::info!(
-            host = self.pool.host(backend),
-            barred = disabled,
-            "backend disabled or enabled by an operator"
-        );
-        self.handle_event(Event::SetDisabled { backend, disabled });
-        let message =
-            HandoverMessage::SetDisabled { backend: control_messages::backend_key(backend), disabled };
-        self.handover.broadcast(&message, &mut self.io);
-    }
-
     /// Reports an event to the balancer and carries out the resulting actions.
     fn handle_event(&mut self, event: Event) {
         self.balancer.handle(self.io.now, event, &mut self.actions);
