--- a/crates/command/src/serve.rs
+++ b/crates/command/src/serve.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use sparlug_proxy::config::{Config, ConfigSource};
-use sparlug_proxy::logging::LogWriter;
+use sparlug_proxy::logging::{log_panics, LogWriter};
 use sparlug_proxy::proxy::Proxy;
 use sparlug_proxy::signals::SignalQueue;
 use sparlug_setup::native::LogFormat;
@@ -54,8 +54,12 @@
     let source = config.map_or(ConfigSource::Environment, ConfigSource::File);
     let config = Config::read_with_retries(&source).map_err(|e| CommandError::usage(e.to_string()))?;
     logging.init(config.log.as_deref(), Some(config.log_format))?;
+    log_panics();
     let proxy = Proxy::new(config, source, signals).map_err(CommandError::failure)?;
-    proxy.run().map_err(|e| CommandError::failure(format!("cannot poll: {e}")))
+    proxy.run().map_err(|error| {
+        tracing::error!(%error, "the process ends by an error");
+        CommandError::failure(format!("cannot poll: {error}"))
+    })
 }
 
 /// Validates the configuration and prints a one-line summary of it.
--- a/crates/proxy/src/buffered_stream.rs
+++ b/crates/proxy/src/buffered_stream.rs
@@ -4,6 +4,7 @@
 
 use std::cell::RefCell;
 use std::io::{self, ErrorKind, Read, Result, Write};
+use std::iter::Sum;
 use std::net::{Shutdown, SocketAddr};
 use std::ops::Range;
 
@@ -24,6 +25,22 @@
     static READ_BUFFER: RefCell<[u8; CHUNK_BYTES]> = const { RefCell::new([0; CHUNK_BYTES]) };
 }
 
+/// Bytes of memory that the buffers of one or more streams occupy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BufferSizes {
+    pub input: usize,
+    pub output: usize,
+}
+
+impl Sum for BufferSizes {
+    fn sum<I: Iterator<Item = BufferSizes>>(sizes: I) -> BufferSizes {
+        sizes.fold(BufferSizes::default(), |sum, size| BufferSizes {
+            input: sum.input + size.input,
+            output: sum.output + size.output,
+        })
+    }
+}
+
 /// A stream with the bytes that were read and not used yet, and those that are still to be written.
 pub struct BufferedStream<S = TcpStream> {
     /// `None` until a socket has been created.
@@ -150,6 +167,11 @@
         Ok(())
     }
 
+    /// Bytes of memory that the input and the output buffer occupy.
+    pub fn allocated_bytes(&self) -> BufferSizes {
+        BufferSizes { input: self.input.capacity(), output: self.output.capacity() }
+    }
+
     /// Number of bytes that are still to be written.
     pub fn unsent(&self) -> usize {
         self.output.len() - self.written
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -8,7 +8,7 @@
 use sparlug::time::{Span, Time};
 
 use crate::acceptor::{Accepted, Acceptor};
-use crate::buffered_stream::BufferedStream;
+use crate::buffered_stream::{BufferSizes, BufferedStream};
 use crate::close_reason::CloseReason;
 use crate::config::Budgets;
 use crate::http::{MAX_BUFFERED_MESSAGE_BYTES, MAX_HEAD_BYTES};
@@ -121,6 +121,16 @@
         format!("svc.clients.open:{open}|g\nsvc.clients.limit:{limit}|g\nsvc.clients.waiting:{waiting}|g\n")
     }
 
+    /// Memory of the buffers of all connections.
+    pub fn buffer_sizes(&self) -> BufferSizes {
+        self.connections.iter().map(|(_, client)| client.stream.allocated_bytes()).sum()
+    }
+
+    /// Number of open connections.
+    pub fn connection_count(&self) -> usize {
+        self.connections.count()
+    }
+
     pub fn slots(&self) -> impl Iterator<Item = ClientSlot> + '_ {
         self.connections.iter().map(|(slot, _)| slot)
     }
--- a/crates/proxy/src/deadlines.rs
+++ b/crates/proxy/src/deadlines.rs
@@ -46,6 +46,11 @@
 }
 
 impl<T> Deadlines<T> {
+    /// Number of pending deadlines.
+    pub fn count(&self) -> usize {
+        self.pending.len()
+    }
+
     pub fn set(&mut self, at: Time, event: T) -> DeadlineId {
         self.sequence += 1;
         let id = DeadlineId(at, self.sequence);
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -209,6 +209,11 @@
         self.connections.count() > 0
     }
 
+    /// Number of connections to other processes.
+    pub fn connection_count(&self) -> usize {
+        self.connections.count()
+    }
+
     /// Whether a successor is connected.
     pub fn has_successor(&self) -> bool {
         self.connections.iter().any(|(_, connection)| connection.successor)
--- a/crates/proxy/src/logging.rs
+++ b/crates/proxy/src/logging.rs
@@ -12,6 +12,15 @@
 const CHUNK_BYTES: usize = 4096;
 const MAX_INTERRUPTIONS: u32 = 16;
 
+/// Logs a panic with its place before the process ends by it, also where standard error is not the log's only reader.
+pub fn log_panics() {
+    let default_hook = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        tracing::error!(%panic, "the process ends by a panic");
+        default_hook(panic);
+    }));
+}
+
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
 /// The number of log lines that were dropped, in whole or in part.
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use sparlug_proxy::config::{Config, ConfigSource};
-use sparlug_proxy::logging::LogWriter;
+use sparlug_proxy::logging::{log_panics, LogWriter};
 use sparlug_proxy::proxy::Proxy;
 use sparlug_proxy::signals::SignalQueue;
 use tracing::level_filters::LevelFilter;
@@ -26,12 +26,14 @@
     // Installed first: guards against a signal during startup ending the program.
     let result = SignalQueue::install().and_then(|signals| {
         init_log();
+        log_panics();
         let config = Config::read_with_retries(&ConfigSource::Environment).map_err(|e| e.to_string())?;
         Proxy::new(config, ConfigSource::Environment, signals)?.run().map_err(|e| format!("cannot poll: {e}"))
     });
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
+            tracing::error!(error = %e, "the process ends by an error");
             eprintln!("sparlug-proxy: {e}");
             ExitCode::FAILURE
         }
--- a/crates/proxy/src/management.rs
+++ b/crates/proxy/src/management.rs
@@ -56,6 +56,11 @@
         self.acceptor.listener()?.local_addr().ok()
     }
 
+    /// Number of open connections.
+    pub fn connection_count(&self) -> usize {
+        self.clients.count()
+    }
+
     pub fn accept(&mut self, io: &mut IoContext) {
         while let Accepted::Connection(stream) = self.acceptor.accept(io) {
             while self.clients.count() >= MAX_ADMIN_CONNECTIONS {
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -11,7 +11,7 @@
 use sparlug::time::{Span, Time};
 
 use crate::attempt_result::AttemptResult;
-use crate::buffered_stream::RETRY_PAUSE;
+use crate::buffered_stream::{BufferSizes, RETRY_PAUSE};
 use crate::config::Budgets;
 use crate::connect_timeout::{ConnectHistory, ConnectTimeout};
 use crate::http::MAX_BUFFERED_MESSAGE_BYTES;
@@ -115,6 +115,16 @@
         }
     }
 
+    /// Memory of the buffers of all connections.
+    pub fn buffer_sizes(&self) -> BufferSizes {
+        self.conns.iter().map(|(_, conn)| conn.stream.allocated_bytes()).sum()
+    }
+
+    /// Number of open connections, and of the idle ones among them.
+    pub fn connection_counts(&self) -> (usize, usize) {
+        (self.conns.count(), self.idle_by_age.len())
+    }
+
     pub fn slots(&self) -> impl Iterator<Item = ConnSlot> + '_ {
         self.conns.iter().map(|(slot, _)| slot)
     }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -40,6 +40,7 @@
 mod lifecycle;
 mod lists;
 mod requests;
+mod resources;
 mod shutdown;
 
 const OVERSLEEP_TOLERANCE: Span = Span::from_millis(3); // more than the timer's resolution
@@ -145,6 +146,8 @@
     waits_failing_since: Option<Time>,
     /// When all sockets were last checked without a wait.
     last_socket_check: Time,
+    /// The longest time between two waits for events.
+    longest_turn: Span,
 }
 
 /// Opens the listener, from the socket that was handed over if there is one. With `reuse_port` another
@@ -305,6 +308,7 @@
             failed_waits: 0,
             waits_failing_since: None,
             last_socket_check: now,
+            longest_turn: Span::ZERO,
         };
         proxy.perform_actions();
         proxy.dispatch_events();
@@ -372,10 +376,12 @@
                 self.handle_timer(timer);
                 self.dispatch_events();
             }
+            self.longest_turn = self.longest_turn.max(self.clock.now().since(self.last_wait_end));
         }
         self.end_pending_requests();
         self.report_unfinished();
         self.handover.remove_socket();
+        self.log_resource_usage();
         tracing::info!(counters = %self.io.counters, "stopped");
         Ok(())
     }
--- a/crates/proxy/src/proxy/admin.rs
+++ b/crates/proxy/src/proxy/admin.rs
@@ -47,7 +47,8 @@
         let (in_flight, known) = (self.clients.in_flight_count(), self.pool.listed_count());
         let (excluded, withheld) = (self.balancer.excluded_count(), self.list_history.withheld_count());
         let (fleet, clients) = (self.fleet.metrics(self.io.now), self.clients.report());
-        format!("{counts}{fleet}{clients}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{excluded}|g\nsvc.backends_withheld:{withheld}|g\nsvc.start_times_corrected:{corrected}|c\n")
+        let resources = self.resource_usage().report();
+        format!("{counts}{fleet}{clients}{resources}svc.in_flight:{in_flight}|g\nsvc.backends_known:{known}|g\nsvc.backends_excluded:{excluded}|g\nsvc.backends_withheld:{withheld}|g\nsvc.start_times_corrected:{corrected}|c\n")
     }
 
     /// Disables or enables a backend, also in the other process of a handover.
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -19,6 +19,7 @@
     pub(super) fn handle_signals(&mut self) {
         for signal in self.signals.take_pending() {
             tracing::info!(signal, counters = %self.io.counters, "signal");
+            self.log_resource_usage();
             if signal == SIGHUP {
                 self.reload_requested = Some(self.io.now);
                 self.reload();
