--- a/crates/proxy/tests/helper/mod.rs
+++ b/crates/proxy/tests/helper/mod.rs
@@ -2,6 +2,7 @@
 //! Helpers shared by the tests that talk to a real proxy process over sockets: starting the proxy on a free
 //! port, clients, stub backends and a stub discovery agent.
 
+pub mod crowd;
 pub mod lists;
 pub mod shim;
 
@@ -401,6 +402,18 @@
     stream
 }
 
+/// Reads the head of a message and nothing of what follows it; `None` if the connection ends before.
+pub fn read_head(conn: &mut TcpStream) -> Option<String> {
+    let (mut text, mut byte) = (Vec::new(), [0]);
+    while !text.ends_with(b"\r\n\r\n") {
+        match conn.read(&mut byte) {
+            Ok(1) => text.push(byte[0]),
+            _ => return None,
+        }
+    }
+    String::from_utf8(text).ok()
+}
+
 /// Reads one HTTP message, with or without a `Content-Length`, and nothing of what follows it. Returns what
 /// has come if the connection ends within the head.
 pub fn read_message(stream: &mut TcpStream) -> String {
--- a/crates/proxy/tests/soak/stub_servers.rs
+++ b/crates/proxy/tests/soak/stub_servers.rs
@@ -1,25 +1,13 @@
 //! Stub backends with a response delay, and a discovery agent that never has changes.
 
-use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::io::Write;
+use std::net::TcpListener;
 use std::time::Duration;
 
-use crate::helper::{response, Arrivals};
+use crate::helper::{read_head, response, Arrivals};
 
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Reads the head of a request without a body; `None` if the connection ends before.
-fn read_head(conn: &mut TcpStream) -> Option<String> {
-    let (mut text, mut byte) = (Vec::new(), [0]);
-    while !text.ends_with(b"\r\n\r\n") {
-        match conn.read(&mut byte) {
-            Ok(1) => text.push(byte[0]),
-            _ => return None,
-        }
-    }
-    String::from_utf8(text).ok()
-}
-
 fn serve_with(listener: TcpListener, respond: impl Fn(&str) -> String + Clone + Send + 'static) {
     std::thread::spawn(move || {
         while let Ok((mut conn, _)) = listener.accept() {
