Tests: fail the opening of files on arm64 as well

On arm64 the proxy calls open() where it calls open64() on x86-64, and the test library replaced only the latter, so that process_failures.rs did not inject its faults: the_proxy_starts_despite_a_transient_failure failed on there ('FileOpen': no hit).

--- a/crates/proxy/tests/shim/faults.c
+++ b/crates/proxy/tests/shim/faults.c
@@ -250,23 +250,33 @@
     return real_write(fd, buffer, rule && length > rule->max_bytes ? rule->max_bytes : length);
 }
 
-int open64(const char *path, int flags, ...)
+/* Opens a file, or returns -1 with the error of a rule. */
+static int open_or_fail(const char *path, int flags, mode_t mode)
 {
     struct rule *rule = hit(FILE_OPEN);
     if (rule) {
         errno = (int)rule->error;
         return -1;
     }
-    mode_t mode = 0;
-    if (flags & O_CREAT) {
-        __builtin_va_list arguments;
-        __builtin_va_start(arguments, flags);
-        mode = __builtin_va_arg(arguments, mode_t);
-        __builtin_va_end(arguments);
-    }
     return (int)syscall(SYS_openat, AT_FDCWD, path, flags, mode);
 }
 
+/* Which of the two names a program calls depends on the kind of machine. */
+#define REPLACE_OPEN(name) \
+    int name(const char *path, int flags, ...) \
+    { \
+        mode_t mode = 0; \
+        if (flags & O_CREAT) { \
+            __builtin_va_list arguments; \
+            __builtin_va_start(arguments, flags); \
+            mode = __builtin_va_arg(arguments, mode_t); \
+            __builtin_va_end(arguments); \
+        } \
+        return open_or_fail(path, flags, mode); \
+    }
+REPLACE_OPEN(open)
+REPLACE_OPEN(open64)
+
 ssize_t read(int fd, void *buffer, size_t length)
 {
     struct rule *rule = fd > 2 ? hit(FILE_READ) : NULL;
