Limit memory by what the heap holds, and each buffer by a part of what is free

Cause: the limits were estimates where memory was allotted: lengths of large inputs and of pending messages counted; capacities, inputs up to 16 kB, outputs, responses, and the emptied buffers of lingering connections did not. The gauges showed a heap of 32.8 MB with 6.8 MB of requests counted. Change: the heap counts every allocation, and a buffer may hold a 64th of what is free of its limit (half of the memory less 6 MB), 2 kB at least; a request that does not fit is refused at once, bodies are streamed in smaller pieces, and answers that can be streamed are, earlier.

--- a/crates/proxy/src/buffered_stream.rs
+++ b/crates/proxy/src/buffered_stream.rs
@@ -17,6 +17,7 @@
 
 const MAX_INTERRUPTED_CALLS: u32 = 16; // in a row, before other sockets are handled
 const CHUNK_BYTES: usize = 16 * 1024; // read per call; also the least number of written bytes to free early
+const BLOCK_BYTES: usize = 4 * 1024;
 pub const RETRY_PAUSE: Span = Span::from_millis(5); // before repeating a call that lacked a resource
 
 thread_local! {
@@ -41,6 +42,15 @@
     }
 }
 
+/// Makes room for `additional` bytes. Large buffers grow by whole blocks: buffers of ever new sizes would leave gaps in
+/// the heap that nothing fits into.
+pub fn reserve_blocks(buffer: &mut Vec<u8>, additional: usize) {
+    let needed = buffer.len() + additional;
+    let capacity =
+        if needed > BLOCK_BYTES { needed.next_multiple_of(BLOCK_BYTES) } else { needed.next_power_of_two() };
+    buffer.reserve_exact(capacity - buffer.len());
+}
+
 /// A stream with the bytes that were read and not used yet, and those that are still to be written.
 pub struct BufferedStream<S = TcpStream> {
     /// `None` until a socket has been created.
@@ -144,7 +154,7 @@
             match stream.read(&mut buffer[..length]) {
                 Ok(0) => self.ended = true,
                 Ok(read) => {
-                    self.input.reserve_exact(read);
+                    reserve_blocks(&mut self.input, read);
                     self.input.extend_from_slice(&buffer[..read]);
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted && interrupted_calls < MAX_INTERRUPTED_CALLS => {
@@ -189,12 +199,25 @@
 
     /// Removes the first bytes of the input and returns them.
     pub fn take_input(&mut self, bytes: usize) -> Vec<u8> {
-        let rest = self.input.split_off(bytes);
-        std::mem::replace(&mut self.input, rest)
+        if bytes == self.input.len() {
+            return std::mem::take(&mut self.input);
+        }
+        let taken = self.input[..bytes].to_vec();
+        self.input.drain(..bytes);
+        if self.input.len() < self.input.capacity() / 2 {
+            self.input.shrink_to_fit();
+        }
+        taken
+    }
+
+    /// Drops the input and its memory.
+    pub fn discard_input(&mut self) {
+        self.input = Vec::new();
     }
 
     pub fn queue(&mut self, bytes: &[u8]) {
         self.begun_writing &= !self.output.is_empty();
+        reserve_blocks(&mut self.output, bytes.len());
         self.output.extend_from_slice(bytes);
     }
 
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -55,8 +55,6 @@
     /// The connections that may be evicted for a new one, by rank and then by last use: lingering ones, idle
     /// ones, and those with an incomplete request.
     eviction_order: [BTreeSet<(Time, ClientSlot)>; 3],
-    /// Bytes received from all clients and not processed yet.
-    unread_bytes: usize,
     /// The ids of all requests that have no response yet.
     active_ids: BTreeSet<String>,
     classes: Classes,
@@ -76,13 +74,12 @@
         classes: Classes,
         budgets: Budgets,
     ) -> Clients {
-        let (connections, eviction_order, unread_bytes, active_ids, full, ready) = Default::default();
+        let (connections, eviction_order, active_ids, full, ready) = Default::default();
         Clients {
             acceptor: Acceptor::new(listener, Owner::Listener),
             shares_listener,
             connections,
             eviction_order,
-            unread_bytes,
             active_ids,
             classes,
             budgets,
@@ -179,16 +176,14 @@
         }
     }
 
-    /// Updates the byte count and the eviction order after a change of one connection.
+    /// Updates the eviction order after a change of one connection.
     fn update_indexes(&mut self, slot: ClientSlot, io: &mut IoContext) {
         let Some(client) = self.connections.get_mut(slot) else { return };
         client.stream.retry_nodelay();
         io.schedule_retry(&mut client.stream, Owner::Client(slot));
-        let length = client.stream.input.len();
-        self.unread_bytes = self.unread_bytes + length - std::mem::replace(&mut client.counted_bytes, length);
         let rank = match client.state {
             ClientState::Lingering => Some(LINGERING_RANK),
-            ClientState::Reading => Some(if length == 0 { 1 } else { 2 }),
+            ClientState::Reading => Some(if client.stream.input.is_empty() { 1 } else { 2 }),
             ClientState::Waiting(_) | ClientState::Answering { .. } | ClientState::Streaming { .. } => None,
         };
         let key = rank.map(|rank| (rank, client.last_used));
@@ -215,7 +210,6 @@
                 Some(deadlines.set(now + FIRST_REQUEST_READ_TIMEOUT, TimerEvent::ClientTimeout(slot)));
             let (state, head, incoming_body, request_id, open_class) =
                 (ClientState::Reading, None, None, None, None);
-            let (counted_bytes, eviction_key) = (0, None);
             Some(Client {
                 stream,
                 state,
@@ -226,8 +220,7 @@
                 deadline,
                 last_used: now,
                 read_failed_since,
-                counted_bytes,
-                eviction_key,
+                eviction_key: None,
                 read_timer_set: true,
                 hung_up: false,
             })
@@ -246,7 +239,6 @@
             tracing::debug!(id = client.request_id, state = ?client.state, ?reason, "closed with incomplete response");
         }
         io.client_connections -= 1;
-        self.unread_bytes -= client.counted_bytes;
         if let Some((rank, last_used)) = client.eviction_key {
             self.eviction_order[rank].remove(&(last_used, slot));
         }
@@ -302,13 +294,13 @@
         let Some(client) = self.connections.get_mut(slot) else { return };
         // A client's pipelined requests must not fill the memory while the first awaits its response.
         let max_bytes = match (client.state, &client.incoming_body) {
-            (ClientState::Reading, _) => MAX_BUFFERED_MESSAGE_BYTES,
-            (ClientState::Waiting(_), Some(_)) => io.window(),
-            _ => MAX_HEAD_BYTES,
+            (ClientState::Reading, _) => io.memory.buffer_limit(MAX_BUFFERED_MESSAGE_BYTES),
+            (ClientState::Waiting(_), Some(_)) => io.memory.window(),
+            _ => io.memory.buffer_limit(MAX_HEAD_BYTES),
         };
         let read = client.read(max_bytes, io.now);
         if client.state == ClientState::Lingering {
-            client.stream.input.clear();
+            client.stream.discard_input();
             if client.stream.has_unread() {
                 io.deadlines.set(io.now, TimerEvent::Recheck(Owner::Client(slot)));
             }
@@ -324,7 +316,7 @@
         }
         match client.state {
             ClientState::Answering { .. } | ClientState::Streaming { .. } => self.flush(slot, io),
-            ClientState::Reading => self.read_request(slot, io),
+            ClientState::Reading => self.read_request(slot, max_bytes, io),
             ClientState::Waiting(Some(request)) if client.incoming_body.is_some() => {
                 io.events.push_back(ProxyEvent::RequestBodyReady(request));
             }
@@ -357,7 +349,7 @@
         let Some(client) = self.connections.get_mut(slot).filter(|client| client.deadline.is_none()) else {
             return;
         };
-        let window = io.window();
+        let window = io.memory.window();
         if let (ClientState::Reading | ClientState::Waiting(_), Some(body)) =
             (client.state, &mut client.incoming_body)
         {
--- a/crates/proxy/src/clients/client.rs
+++ b/crates/proxy/src/clients/client.rs
@@ -57,8 +57,6 @@
     pub(super) last_used: Time,
     /// Since when a request may have waited to be read because system calls failed.
     pub(super) read_failed_since: Option<Time>,
-    /// The share of this connection in `Clients::unread_bytes`.
-    pub(super) counted_bytes: usize,
     /// Its rank and time of last use in the eviction order.
     pub(super) eviction_key: Option<(usize, Time)>,
     /// The deadline limits the reading of a request: one has started to arrive, or the first is awaited.
--- a/crates/proxy/src/clients/requests.rs
+++ b/crates/proxy/src/clients/requests.rs
@@ -9,14 +9,14 @@
 use crate::close_reason::CloseReason;
 use crate::http::{
     self, HttpError, RequestHead, CLIENT_METHODS, MAX_BUFFERED_BODY_BYTES, MAX_BUFFERED_MESSAGE_BYTES,
-    MAX_HEAD_BYTES,
 };
 use crate::io_failures::SystemCall;
 use crate::shared::{ClientSlot, IncomingRequest, IoContext, Owner, ProxyEvent, TimerEvent};
 
 impl Clients {
-    /// Handles the next request in the buffered bytes, if it is complete.
-    pub(super) fn read_request(&mut self, slot: ClientSlot, io: &mut IoContext) {
+    /// Handles the next request in the buffered bytes, if it is complete. No more than `max_bytes` are read of an
+    /// incomplete one.
+    pub(super) fn read_request(&mut self, slot: ClientSlot, max_bytes: usize, io: &mut IoContext) {
         let Some(client) = self.connections.get_mut(slot) else { return };
         if client.stream.ended && client.stream.input.is_empty() {
             return self.close(slot, CloseReason::ByClient, io);
@@ -28,12 +28,12 @@
             }
             // A client that has closed its side will not send the rest of its request.
             Ok(None) if client.stream.ended => self.close(slot, CloseReason::ByClient, io),
-            // Large requests must not fill the memory before they are complete.
-            Ok(None)
-                if client.stream.input.len() > MAX_HEAD_BYTES
-                    && self.unread_bytes - client.counted_bytes + client.stream.input.len()
-                        > self.budgets.buffer_bytes =>
-            {
+            // The memory has no room for the rest of the request.
+            Ok(None) if client.stream.input.len() >= max_bytes => {
+                io.counters.refused_for_memory += 1;
+                let (bytes, id) =
+                    (client.stream.input.len(), client.head.as_ref().and_then(|head| head.id.as_deref()));
+                tracing::debug!(id, bytes, "refused: no memory for the rest of the request");
                 self.respond(slot, 503, true, io);
             }
             Ok(None) => {
@@ -175,7 +175,7 @@
     ) -> Result<(Vec<u8>, bool), HttpError> {
         let Some(client) = self.connections.get_mut(slot) else { return Ok((Vec::new(), false)) };
         if client.stream.input.is_empty() && client.stream.has_unread() {
-            let _ = client.read(io.window(), io.now);
+            let _ = client.read(io.memory.window(), io.now);
             if client.stream.ended {
                 io.deadlines.set(io.now, TimerEvent::Recheck(Owner::Client(slot)));
             }
--- a/crates/proxy/src/clients/responses.rs
+++ b/crates/proxy/src/clients/responses.rs
@@ -2,13 +2,11 @@
 
 use super::{client::ClientState, Clients, IDLE_TIMEOUT, LINGER_TIMEOUT, RESPONSE_WRITE_TIMEOUT};
 use crate::close_reason::CloseReason;
-use crate::http::{self};
+use crate::http::{self, STREAMED_STATUS};
 use crate::io_failures::SystemCall;
 use crate::shared::{ClientSlot, IoContext, Owner, ProxyEvent, TimerEvent};
 use sparlug::id::RequestId;
 
-const STREAMED_STATUS: u16 = 200; // only responses with this status are streamed
-
 impl Clients {
     /// Starts a streamed response.
     pub fn start_response(
@@ -31,7 +29,7 @@
     /// How many more bytes of a streamed response may be queued now.
     pub fn write_capacity(&self, slot: ClientSlot, io: &IoContext) -> usize {
         let unsent = self.connections.get(slot).map_or(usize::MAX, |client| client.stream.unsent());
-        io.window().saturating_sub(unsent)
+        io.memory.window().saturating_sub(unsent)
     }
 
     /// Writes the next bytes of a streamed response; `last` marks its end.
@@ -103,7 +101,7 @@
         }
         let close = match client.state {
             ClientState::Streaming { request, done: false, .. } => {
-                if unsent <= io.window() / 2 {
+                if unsent <= io.memory.window() / 2 {
                     io.events.push_back(ProxyEvent::ResponseBodyReady(request));
                 }
                 return;
@@ -142,7 +140,7 @@
         client.state = ClientState::Lingering;
         io.deadlines.cancel(client.deadline.take());
         client.deadline = Some(io.deadlines.set(io.now + LINGER_TIMEOUT, TimerEvent::ClientTimeout(slot)));
-        client.stream.input.clear();
+        client.stream.discard_input();
         self.handle_ready(slot, io);
     }
 }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -88,8 +88,12 @@
 /// Sockets for the management endpoint, its connections and a handover, where management is configured.
 const MANAGEMENT_SOCKETS: usize = MAX_ADMIN_CONNECTIONS + 4;
 const RESERVED_MB: usize = 6; // for the program itself
-/// The fewest connections to either side, and buffered messages, with which the proxy can serve.
+/// The part of the other memory that the heap may hold, as a fraction. Gaps between allocations take the rest.
+const HEAP_SHARE: (usize, usize) = (1, 2);
+/// The fewest connections to either side with which the proxy can serve.
 const MIN_BUDGET: usize = 6;
+/// The heap has to have room for this many of the longest buffered messages.
+const MIN_HEAP_MESSAGES: usize = 12;
 
 /// Limits of connections and memory.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -102,8 +106,9 @@
     pub total: usize,
     /// Idle connections to backends.
     pub idle: usize,
-    /// Bytes of pending requests; and as many again of requests that are still being received.
-    pub buffer_bytes: usize,
+    /// The most that the heap may hold. The rest of the memory is for the program itself and for what the allocator
+    /// holds beyond it.
+    pub heap_bytes: usize,
 }
 
 impl Limits {
@@ -122,16 +127,16 @@
         // requests need connections too. Connections take almost no memory, but messages do.
         let total = sockets.saturating_sub(reserved);
         let (clients, backends) = (total * 7 / 9, total / 8);
-        let buffer_bytes = (memory_mb.saturating_sub(RESERVED_MB) << 20) / 4;
+        let heap_bytes = (memory_mb.saturating_sub(RESERVED_MB) << 20) / HEAP_SHARE.1 * HEAP_SHARE.0;
         if clients < MIN_BUDGET
             || backends < MIN_BUDGET
-            || buffer_bytes < MIN_BUDGET * MAX_BUFFERED_MESSAGE_BYTES
+            || heap_bytes < MIN_HEAP_MESSAGES * MAX_BUFFERED_MESSAGE_BYTES
         {
             return Err(format!(
                 "limits of {sockets} sockets and {memory_mb} MB are too low to serve requests"
             ));
         }
-        Ok(Budgets { clients, backends, total, idle: backends * 3 / 4, buffer_bytes })
+        Ok(Budgets { clients, backends, total, idle: backends * 3 / 4, heap_bytes })
     }
 }
 
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -18,6 +18,8 @@
     pub clients_gone: u64,
     pub served: u64,
     pub refused: u64,
+    /// Requests that were refused because the memory had no room for them.
+    pub refused_for_memory: u64,
     pub failed: u64,
     /// Requests that got a 504 because no response had come by their deadline.
     pub overdue: u64,
@@ -75,6 +77,7 @@
         }
         let _ = writeln!(text, "svc.attempts:{}|c", self.attempts_sent);
         let _ = writeln!(text, "svc.responses_before_body:{}|c", self.responses_before_body);
+        let _ = writeln!(text, "svc.refused_for_memory:{}|c", self.refused_for_memory);
         let _ = writeln!(text, "svc.lists.received:{}|c", self.lists_received);
         let _ = writeln!(text, "svc.lists.failed:{}|c", self.lists_failed);
         let _ = writeln!(text, "svc.lists.suspicious:{}|c", self.suspicious_lists);
@@ -98,6 +101,7 @@
             self.connections, self.requests_received, self.bad_input
         )?;
         write!(f, "honoured={} turned_back={} ", self.served, self.refused)?;
+        write!(f, "refused_for_memory={} ", self.refused_for_memory)?;
         write!(f, "forfeited={} overdue={} left={} ", self.failed, self.overdue, self.clients_gone)?;
         write!(
             f,
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -17,6 +17,8 @@
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
 /// A head, a buffered body, and an allowance for the body's framing.
 pub const MAX_BUFFERED_MESSAGE_BYTES: usize = MAX_HEAD_BYTES + MAX_BUFFERED_BODY_BYTES + MAX_HEAD_BYTES;
+/// Only responses with this status are streamed.
+pub const STREAMED_STATUS: u16 = 200;
 const MAX_HEADERS: usize = 100;
 
 /// The header fields that requests and responses have in common.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod listing;
 pub mod logging;
 pub mod management;
+pub mod memory_limit;
 pub mod peers;
 pub mod pool;
 pub mod process_usage;
--- a/crates/proxy/src/management.rs
+++ b/crates/proxy/src/management.rs
@@ -97,7 +97,7 @@
         let Some(client) = self.clients.get_mut(slot) else { return };
         let read = client.stream.fill(MAX_REQUEST_BYTES);
         if client.request_received {
-            client.stream.input.clear();
+            client.stream.discard_input();
             let flushed = client.stream.flush();
             if matches!(flushed, Ok(true)) {
                 client.stream.shutdown_write();
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -390,7 +390,7 @@
             }
             match job.purpose {
                 Purpose::Attempt(request, _)
-                    if !request_complete && conn.stream.unsent() <= io.window() / 2 =>
+                    if !request_complete && conn.stream.unsent() <= io.memory.window() / 2 =>
                 {
                     io.events.push_back(ProxyEvent::RequestBodyReady(request));
                 }
@@ -398,7 +398,8 @@
             }
         }
         let written = *written;
-        let filled = conn.stream.fill(if conn.streaming { io.window() } else { MAX_BUFFERED_MESSAGE_BYTES });
+        let read_limit = conn.read_limit(io.memory);
+        let filled = conn.stream.fill(read_limit);
         for (call, error) in
             [(SystemCall::Write, flushed.as_ref().err()), (SystemCall::Read, filled.as_ref().err())]
         {
@@ -412,10 +413,10 @@
             Err(result) => self.close(slot, result, io),
             Ok(ResponseProgress::Complete) => self.response_complete(slot, written, io),
             Ok(ResponseProgress::TooLong) => self.start_streaming(slot, io),
-            Ok(ResponseProgress::Partial { unknown_length })
+            Ok(ResponseProgress::Partial { unknown_length, streamable })
                 if flushed.is_ok() && filled.is_ok() && !conn.stream.ended =>
             {
-                if conn.stream.input.len() >= MAX_BUFFERED_MESSAGE_BYTES && unknown_length {
+                if conn.stream.input.len() >= read_limit && streamable {
                     self.start_streaming(slot, io);
                 } else if conn.stream.input.len() >= MAX_BUFFERED_MESSAGE_BYTES {
                     self.close(slot, AttemptResult::Garbled, io);
@@ -515,7 +516,7 @@
     /// If the body is cut short, that is reported as a `ProxyEvent`.
     pub fn read_body(&mut self, slot: ConnSlot, capacity: usize, io: &mut IoContext) -> (Vec<u8>, bool) {
         let nothing = (Vec::new(), false);
-        let window = io.window();
+        let window = io.memory.window();
         let Some(conn) = self.conns.get_mut(slot).filter(|conn| conn.streaming) else { return nothing };
         let Some(head) = &mut conn.head else { return nothing };
         if conn.stream.input.is_empty() && conn.stream.has_unread() {
@@ -548,7 +549,7 @@
     /// How many more bytes of a request's body can be written now.
     pub fn write_capacity(&self, slot: ConnSlot, io: &IoContext) -> usize {
         let unsent = self.conns.get(slot).map_or(usize::MAX, |conn| conn.stream.unsent());
-        io.window().saturating_sub(unsent)
+        io.memory.window().saturating_sub(unsent)
     }
 
     /// Writes more of a request's body; `complete` if it ends with these bytes.
--- a/crates/proxy/src/pool/conn.rs
+++ b/crates/proxy/src/pool/conn.rs
@@ -11,8 +11,12 @@
 use crate::body::MAX_BODY_BYTES;
 use crate::buffered_stream::BufferedStream;
 use crate::deadlines::DeadlineId;
-use crate::http::{self, HttpError, ResponseHead, MAX_BUFFERED_BODY_BYTES};
+use crate::http::{
+    self, HttpError, ResponseHead, MAX_BUFFERED_BODY_BYTES, MAX_BUFFERED_MESSAGE_BYTES, MAX_HEAD_BYTES,
+    STREAMED_STATUS,
+};
 use crate::io_failures::Cause;
+use crate::memory_limit::MemoryLimit;
 use crate::shared::{ConnSlot, IoContext, JobResult, ProxyEvent, Purpose, TimerEvent};
 
 pub(super) enum Stage {
@@ -63,9 +67,11 @@
 
 /// How much of a response has arrived.
 pub(super) enum ResponseProgress {
-    /// The end is still to come; `unknown_length` if nothing tells how long the body is.
+    /// The end is still to come; `unknown_length` if nothing tells how long the body is, `streamable` if it may be
+    /// passed on before its end.
     Partial {
         unknown_length: bool,
+        streamable: bool,
     },
     Complete,
     /// Too long to be buffered.
@@ -140,7 +146,7 @@
     /// Whether the start of a response of unknown length has arrived, and it is not streamed yet.
     pub(super) fn has_open_ended_response(&mut self) -> bool {
         !self.streaming
-            && matches!(self.parse_response(), Ok(ResponseProgress::Partial { unknown_length: true }))
+            && matches!(self.parse_response(), Ok(ResponseProgress::Partial { unknown_length: true, .. }))
     }
 
     /// Parses what has arrived of a response, skipping interim responses.
@@ -151,7 +157,7 @@
                     http::parse_response_head(&self.stream.input).map_err(|_| AttemptResult::Garbled)?;
             }
             let Some(head) = &mut self.head else {
-                return Ok(ResponseProgress::Partial { unknown_length: false });
+                return Ok(ResponseProgress::Partial { unknown_length: false, streamable: false });
             };
             if head.status >= 200 {
                 break;
@@ -166,11 +172,11 @@
             self.head = None;
             self.stream.take_input(length);
         }
-        let is_attempt = matches!(self.job, Some(Job { purpose: Purpose::Attempt(..), .. }));
+        let is_attempt = self.carries_attempt();
         let Some(head) = &mut self.head else {
-            return Ok(ResponseProgress::Partial { unknown_length: false });
+            return Ok(ResponseProgress::Partial { unknown_length: false, streamable: false });
         };
-        let may_stream = is_attempt && head.status == 200;
+        let may_stream = is_attempt && head.status == STREAMED_STATUS;
         match head.body.parse_buffered(
             &self.stream.input[head.length..],
             self.stream.ended && !self.stream.broken,
@@ -178,7 +184,8 @@
         ) {
             Ok(Some(_)) => Ok(ResponseProgress::Complete),
             Ok(None) => {
-                Ok(ResponseProgress::Partial { unknown_length: may_stream && !head.body.has_length() })
+                let unknown_length = may_stream && !head.body.has_length();
+                Ok(ResponseProgress::Partial { unknown_length, streamable: may_stream })
             }
             Err(HttpError::BodyTooLarge) if may_stream && head.body.size() <= MAX_BODY_BYTES => {
                 Ok(ResponseProgress::TooLong)
@@ -187,6 +194,23 @@
         }
     }
 
+    fn carries_attempt(&self) -> bool {
+        matches!(self.job, Some(Job { purpose: Purpose::Attempt(..), .. }))
+    }
+
+    /// How many bytes of the response may be buffered now. Where the memory is short, a response that can be streamed
+    /// is, before all of it has arrived.
+    pub(super) fn read_limit(&self, memory: MemoryLimit) -> usize {
+        match &self.head {
+            _ if self.streaming => memory.window(),
+            None => memory.buffer_limit(MAX_BUFFERED_MESSAGE_BYTES).max(MAX_HEAD_BYTES),
+            Some(head) if head.status == STREAMED_STATUS && self.carries_attempt() => {
+                memory.buffer_limit(MAX_BUFFERED_MESSAGE_BYTES)
+            }
+            Some(_) => MAX_BUFFERED_MESSAGE_BYTES,
+        }
+    }
+
     /// Reports the result of what the connection carried.
     pub(super) fn finish(
         &mut self,
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -25,6 +25,7 @@
 use crate::list_history::{ListHistory, ListSource};
 use crate::listing::{BackendList, HandoverList};
 use crate::management::ManagementServer;
+use crate::memory_limit::{MemoryLimit, MemoryWatch};
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::shared::{
@@ -95,10 +96,6 @@
     fn is_incomplete_upload(&self) -> bool {
         self.streamed_body.as_ref().is_some_and(|body| !body.complete)
     }
-
-    fn is_streaming(&self) -> bool {
-        self.streamed_body.is_some() || self.streamed_response.is_some()
-    }
 }
 
 /// A running proxy: the event loop with everything it serves.
@@ -113,8 +110,6 @@
     actions: Vec<Action>,
     clients: Clients,
     pending: Slots<RequestTag, PendingRequest>,
-    /// Buffered bytes of all pending requests.
-    buffered_bytes: usize,
     pool: Pool,
     discovery: Discovery,
     list_history: ListHistory,
@@ -146,6 +141,7 @@
     waits_failing_since: Option<Time>,
     /// When all sockets were last checked without a wait.
     last_socket_check: Time,
+    memory_watch: MemoryWatch,
     /// The longest time between two waits for events.
     longest_turn: Span,
 }
@@ -204,7 +200,6 @@
         let clock = Clock::start();
         let (now, deadlines, counters) = (clock.now(), Deadlines::default(), Counters::default());
         let (client_connections, backend_connections, events) = Default::default();
-        let (streaming_requests, streaming_bytes) = (0, config.budgets.buffer_bytes / 2);
         let mut io = IoContext {
             registry,
             now,
@@ -214,8 +209,7 @@
             client_connections,
             backend_connections,
             events,
-            streaming_requests,
-            streaming_bytes,
+            memory: MemoryLimit::new(config.budgets.heap_bytes),
             shutdown: None,
         };
         let management = ManagementServer::new(config.management, &io)?;
@@ -275,7 +269,6 @@
         }
         let mut actions = Vec::new();
         let balancer = Balancer::new(setup.settings, config.seed, now, &mut actions);
-        let (pending, buffered_bytes) = (Slots::default(), 0);
         let mut proxy = Proxy {
             poll,
             clock,
@@ -285,8 +278,7 @@
             balancer,
             actions,
             clients,
-            pending,
-            buffered_bytes,
+            pending: Slots::default(),
             pool,
             discovery,
             list_history,
@@ -308,6 +300,7 @@
             failed_waits: 0,
             waits_failing_since: None,
             last_socket_check: now,
+            memory_watch: MemoryWatch::default(),
             longest_turn: Span::ZERO,
         };
         proxy.perform_actions();
@@ -376,6 +369,7 @@
                 self.handle_timer(timer);
                 self.dispatch_events();
             }
+            self.memory_watch.update(self.io.memory, self.io.now);
             self.longest_turn = self.longest_turn.max(self.clock.now().since(self.last_wait_end));
         }
         self.end_pending_requests();
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -10,6 +10,7 @@
 use crate::io_failures::SystemCall;
 use crate::list_history::ListSource;
 use crate::listing::HandoverList;
+use crate::memory_limit::MemoryLimit;
 use crate::shared::{Owner, ProxyEvent, ReceivedList, TimerEvent};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use sparlug::time::{Span, Time};
@@ -84,7 +85,7 @@
         let budgets = self.budgets[usize::from(self.handover.is_overlapping())];
         self.clients.set_budgets(budgets);
         self.pool.set_budgets(budgets);
-        self.io.streaming_bytes = budgets.buffer_bytes / 2;
+        self.io.memory = MemoryLimit::new(budgets.heap_bytes);
     }
 
     /// Hands the listener and the state over to a successor process.
--- a/crates/proxy/src/proxy/requests.rs
+++ b/crates/proxy/src/proxy/requests.rs
@@ -2,6 +2,7 @@
 
 use super::{PendingRequest, Proxy, StreamedBody, MAX_REPLAY_BYTES};
 use crate::attempt_result::AttemptResult;
+use crate::buffered_stream::reserve_blocks;
 use crate::http::{self, HttpError};
 use crate::pool::OutgoingRequest;
 use crate::shared::{
@@ -20,7 +21,7 @@
         // Large requests that wait must not fill the memory.
         let bytes = incoming.message.len();
         let due = self.response_due(&incoming, complete.then_some(deadline));
-        let fits = bytes + self.buffered_bytes <= self.clients.budgets.buffer_bytes;
+        let fits = bytes <= self.io.memory.buffer_limit(bytes);
         let deadlines = &mut self.io.deadlines;
         let slot = self.pending.insert_with(|slot| {
             if !fits {
@@ -41,10 +42,9 @@
         });
         let Some(slot) = slot else {
             self.io.counters.refused += 1;
+            self.io.counters.refused_for_memory += 1;
             return self.clients.respond(client, 503, true, &mut self.io);
         };
-        self.buffered_bytes += bytes;
-        self.io.streaming_requests += usize::from(!complete);
         let id = RequestId(slot.to_number());
         self.clients.set_request(client, id);
         self.handle_event(Event::RequestReceived(Request {
@@ -95,7 +95,7 @@
             tracing::debug!(id, request = request.0, attempt = number.0, host, "retry");
         }
         pending.attempts.push(None);
-        let (incoming, window) = (&pending.incoming, self.io.window());
+        let (incoming, window) = (&pending.incoming, self.io.memory.window());
         let (mut end, mut remaining, mut complete) = (incoming.message.len(), timeout, true);
         if let Some(body) = &mut pending.streamed_body {
             end = end.min(incoming.head.length + window);
@@ -171,16 +171,12 @@
                 Err(error) => return self.reject_body(request, client, error),
             };
             body.complete = last;
-            let (length, budget) = (bytes.len(), self.clients.budgets.buffer_bytes / 2);
-            if !body.discarded
-                && message.len() + length <= MAX_REPLAY_BYTES
-                && self.buffered_bytes + length <= budget
-            {
+            let kept = message.len() + bytes.len();
+            if !body.discarded && kept <= self.io.memory.replay_limit(MAX_REPLAY_BYTES) {
+                reserve_blocks(message, bytes.len());
                 message.extend_from_slice(&bytes);
-                self.buffered_bytes += length;
                 body.sent = message.len();
             } else if !std::mem::replace(&mut body.discarded, true) {
-                self.buffered_bytes -= message.len();
                 *message = Vec::new();
             }
             self.pool.write_body(conn, &bytes, last, &mut self.io);
@@ -218,7 +214,6 @@
             return conn.into_iter().for_each(|slot| self.pool.cancel(slot, &mut self.io));
         };
         let close = pending.incoming.head.close || self.clients.closes_after_response(client, &self.io);
-        self.io.streaming_requests += usize::from(!pending.is_streaming());
         self.io.deadlines.cancel(pending.deadline.take());
         self.clients.start_response(
             client,
@@ -396,9 +391,7 @@
             pending.client.is_none() && pending.attempts.iter().all(Option::is_none)
         };
         if self.pending.get(slot).is_some_and(is_done) {
-            let Some(pending) = self.pending.remove(slot) else { return };
-            self.buffered_bytes -= pending.incoming.message.len();
-            self.io.streaming_requests -= usize::from(pending.is_streaming());
+            self.pending.remove(slot);
         }
     }
 
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::io_failures::SystemCall;
 use crate::list_history::ListSource;
 use crate::listing::BackendList;
+use crate::memory_limit::MemoryLimit;
 use crate::shutdown_schedule::ShutdownSchedule;
 use crate::slots::Slot;
 
@@ -54,10 +55,8 @@
     pub backend_connections: usize,
     /// Events that the proxy has not handled yet.
     pub events: VecDeque<ProxyEvent>,
-    /// Number of requests with a streamed body, and the bytes that all streamed bodies may hold in each
-    /// direction.
-    pub streaming_requests: usize,
-    pub streaming_bytes: usize,
+    /// How much memory buffers may take.
+    pub memory: MemoryLimit,
     /// The times of the shutdown, once the process was told to end.
     pub shutdown: Option<ShutdownSchedule>,
 }
@@ -86,16 +85,6 @@
     }
 }
 
-const MIN_WINDOW_BYTES: usize = 8 * 1024;
-const MAX_WINDOW_BYTES: usize = 128 * 1024;
-
-impl IoContext {
-    /// How many bytes of one body may be buffered: an equal share for all streamed bodies.
-    pub fn window(&self) -> usize {
-        (self.streaming_bytes / self.streaming_requests.max(1)).clamp(MIN_WINDOW_BYTES, MAX_WINDOW_BYTES)
-    }
-}
-
 /// What is due when a deadline passes.
 #[derive(Clone, Copy, Debug)]
 pub enum TimerEvent {
--- a/crates/proxy/tests/unit.rs
+++ b/crates/proxy/tests/unit.rs
@@ -190,5 +190,5 @@
     assert!(large.clients > 512 + 1024 / 4);
     let small = limits(256, 32).unwrap();
     // Guards against a memory limit so small that there are fewer connections than clients.
-    assert!(small.clients > 128 + 256 / 5 && small.buffer_bytes < large.buffer_bytes, "{small:?}");
+    assert!(small.clients > 128 + 256 / 5 && small.heap_bytes < large.heap_bytes, "{small:?}");
 }
