Accept a bounded number of connections per turn of the loop

Cause: accept() went on as long as connections came, and each was read, parsed and answered at once; the timers and all other sockets waited. Three backtraces of a process (debug build) that had answered nothing for 10 s stand in accept. Change: 32 connections per turn for clients and operators, then the loop goes round.

--- a/crates/proxy/src/acceptor.rs
+++ b/crates/proxy/src/acceptor.rs
@@ -13,6 +13,9 @@
 
 const CAPACITY_PAUSE: Span = Span::from_millis(20); // while the connection limit is reached
 const FAILURE_PAUSE: Span = Span::from_millis(5); // after a call that lacked a resource
+/// Connections that are accepted before other sockets are handled: each is read and perhaps answered at once, and clients
+/// that connect again as soon as they are refused would otherwise hold the loop for as long as they come.
+pub const MAX_ACCEPTS_PER_TURN: usize = 32;
 const MAX_FAILURES_PER_ACCEPT: usize = 64; // of single connections in a row, before other sockets are handled
 
 /// A listening TCP or Unix socket.
@@ -129,6 +132,11 @@
         self.schedule_recheck(FAILURE_PAUSE, io);
     }
 
+    /// Goes on in the next iteration of the loop, without an event.
+    pub fn continue_next_turn(&mut self, io: &mut IoContext) {
+        self.schedule_recheck(Span::ZERO, io);
+    }
+
     /// The connection limit is reached: tries again after a pause, without an event.
     pub fn wait_for_capacity(&mut self, io: &mut IoContext) {
         // Pending connections are now delayed by the limit and no longer by failed calls.
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -7,7 +7,7 @@
 use sparlug::id::RequestId;
 use sparlug::time::{Span, Time};
 
-use crate::acceptor::{Accepted, Acceptor};
+use crate::acceptor::{Accepted, Acceptor, MAX_ACCEPTS_PER_TURN};
 use crate::buffered_stream::{BufferSizes, BufferedStream};
 use crate::close_reason::CloseReason;
 use crate::config::Budgets;
@@ -156,7 +156,7 @@
         if self.shares_listener && !self.ready {
             return;
         }
-        loop {
+        for _ in 0..MAX_ACCEPTS_PER_TURN {
             if !self.make_room(io) {
                 self.set_full(true);
                 if self.descriptor_limit.is_some() {
@@ -174,6 +174,7 @@
                 Accepted::Failed(_) | Accepted::Closed => return,
             }
         }
+        self.acceptor.continue_next_turn(io);
     }
 
     /// Updates the eviction order after a change of one connection.
--- a/crates/proxy/src/management.rs
+++ b/crates/proxy/src/management.rs
@@ -7,7 +7,7 @@
 use percent_encoding::percent_decode_str;
 use sparlug::time::{Span, Time};
 
-use crate::acceptor::{Accepted, Acceptor};
+use crate::acceptor::{Accepted, Acceptor, MAX_ACCEPTS_PER_TURN};
 use crate::buffered_stream::BufferedStream;
 use crate::control_messages::AdminRequest;
 use crate::deadlines::DeadlineId;
@@ -62,7 +62,8 @@
     }
 
     pub fn accept(&mut self, io: &mut IoContext) {
-        while let Accepted::Connection(stream) = self.acceptor.accept(io) {
+        for _ in 0..MAX_ACCEPTS_PER_TURN {
+            let Accepted::Connection(stream) = self.acceptor.accept(io) else { return };
             while self.clients.count() >= MAX_ADMIN_CONNECTIONS {
                 // Closes the oldest connection whose request has arrived, or else the oldest of all. Guards
                 // against clients that never send a request keeping out others.
@@ -84,6 +85,7 @@
                 self.handle_event(slot, io);
             }
         }
+        self.acceptor.continue_next_turn(io);
     }
 
     pub fn handle_event(&mut self, slot: AdminSlot, io: &mut IoContext) {
