One account of descriptors for clients and backends, with a share for each

Cause: each side had its own limit, and backends might use what clients left free at that moment; clients then came and took it as well. 520 clients and 441 connections to backends stood beside 17 other descriptors, 978 of 1,024, 1,024 at most. Discovery's requests during an outage and the file of a reload were not in the 16 that are reserved: 24 are now. Change: both draw on one account; an eighth of it is kept for each side's next connections, and idle connections to backends are closed while clients wait for room. The eviction order is a module of its own, and an incomplete request is refused before its connection is closed for another.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -5,7 +5,7 @@
 
 use mio::net::{TcpListener, TcpStream};
 use sparlug::id::RequestId;
-use sparlug::time::{Span, Time};
+use sparlug::time::Span;
 
 use crate::acceptor::{Accepted, Acceptor, MAX_ACCEPTS_PER_TURN};
 use crate::buffered_stream::{BufferSizes, BufferedStream};
@@ -18,11 +18,13 @@
 
 mod capacity;
 mod client;
+mod eviction;
 mod requests;
 mod responses;
 
-use capacity::descriptor_capacity;
+pub use capacity::descriptor_capacity;
 use client::{Client, ClientState};
+use eviction::{EvictionOrder, EvictionRank};
 
 const FIRST_REQUEST_READ_TIMEOUT: Span = Span::from_millis(2_300); // from the accept to the complete request
 const REQUEST_READ_TIMEOUT: Span = Span::from_millis(2_300); // for a later request, from its first byte
@@ -33,8 +35,6 @@
 const IDLE_TIMEOUT: Span = Span::from_millis(15_000); // between requests
 const RESPONSE_WRITE_TIMEOUT: Span = Span::from_millis(10_000); // for the client to read a response
 const LINGER_TIMEOUT: Span = Span::from_millis(1_000); // for the client to read the last response and close
-const MIN_EVICTION_AGE: Span = Span::from_millis(2_000); // since the last use, before an eviction
-const LINGERING_RANK: usize = 0; // lingering connections are evicted first
 const CLIENT_GONE_STATUS: u16 = 499; // counted for a request whose connection closes before its response
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -52,9 +52,8 @@
     /// Another process accepts connections on the same listener.
     shares_listener: bool,
     connections: Slots<ClientTag, Client>,
-    /// The connections that may be evicted for a new one, by rank and then by last use: lingering ones, idle
-    /// ones, and those with an incomplete request.
-    eviction_order: [BTreeSet<(Time, ClientSlot)>; 3],
+    /// The connections that may be evicted for a new one, by rank and then by last use.
+    eviction_order: EvictionOrder,
     /// The ids of all requests that have no response yet.
     active_ids: BTreeSet<String>,
     classes: Classes,
@@ -101,7 +100,7 @@
 
     /// The number of connections on which a response may still be pending.
     pub fn unfinished_count(&self) -> usize {
-        self.connections.count() - self.eviction_order[LINGERING_RANK].len()
+        self.connections.count() - self.eviction_order.count(EvictionRank::Lingering)
     }
 
     /// The number of received requests that have not ended.
@@ -161,7 +160,7 @@
                 self.set_full(true);
                 if self.descriptor_limit.is_some() {
                     // The process's limit may have been raised.
-                    self.set_descriptor_limit(descriptor_capacity());
+                    self.set_descriptor_limit(descriptor_capacity(self.budgets.reserved));
                 }
                 return self.acceptor.wait_for_capacity(io);
             }
@@ -182,21 +181,9 @@
         let Some(client) = self.connections.get_mut(slot) else { return };
         client.stream.retry_nodelay();
         io.schedule_retry(&mut client.stream, Owner::Client(slot));
-        let rank = match client.state {
-            ClientState::Lingering => Some(LINGERING_RANK),
-            ClientState::Reading => Some(if client.stream.input.is_empty() { 1 } else { 2 }),
-            ClientState::Waiting(_) | ClientState::Answering { .. } | ClientState::Streaming { .. } => None,
-        };
-        let key = rank.map(|rank| (rank, client.last_used));
+        let key = client.eviction_rank().map(|rank| (rank, client.last_used));
         let previous = std::mem::replace(&mut client.eviction_key, key);
-        if previous != key {
-            if let Some((rank, last_used)) = previous {
-                self.eviction_order[rank].remove(&(last_used, slot));
-            }
-            if let Some((rank, last_used)) = key {
-                self.eviction_order[rank].insert((last_used, slot));
-            }
-        }
+        self.eviction_order.update(slot, previous, key);
     }
 
     fn add_connection(&mut self, stream: TcpStream, io: &mut IoContext) {
@@ -224,11 +211,12 @@
                 eviction_key: None,
                 read_timer_set: true,
                 hung_up: false,
+                has_sent: false,
             })
         });
         if let Some(slot) = slot {
             io.counters.connections += 1;
-            io.client_connections += 1;
+            io.connections.client_opened();
             self.handle_ready(slot, io);
         }
     }
@@ -239,10 +227,8 @@
             io.counters.closed_unanswered.count(reason);
             tracing::debug!(id = client.request_id, state = ?client.state, ?reason, "closed with incomplete response");
         }
-        io.client_connections -= 1;
-        if let Some((rank, last_used)) = client.eviction_key {
-            self.eviction_order[rank].remove(&(last_used, slot));
-        }
+        io.connections.client_closed();
+        self.eviction_order.update(slot, client.eviction_key, None);
         if let Some(id) = client.request_id {
             self.active_ids.remove(&id);
         }
@@ -336,7 +322,10 @@
     /// connections, or the request's body is not completely read.
     pub fn closes_after_response(&self, slot: ClientSlot, io: &IoContext) -> bool {
         let unread_body = self.connections.get(slot).is_some_and(|client| client.incoming_body.is_some());
-        io.shutdown.is_some() || unread_body || self.connections.count() > self.limit()
+        io.shutdown.is_some()
+            || unread_body
+            || self.connections.count() > self.limit()
+            || !io.connections.has_client_room()
     }
 
     /// The time for what the connection is doing is over.
--- a/crates/proxy/src/clients/capacity.rs
+++ b/crates/proxy/src/clients/capacity.rs
@@ -1,13 +1,10 @@
 //! The limit of client connections, and which connection is evicted for a new one.
 
-use std::collections::BTreeSet;
-
 use rustix::process::{getrlimit, Resource};
-use sparlug::time::Time;
 
-use super::{Clients, LINGERING_RANK, MIN_EVICTION_AGE};
+use super::client::ClientState;
+use super::Clients;
 use crate::close_reason::CloseReason;
-use crate::config::RESERVED_SOCKETS;
 use crate::shared::{ClientSlot, IoContext};
 
 impl Clients {
@@ -16,8 +13,8 @@
     /// descriptors, since a single failure proves nothing.
     pub(super) fn limit_by_descriptors(&mut self, io: &IoContext) {
         // A quarter stays free, since the process may hold more descriptors than were reserved for it.
-        let capacity = descriptor_capacity();
-        if self.connections.count() + io.backend_connections >= capacity * 3 / 4 {
+        let capacity = descriptor_capacity(self.budgets.reserved);
+        if io.connections.open() >= capacity * 3 / 4 {
             self.set_descriptor_limit(capacity);
         }
     }
@@ -42,29 +39,33 @@
     /// Makes room for a new connection and returns whether there is any. Only connections without a pending
     /// response are evicted: first lingering ones, then idle ones, then those with an incomplete request.
     pub(super) fn make_room(&mut self, io: &mut IoContext) -> bool {
-        while self.connections.count() >= self.limit() {
+        while self.connections.count() >= self.limit() || !io.connections.has_client_room() {
             // Recently used connections are not evicted: a new connection is about to send a request, and
             // closing it would lose that request.
-            let Some(slot) = self.eviction_candidate(io.now) else {
+            let Some(slot) = self.eviction_order.candidate(io.now) else {
                 // A few connections beyond the limit are accepted, so that requests already sent on
                 // connections that the kernel has accepted do not stay unread.
-                return self.connections.count() < self.limit() + self.limit() / 8;
+                return self.connections.count() < self.limit() + self.limit() / 8
+                    && io.connections.has_client_room();
             };
             self.handle_ready(slot, io);
-            if self.eviction_candidate(io.now) == Some(slot) {
-                self.close(slot, CloseReason::MadeRoom, io);
+            if self.eviction_order.candidate(io.now) == Some(slot) {
+                self.evict(slot, io);
             }
         }
         true
     }
 
-    /// The connection that is evicted next, if any may be.
-    pub(super) fn eviction_candidate(&self, now: Time) -> Option<ClientSlot> {
-        let evictable = |(rank, set): (usize, &BTreeSet<(Time, ClientSlot)>)| {
-            let (last_used, slot) = set.first()?;
-            (rank == LINGERING_RANK || now > *last_used + MIN_EVICTION_AGE).then_some(*slot)
-        };
-        self.eviction_order.iter().enumerate().find_map(evictable)
+    /// Closes a connection for a new one. An incomplete request is refused first.
+    fn evict(&mut self, slot: ClientSlot, io: &mut IoContext) {
+        let Some(client) = self.connections.get(slot) else { return };
+        let (rank, last_used_ms) = (client.eviction_rank(), io.now.since(client.last_used).ms());
+        tracing::debug!(?rank, last_used_ms, "connection evicted for a new one");
+        io.counters.evicted += 1;
+        if client.state == ClientState::Reading && !client.stream.input.is_empty() {
+            return self.respond(slot, 503, true, io);
+        }
+        self.close(slot, CloseReason::MadeRoom, io);
     }
 
     /// Records whether the limit is reached, and logs each change of that, not each connection.
@@ -81,8 +82,8 @@
     }
 }
 
-/// How many connections the process's limit of descriptors allows.
-pub(super) fn descriptor_capacity() -> usize {
+/// How many connections the process's limit of descriptors allows beside `reserved` other descriptors.
+pub fn descriptor_capacity(reserved: usize) -> usize {
     let limit = getrlimit(Resource::Nofile).current.and_then(|limit| usize::try_from(limit).ok());
-    limit.map_or(usize::MAX / 4, |limit| limit.saturating_sub(RESERVED_SOCKETS))
+    limit.map_or(usize::MAX / 4, |limit| limit.saturating_sub(reserved))
 }
--- a/crates/proxy/src/clients/client.rs
+++ b/crates/proxy/src/clients/client.rs
@@ -1,5 +1,6 @@
 //! One connection from a client, and the body that is being received on it.
 
+use super::eviction::EvictionRank;
 use super::{BODY_CHECK_INTERVAL, BODY_GRACE_TIME, BODY_SILENCE_TIMEOUT, MIN_BODY_BYTES_PER_MS};
 use crate::body::Body;
 use crate::buffered_stream::BufferedStream;
@@ -58,11 +59,13 @@
     /// Since when a request may have waited to be read because system calls failed.
     pub(super) read_failed_since: Option<Time>,
     /// Its rank and time of last use in the eviction order.
-    pub(super) eviction_key: Option<(usize, Time)>,
+    pub(super) eviction_key: Option<(EvictionRank, Time)>,
     /// The deadline limits the reading of a request: one has started to arrive, or the first is awaited.
     pub(super) read_timer_set: bool,
     /// The client has closed its side; what is still unread is of no use.
     pub(super) hung_up: bool,
+    /// The client has sent something on this connection.
+    pub(super) has_sent: bool,
 }
 
 impl Client {
@@ -78,6 +81,17 @@
         }
     }
 
+    /// The rank in which it may be evicted for a new connection; `None` while a response is pending.
+    pub(super) fn eviction_rank(&self) -> Option<EvictionRank> {
+        match self.state {
+            ClientState::Lingering => Some(EvictionRank::Lingering),
+            ClientState::Reading if !self.stream.input.is_empty() => Some(EvictionRank::Incomplete),
+            ClientState::Reading if self.has_sent => Some(EvictionRank::Idle),
+            ClientState::Reading => Some(EvictionRank::Silent),
+            ClientState::Waiting(_) | ClientState::Answering { .. } | ClientState::Streaming { .. } => None,
+        }
+    }
+
     /// Counts and logs a response that is given before the request's body is read.
     pub(super) fn count_unread_body(&self, status: u16, close: bool, io: &mut IoContext) {
         if self.incoming_body.is_some() {
@@ -92,6 +106,12 @@
         let before = self.stream.input.len();
         let result = self.stream.fill(max_bytes);
         let received = self.stream.input.len() - before;
+        if received > 0 {
+            self.has_sent = true;
+            if self.state == ClientState::Reading {
+                self.last_used = now;
+            }
+        }
         if self.stream.read_failed() {
             self.read_failed_since = self.read_failed_since.or(Some(now));
         } else if received == 0 && self.stream.input.is_empty() {
--- /dev/null
+++ b/crates/proxy/src/clients/eviction.rs
@@ -0,0 +1,80 @@
+//! The order in which connections are closed for new ones when the limit is reached.
+
+use std::collections::BTreeSet;
+
+use sparlug::time::{Span, Time};
+
+use crate::shared::ClientSlot;
+
+/// Since the accept, before a connection on which nothing has come is closed.
+const MIN_SILENT_AGE: Span = Span::from_millis(2_000);
+/// Since the last response, before a connection in use is closed.
+const MIN_IDLE_AGE: Span = Span::from_millis(2_000);
+/// Since the last byte of an incomplete request.
+const MIN_INCOMPLETE_AGE: Span = Span::from_millis(2_000);
+
+/// Which connections are closed first, in this order; within a rank those that were not used for longest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EvictionRank {
+    /// The last response is written.
+    Lingering,
+    /// The client has not sent anything.
+    Silent,
+    /// Between two requests.
+    Idle,
+    /// A request has begun to arrive.
+    Incomplete,
+}
+
+const RANKS: [EvictionRank; 4] =
+    [EvictionRank::Lingering, EvictionRank::Silent, EvictionRank::Idle, EvictionRank::Incomplete];
+
+impl EvictionRank {
+    /// How long a connection must not have been used before it is closed: a younger one is likely about to send.
+    fn min_age(self) -> Option<Span> {
+        match self {
+            EvictionRank::Lingering => None,
+            EvictionRank::Silent => Some(MIN_SILENT_AGE),
+            EvictionRank::Idle => Some(MIN_IDLE_AGE),
+            EvictionRank::Incomplete => Some(MIN_INCOMPLETE_AGE),
+        }
+    }
+}
+
+/// The connections without a pending response.
+#[derive(Default)]
+pub(super) struct EvictionOrder {
+    by_rank: [BTreeSet<(Time, ClientSlot)>; RANKS.len()],
+}
+
+impl EvictionOrder {
+    /// Replaces the rank and time of last use of a connection.
+    pub(super) fn update(
+        &mut self,
+        slot: ClientSlot,
+        previous: Option<(EvictionRank, Time)>,
+        current: Option<(EvictionRank, Time)>,
+    ) {
+        if previous == current {
+            return;
+        }
+        if let Some((rank, last_used)) = previous {
+            self.by_rank[rank as usize].remove(&(last_used, slot));
+        }
+        if let Some((rank, last_used)) = current {
+            self.by_rank[rank as usize].insert((last_used, slot));
+        }
+    }
+
+    pub(super) fn count(&self, rank: EvictionRank) -> usize {
+        self.by_rank[rank as usize].len()
+    }
+
+    /// The connection that is closed next, if any may be.
+    pub(super) fn candidate(&self, now: Time) -> Option<ClientSlot> {
+        RANKS.into_iter().find_map(|rank| {
+            let (last_used, slot) = self.by_rank[rank as usize].first()?;
+            rank.min_age().is_none_or(|age| now > *last_used + age).then_some(*slot)
+        })
+    }
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -83,8 +83,9 @@
     }
 }
 
-/// Sockets for the log, the event loop, signals, the listener and discovery.
-pub const RESERVED_SOCKETS: usize = 16;
+/// Descriptors for the log, the event loop, signals, the listener, the configuration's file, and discovery, which has
+/// up to eight requests under way during an outage.
+pub const RESERVED_SOCKETS: usize = 24;
 /// Sockets for the management endpoint, its connections and a handover, where management is configured.
 const MANAGEMENT_SOCKETS: usize = MAX_ADMIN_CONNECTIONS + 4;
 const RESERVED_MB: usize = 6; // for the program itself
@@ -104,6 +105,8 @@
     pub backends: usize,
     /// Connections to clients and backends together.
     pub total: usize,
+    /// Descriptors for everything else.
+    pub reserved: usize,
     /// Idle connections to backends.
     pub idle: usize,
     /// The most that the heap may hold. The rest of the memory is for the program itself and for what the allocator
@@ -136,7 +139,7 @@
                 "limits of {sockets} sockets and {memory_mb} MB are too low to serve requests"
             ));
         }
-        Ok(Budgets { clients, backends, total, idle: backends * 3 / 4, heap_bytes })
+        Ok(Budgets { clients, backends, total, reserved, idle: backends * 3 / 4, heap_bytes })
     }
 }
 
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -18,6 +18,8 @@
     pub clients_gone: u64,
     pub served: u64,
     pub refused: u64,
+    /// Connections of clients that were closed for new ones.
+    pub evicted: u64,
     /// Requests that were refused because the memory had no room for them.
     pub refused_for_memory: u64,
     pub failed: u64,
@@ -77,6 +79,7 @@
         }
         let _ = writeln!(text, "svc.attempts:{}|c", self.attempts_sent);
         let _ = writeln!(text, "svc.responses_before_body:{}|c", self.responses_before_body);
+        let _ = writeln!(text, "svc.clients.evicted:{}|c", self.evicted);
         let _ = writeln!(text, "svc.refused_for_memory:{}|c", self.refused_for_memory);
         let _ = writeln!(text, "svc.lists.received:{}|c", self.lists_received);
         let _ = writeln!(text, "svc.lists.failed:{}|c", self.lists_failed);
@@ -101,7 +104,7 @@
             self.connections, self.requests_received, self.bad_input
         )?;
         write!(f, "honoured={} turned_back={} ", self.served, self.refused)?;
-        write!(f, "refused_for_memory={} ", self.refused_for_memory)?;
+        write!(f, "refused_for_memory={} evicted={} ", self.refused_for_memory, self.evicted)?;
         write!(f, "forfeited={} overdue={} left={} ", self.failed, self.overdue, self.clients_gone)?;
         write!(
             f,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod close_reason;
 pub mod config;
 pub mod connect_timeout;
+pub mod connection_budget;
 pub mod control_messages;
 pub mod counters;
 pub mod deadlines;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -275,9 +275,7 @@
             return Err(AttemptResult::Withdrawn);
         };
         let process = *process;
-        if self.conns.count()
-            >= self.budgets.backends.max(self.budgets.total.saturating_sub(io.client_connections))
-        {
+        if !io.connections.has_backend_room() {
             // At the limit, the connection that has been idle longest is closed.
             let oldest = self.idle_by_age.first().map(|(_, slot)| *slot);
             self.close(oldest.ok_or(AttemptResult::NoRoom)?, AttemptResult::Idle, io);
@@ -285,7 +283,7 @@
         let conn = Conn::unconnected(backend, process, io.now);
         let slot = self.conns.insert_with(|_| Some(conn)).ok_or(AttemptResult::NoRoom)?;
         self.backends.entry(backend).and_modify(|entry| entry.conn_count += 1);
-        io.backend_connections += 1;
+        io.connections.backend_opened();
         Ok(slot)
     }
 
@@ -460,7 +458,8 @@
     /// Makes a connection idle after a response, or closes it.
     fn release(&mut self, slot: ConnSlot, result: AttemptResult, keep: bool, io: &mut IoContext) {
         let Some(conn) = self.conns.get_mut(slot) else { return };
-        let has_capacity = self.idle_by_age.len() < self.budgets.idle;
+        let has_capacity =
+            self.idle_by_age.len() < self.budgets.idle && !io.connections.is_client_room_borrowed();
         let keep = keep && has_capacity && !conn.stream.ended && conn.stream.input.is_empty();
         let entry = self.backends.get_mut(&conn.backend);
         match entry.filter(|entry| {
@@ -576,7 +575,7 @@
     /// Closes a connection and reports the result of what it carried. Every connection ends here.
     fn close(&mut self, slot: ConnSlot, result: AttemptResult, io: &mut IoContext) {
         let Some(mut conn) = self.conns.remove(slot) else { return };
-        io.backend_connections -= 1;
+        io.connections.backend_closed();
         if matches!(result, AttemptResult::KeptBroke { .. }) {
             if self.successful_reuses >= MIN_SUCCESSFUL_REUSES {
                 tracing::info!(
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -1,6 +1,7 @@
 //! The event loop: it waits for sockets, signals and deadlines, reports what happened to the balancer, and
 //! carries out the balancer's actions. It makes no routing decisions.
 
+use std::collections::VecDeque;
 use std::io;
 use std::time::Duration;
 
@@ -13,8 +14,9 @@
 use sparlug::settings::Effect;
 use sparlug::time::{Span, Time};
 
-use crate::clients::{Classes, Clients};
+use crate::clients::{descriptor_capacity, Classes, Clients};
 use crate::config::{Budgets, Config, ConfigSource, ImmutableSettings, RESERVED_SOCKETS};
+use crate::connection_budget::ConnectionBudget;
 use crate::control_messages::{self, HandoverMessage, HandoverState};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, DeadlineId, Deadlines};
@@ -171,6 +173,11 @@
     Ok(listener)
 }
 
+/// The account of connections with these budgets, or what the system lets the process have if that is less.
+fn connection_budget(budgets: &Budgets) -> ConnectionBudget {
+    ConnectionBudget::new(budgets.total.min(descriptor_capacity(budgets.reserved)), budgets.backends)
+}
+
 impl Proxy {
     /// `source` is where `config` was read from; it is read again on SIGHUP.
     pub fn new(config: Config, source: ConfigSource, mut signals: SignalQueue) -> Result<Proxy, String> {
@@ -199,16 +206,14 @@
 
         let clock = Clock::start();
         let (now, deadlines, counters) = (clock.now(), Deadlines::default(), Counters::default());
-        let (client_connections, backend_connections, events) = Default::default();
         let mut io = IoContext {
             registry,
             now,
             earliest_arrival: now,
             deadlines,
             counters,
-            client_connections,
-            backend_connections,
-            events,
+            connections: connection_budget(&config.budgets),
+            events: VecDeque::new(),
             memory: MemoryLimit::new(config.budgets.heap_bytes),
             shutdown: None,
         };
@@ -216,6 +221,8 @@
         let handover = Handover::new(path, can_hand_over, predecessor, &mut io);
         let budgets = [config.budgets, config.overlap_budgets];
         let initial_budgets = budgets[usize::from(handover.is_overlapping())];
+        io.memory = MemoryLimit::new(initial_budgets.heap_bytes);
+        io.connections = connection_budget(&initial_budgets);
         let mut setup = config.setup;
         let peers = Peers::new(setup.peer_addresses, setup.settings.ordinal, managed, &io)?;
         // Without any peer's address, no messages can be sent.
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -12,6 +12,7 @@
 
 use crate::attempt_result::AttemptResult;
 use crate::buffered_stream::BufferedStream;
+use crate::connection_budget::ConnectionBudget;
 use crate::control_messages::{AdminRequest, HandoverMessage};
 use crate::counters::Counters;
 use crate::deadlines::Deadlines;
@@ -49,10 +50,8 @@
     pub earliest_arrival: Time,
     pub deadlines: Deadlines<TimerEvent>,
     pub counters: Counters,
-    /// Number of open connections from clients.
-    pub client_connections: usize,
-    /// Number of open connections to backends.
-    pub backend_connections: usize,
+    /// The open connections of clients and to backends, and how many there may be.
+    pub connections: ConnectionBudget,
     /// Events that the proxy has not handled yet.
     pub events: VecDeque<ProxyEvent>,
     /// How much memory buffers may take.
