--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -22,7 +22,7 @@
 mod requests;
 mod responses;
 
-pub use capacity::descriptor_capacity;
+use crate::process_usage::descriptor_capacity;
 use client::{Client, ClientState};
 use eviction::{EvictionOrder, EvictionRank};
 
@@ -158,8 +158,9 @@
         for _ in 0..MAX_ACCEPTS_PER_TURN {
             if !self.make_room(io) {
                 self.set_full(true);
+                // The process's limit may have been raised.
+                self.budgets.apply_to(&mut io.connections);
                 if self.descriptor_limit.is_some() {
-                    // The process's limit may have been raised.
                     self.set_descriptor_limit(descriptor_capacity(self.budgets.reserved));
                 }
                 return self.acceptor.wait_for_capacity(io);
--- a/crates/proxy/src/clients/capacity.rs
+++ b/crates/proxy/src/clients/capacity.rs
@@ -1,10 +1,9 @@
 //! The limit of client connections, and which connection is evicted for a new one.
 
-use rustix::process::{getrlimit, Resource};
-
 use super::client::ClientState;
 use super::Clients;
 use crate::close_reason::CloseReason;
+use crate::process_usage::descriptor_capacity;
 use crate::shared::{ClientSlot, IoContext};
 
 impl Clients {
@@ -81,9 +80,3 @@
         }
     }
 }
-
-/// How many connections the process's limit of descriptors allows beside `reserved` other descriptors.
-pub fn descriptor_capacity(reserved: usize) -> usize {
-    let limit = getrlimit(Resource::Nofile).current.and_then(|limit| usize::try_from(limit).ok());
-    limit.map_or(usize::MAX / 4, |limit| limit.saturating_sub(reserved))
-}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -13,10 +13,12 @@
 use sparlug_setup::native::{self, BackendSource, LogFormat, NativeConfig};
 use sparlug_setup::Setup;
 
+use crate::connection_budget::ConnectionBudget;
 use crate::http::MAX_BUFFERED_MESSAGE_BYTES;
 use crate::io_failures::Cause;
 use crate::listing::{self, BackendEntry, BackendList};
 use crate::management::MAX_ADMIN_CONNECTIONS;
+use crate::process_usage::descriptor_capacity;
 use crate::startup::retry_transient;
 
 pub struct Config {
@@ -83,9 +85,11 @@
     }
 }
 
-/// Descriptors for the log, the event loop, signals, the listener, the configuration's file, and discovery, which has
-/// up to eight requests under way during an outage.
-pub const RESERVED_SOCKETS: usize = 24;
+/// Descriptors for the log, the event loop, signals, the listener, the configuration's file, and discovery
+/// (`RESERVED_DISCOVERY_SOCKETS`).
+pub const RESERVED_SOCKETS: usize = 16;
+/// Connections of discovery that the reserved descriptors are for; during an outage it has more.
+pub const RESERVED_DISCOVERY_SOCKETS: usize = 4;
 /// Sockets for the management endpoint, its connections and a handover, where management is configured.
 const MANAGEMENT_SOCKETS: usize = MAX_ADMIN_CONNECTIONS + 4;
 const RESERVED_MB: usize = 6; // for the program itself
@@ -114,6 +118,13 @@
     pub heap_bytes: usize,
 }
 
+impl Budgets {
+    /// Sets the limits of the account of connections, or what the system lets the process have if that is less.
+    pub fn apply_to(&self, connections: &mut ConnectionBudget) {
+        connections.set_limits(self.total.min(descriptor_capacity(self.reserved)), self.backends);
+    }
+}
+
 impl Limits {
     /// The budgets of a single process and those of one of two processes during an upgrade, from half the
     /// limits. Both are the full budgets if half is too little to serve.
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -28,12 +28,14 @@
         init_log();
         log_panics();
         let config = Config::read_with_retries(&ConfigSource::Environment).map_err(|e| e.to_string())?;
-        Proxy::new(config, ConfigSource::Environment, signals)?.run().map_err(|e| format!("cannot poll: {e}"))
+        Proxy::new(config, ConfigSource::Environment, signals)?.run().map_err(|error| {
+            tracing::error!(%error, "the process ends by an error");
+            format!("cannot poll: {error}")
+        })
     });
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            tracing::error!(error = %e, "the process ends by an error");
             eprintln!("sparlug-proxy: {e}");
             ExitCode::FAILURE
         }
--- a/crates/proxy/src/process_usage.rs
+++ b/crates/proxy/src/process_usage.rs
@@ -2,6 +2,8 @@
 
 use std::fs;
 
+use rustix::process::{getrlimit, Resource};
+
 const PAGE_FIELD: usize = 1; // of `/proc/self/statm`: resident pages
 
 /// Bytes of resident memory; `None` where the system does not tell.
@@ -16,3 +18,9 @@
 pub fn open_descriptors() -> Option<usize> {
     Some(fs::read_dir("/proc/self/fd").ok()?.count().saturating_sub(1))
 }
+
+/// How many connections the process's limit of descriptors allows beside `reserved` other descriptors.
+pub fn descriptor_capacity(reserved: usize) -> usize {
+    let limit = getrlimit(Resource::Nofile).current.and_then(|limit| usize::try_from(limit).ok());
+    limit.map_or(usize::MAX / 4, |limit| limit.saturating_sub(reserved))
+}
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -14,8 +14,10 @@
 use sparlug::settings::Effect;
 use sparlug::time::{Span, Time};
 
-use crate::clients::{descriptor_capacity, Classes, Clients};
-use crate::config::{Budgets, Config, ConfigSource, ImmutableSettings, RESERVED_SOCKETS};
+use crate::clients::{Classes, Clients};
+use crate::config::{
+    Budgets, Config, ConfigSource, ImmutableSettings, RESERVED_DISCOVERY_SOCKETS, RESERVED_SOCKETS,
+};
 use crate::connection_budget::ConnectionBudget;
 use crate::control_messages::{self, HandoverMessage, HandoverState};
 use crate::counters::Counters;
@@ -173,11 +175,6 @@
     Ok(listener)
 }
 
-/// The account of connections with these budgets, or what the system lets the process have if that is less.
-fn connection_budget(budgets: &Budgets) -> ConnectionBudget {
-    ConnectionBudget::new(budgets.total.min(descriptor_capacity(budgets.reserved)), budgets.backends)
-}
-
 impl Proxy {
     /// `source` is where `config` was read from; it is read again on SIGHUP.
     pub fn new(config: Config, source: ConfigSource, mut signals: SignalQueue) -> Result<Proxy, String> {
@@ -212,7 +209,7 @@
             earliest_arrival: now,
             deadlines,
             counters,
-            connections: connection_budget(&config.budgets),
+            connections: ConnectionBudget::new(0, 0),
             events: VecDeque::new(),
             memory: MemoryLimit::new(config.budgets.heap_bytes),
             shutdown: None,
@@ -222,7 +219,7 @@
         let budgets = [config.budgets, config.overlap_budgets];
         let initial_budgets = budgets[usize::from(handover.is_overlapping())];
         io.memory = MemoryLimit::new(initial_budgets.heap_bytes);
-        io.connections = connection_budget(&initial_budgets);
+        initial_budgets.apply_to(&mut io.connections);
         let mut setup = config.setup;
         let peers = Peers::new(setup.peer_addresses, setup.settings.ordinal, managed, &io)?;
         // Without any peer's address, no messages can be sent.
@@ -367,6 +364,8 @@
             if self.waits_failing_since.is_some_and(|since| self.io.now >= since + SOCKET_CHECK_PAUSE) {
                 self.check_all_sockets();
             }
+            let discovery = self.discovery.connection_numbers().count();
+            self.io.connections.set_extra(discovery.saturating_sub(RESERVED_DISCOVERY_SOCKETS));
             for owner in self.prioritize(&events) {
                 self.handle_ready(owner);
                 self.dispatch_events();
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -5,7 +5,6 @@
     MAX_INTERRUPTED_WAITS, MAX_RELOAD_RETRY_PAUSE, MIN_RELOAD_RETRY_PAUSE, RELOAD_RETRY_TIME,
     SOCKET_CHECK_PAUSE,
 };
-use crate::clients::descriptor_capacity;
 use crate::config::{Config, ConfigError};
 use crate::control_messages::{self, HandoverState};
 use crate::io_failures::SystemCall;
@@ -86,8 +85,7 @@
         let budgets = self.budgets[usize::from(self.handover.is_overlapping())];
         self.clients.set_budgets(budgets);
         self.pool.set_budgets(budgets);
-        let total = budgets.total.min(descriptor_capacity(budgets.reserved));
-        self.io.connections.set_limits(total, budgets.backends);
+        budgets.apply_to(&mut self.io.connections);
         self.io.memory = MemoryLimit::new(budgets.heap_bytes);
     }
 
