--- a/crates/proxy/src/clients/eviction.rs
+++ b/crates/proxy/src/clients/eviction.rs
@@ -13,7 +13,8 @@
 /// Since the last byte of an incomplete request.
 const MIN_INCOMPLETE_AGE: Span = Span::from_millis(500);
 
-/// Which connections are closed first, in this order; within a rank those that were not used for longest.
+/// The kinds of connections that may be closed: first lingering ones, then those without a request, last those with
+/// an incomplete one; of each the one that was not used for longest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EvictionRank {
     /// The last response is written.
@@ -26,8 +27,7 @@
     Incomplete,
 }
 
-const RANKS: [EvictionRank; 4] =
-    [EvictionRank::Lingering, EvictionRank::Silent, EvictionRank::Idle, EvictionRank::Incomplete];
+const RANKS: usize = 4;
 
 impl EvictionRank {
     /// How long a connection must not have been used before it is closed: a younger one is likely about to send.
@@ -44,7 +44,7 @@
 /// The connections without a pending response.
 #[derive(Default)]
 pub(super) struct EvictionOrder {
-    by_rank: [BTreeSet<(Time, ClientSlot)>; RANKS.len()],
+    by_rank: [BTreeSet<(Time, ClientSlot)>; RANKS],
 }
 
 impl EvictionOrder {
@@ -72,9 +72,12 @@
 
     /// The connection that is closed next, if any may be.
     pub(super) fn candidate(&self, now: Time) -> Option<ClientSlot> {
-        RANKS.into_iter().find_map(|rank| {
+        let first = |rank: EvictionRank| {
             let (last_used, slot) = self.by_rank[rank as usize].first()?;
-            rank.min_age().is_none_or(|age| now > *last_used + age).then_some(*slot)
-        })
+            rank.min_age().is_none_or(|age| now > *last_used + age).then_some((*last_used, *slot))
+        };
+        let unused = [EvictionRank::Silent, EvictionRank::Idle].into_iter().filter_map(first).min();
+        let next = first(EvictionRank::Lingering).or(unused).or_else(|| first(EvictionRank::Incomplete));
+        next.map(|(_, slot)| slot)
     }
 }
