Count an upload's time from when its last byte may have been sent

Cause: the time counted from the last byte as the proxy reads it, and the proxy reads nothing while the backend takes nothing; only a timer of 10 s ended that. The check of the client's pace blamed the client for bytes that waited for the proxy. Change: the proxy notes when a client was last known to have more to send (it was read dry, or more is missing than sockets hold), and an upload whose bytes wait has its response its time after that: refused, since no backend has its last byte. A response that a client reads slowly is cut for lack of progress, not after 10 s in all.

--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -100,6 +100,14 @@
         self.size
     }
 
+    /// How many bytes of a body whose length is known were not parsed yet.
+    pub fn missing_bytes(&self) -> Option<u64> {
+        match (self.framing, self.state) {
+            (Framing::Length(_), ParseState::Data(left)) => Some(left),
+            _ => None,
+        }
+    }
+
     /// How many of the buffered bytes belong to the body, of those that were parsed.
     pub fn parsed_len(&self) -> usize {
         self.parsed
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -213,6 +213,7 @@
                 read_timer_set: true,
                 hung_up: false,
                 has_sent: false,
+                sent_not_before: now,
             })
         });
         if let Some(slot) = slot {
@@ -286,7 +287,7 @@
             (ClientState::Waiting(_), Some(_)) => io.memory.window(),
             _ => io.memory.buffer_limit(MAX_HEAD_BYTES),
         };
-        let read = client.read(max_bytes, io.now);
+        let read = client.read(max_bytes, io);
         if client.state == ClientState::Lingering {
             client.stream.discard_input();
             if client.stream.has_unread() {
@@ -340,12 +341,12 @@
         let Some(client) = self.connections.get_mut(slot).filter(|client| client.deadline.is_none()) else {
             return;
         };
-        let window = io.memory.window();
+        let has_waiting_bytes = client.has_waiting_bytes();
         if let (ClientState::Reading | ClientState::Waiting(_), Some(body)) =
             (client.state, &mut client.incoming_body)
         {
             // While received bytes wait for the proxy or a backend, the delay is not the client's.
-            if body.parser.is_some() && client.stream.input.len() >= window {
+            if body.parser.is_some() && has_waiting_bytes {
                 (body.started, body.last_received, body.received_bytes) = (io.now, io.now, 0);
             }
             if !body.is_stalled(io.now) {
@@ -362,11 +363,16 @@
                     self.respond(slot, 408, true, io);
                 }
             }
-            ClientState::Streaming { .. } if io.now < client.last_used + RESPONSE_WRITE_TIMEOUT => {
-                client.deadline = Some(
-                    io.deadlines
-                        .set(client.last_used + RESPONSE_WRITE_TIMEOUT, TimerEvent::ClientTimeout(slot)),
-                );
+            // While nothing waits to be written, the backend's response is awaited, whose time the pool limits.
+            ClientState::Streaming { done: false, .. } if client.stream.unsent() == 0 => {
+                let until = io.now + RESPONSE_WRITE_TIMEOUT;
+                client.deadline = Some(io.deadlines.set(until, TimerEvent::ClientTimeout(slot)));
+            }
+            ClientState::Answering { .. } | ClientState::Streaming { .. }
+                if io.now < client.last_used + RESPONSE_WRITE_TIMEOUT =>
+            {
+                let until = client.last_used + RESPONSE_WRITE_TIMEOUT;
+                client.deadline = Some(io.deadlines.set(until, TimerEvent::ClientTimeout(slot)));
             }
             // The rest of an unwanted body is still arriving; closing now would cause a reset that could
             // reach the client before the response.
--- a/crates/proxy/src/clients/client.rs
+++ b/crates/proxy/src/clients/client.rs
@@ -25,6 +25,9 @@
     Lingering,
 }
 
+/// More than the buffers of the sockets of both sides usually hold of one body.
+const MAX_SOCKET_BUFFER_BYTES: u64 = 12 << 20;
+
 /// An incomplete request body and its progress.
 pub(super) struct IncomingBody {
     /// Finds the end of the body, if it is streamed.
@@ -58,6 +61,9 @@
     pub(super) last_used: Time,
     /// Since when a request may have waited to be read because system calls failed.
     pub(super) read_failed_since: Option<Time>,
+    /// The earliest time at which the client can have sent its latest byte: when it was last known that more was to
+    /// come. While the proxy does not read, the client may have sent everything.
+    pub(super) sent_not_before: Time,
     /// Its rank and time of last use in the eviction order.
     pub(super) eviction_key: Option<(EvictionRank, Time)>,
     /// The deadline limits the reading of a request: one has started to arrive, or the first is awaited.
@@ -102,9 +108,17 @@
 
     /// Reads until `max_bytes` are buffered, and updates the progress of an incomplete body. Fails if the
     /// connection broke.
-    pub(super) fn read(&mut self, max_bytes: usize, now: Time) -> std::io::Result<()> {
+    pub(super) fn read(&mut self, max_bytes: usize, io: &IoContext) -> std::io::Result<()> {
+        let now = io.now;
         let before = self.stream.input.len();
+        if !self.stream.has_unread() && !self.stream.read_failed() {
+            // Everything that had come was read before; what there is now has come since.
+            self.sent_not_before = io.earliest_arrival;
+        }
         let result = self.stream.fill(max_bytes);
+        if self.more_to_come_than_sockets_hold() {
+            self.sent_not_before = now;
+        }
         let received = self.stream.input.len() - before;
         if received > 0 {
             self.has_sent = true;
@@ -123,6 +137,20 @@
         result
     }
 
+    /// Whether so much of a body is missing that the client cannot have sent all of it yet.
+    fn more_to_come_than_sockets_hold(&self) -> bool {
+        let body = self.incoming_body.as_ref().and_then(|body| body.parser.as_ref());
+        let unread = body
+            .and_then(Body::missing_bytes)
+            .map(|missing| missing.saturating_sub(self.stream.input.len() as u64));
+        unread.is_some_and(|unread| unread > MAX_SOCKET_BUFFER_BYTES)
+    }
+
+    /// Whether bytes of the client wait for a backend to take them, or for the proxy to read them.
+    pub(super) fn has_waiting_bytes(&self) -> bool {
+        self.stream.has_unread() || !self.stream.input.is_empty()
+    }
+
     /// Starts to receive a body, which is streamed if a `parser` is given.
     pub(super) fn start_body(&mut self, slot: ClientSlot, parser: Option<Body>, io: &mut IoContext) {
         self.incoming_body = Some(Box::new(IncomingBody {
--- a/crates/proxy/src/clients/requests.rs
+++ b/crates/proxy/src/clients/requests.rs
@@ -1,7 +1,7 @@
 //! Reading requests from clients: heads, bodies, and what is rejected before it reaches the balancer.
 
 use sparlug::id::TenantId;
-use sparlug::time::Span;
+use sparlug::time::{Span, Time};
 
 use super::client::{Client, ClientState};
 use super::{Clients, CONTINUE_RESPONSE, REQUEST_READ_TIMEOUT};
@@ -166,6 +166,18 @@
         io.events.push_back(ProxyEvent::RequestReceived(slot, incoming));
     }
 
+    /// The earliest time at which the client can have sent its latest byte.
+    pub fn sent_not_before(&self, slot: ClientSlot) -> Option<Time> {
+        self.connections.get(slot).map(|client| client.sent_not_before)
+    }
+
+    /// Since when the rest of a client's body may be there: bytes wait that were sent then at the earliest. `None` if
+    /// everything that has come was passed on.
+    pub fn body_waits_since(&self, slot: ClientSlot) -> Option<Time> {
+        let client = self.connections.get(slot).filter(|client| client.has_waiting_bytes())?;
+        Some(client.sent_not_before)
+    }
+
     /// The next bytes of a streamed request body, at most `capacity`, and whether the body ends with them.
     pub fn read_body(
         &mut self,
@@ -175,7 +187,7 @@
     ) -> Result<(Vec<u8>, bool), HttpError> {
         let Some(client) = self.connections.get_mut(slot) else { return Ok((Vec::new(), false)) };
         if client.stream.input.is_empty() && client.stream.has_unread() {
-            let _ = client.read(io.memory.window(), io.now);
+            let _ = client.read(io.memory.window(), io);
             if client.stream.ended {
                 io.deadlines.set(io.now, TimerEvent::Recheck(Owner::Client(slot)));
             }
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -25,6 +25,8 @@
     pub failed: u64,
     /// Requests that got a 504 because no response had come by their deadline.
     pub overdue: u64,
+    /// Uploads that were refused because a backend did not take them in their time.
+    pub uploads_overdue: u64,
     pub attempts_started: u64,
     pub checks: u64,
     pub connections_opened: u64,
@@ -81,6 +83,7 @@
         let _ = writeln!(text, "svc.responses_before_body:{}|c", self.responses_before_body);
         let _ = writeln!(text, "svc.clients.evicted:{}|c", self.evicted);
         let _ = writeln!(text, "svc.refused_for_memory:{}|c", self.refused_for_memory);
+        let _ = writeln!(text, "svc.uploads_overdue:{}|c", self.uploads_overdue);
         let _ = writeln!(text, "svc.lists.received:{}|c", self.lists_received);
         let _ = writeln!(text, "svc.lists.failed:{}|c", self.lists_failed);
         let _ = writeln!(text, "svc.lists.suspicious:{}|c", self.suspicious_lists);
@@ -105,6 +108,7 @@
         )?;
         write!(f, "honoured={} turned_back={} ", self.served, self.refused)?;
         write!(f, "refused_for_memory={} evicted={} ", self.refused_for_memory, self.evicted)?;
+        write!(f, "uploads_overdue={} ", self.uploads_overdue)?;
         write!(f, "forfeited={} overdue={} left={} ", self.failed, self.overdue, self.clients_gone)?;
         write!(
             f,
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -71,8 +71,8 @@
     incoming: IncomingRequest,
     /// The connection of each attempt, by its number; `None` for one that has ended.
     attempts: Vec<Option<ConnSlot>>,
-    /// When it is given a response whatever the balancer decides. `None` until the request is complete, except
-    /// during a shutdown.
+    /// When it is given a response whatever the balancer decides; for an incomplete upload, when that is looked at
+    /// again.
     deadline: Option<DeadlineId>,
     /// Set if the request is streamed to the backend.
     streamed_body: Option<StreamedBody>,
--- a/crates/proxy/src/proxy/requests.rs
+++ b/crates/proxy/src/proxy/requests.rs
@@ -20,7 +20,11 @@
         let (tenant, key, cost) = (incoming.tenant, incoming.head.key, None);
         // Large requests that wait must not fill the memory.
         let bytes = incoming.message.len();
-        let due = self.response_due(&incoming, complete.then_some(deadline));
+        let due = if complete {
+            self.response_due(&incoming, Some(deadline)).unwrap_or(deadline)
+        } else {
+            self.upload_due(&incoming, Some(client))
+        };
         let fits = bytes <= self.io.memory.buffer_limit(bytes);
         let deadlines = &mut self.io.deadlines;
         let slot = self.pending.insert_with(|slot| {
@@ -28,7 +32,7 @@
                 return None;
             }
             let timer = TimerEvent::RequestDeadline(RequestId(slot.to_number()));
-            let deadline = due.map(|due| deadlines.set(due, timer));
+            let deadline = Some(deadlines.set(due, timer));
             let streamed_body =
                 (!complete).then_some(StreamedBody { sent: 0, discarded: false, complete: false });
             Some(PendingRequest {
@@ -190,7 +194,8 @@
     pub(super) fn request_complete(&mut self, request: RequestId) {
         let slot = RequestSlot::from_number(request.0);
         let Some(pending) = self.pending.get(slot) else { return };
-        let deadline = self.io.earliest_arrival + pending.incoming.timeout;
+        let sent = pending.client.and_then(|client| self.clients.sent_not_before(client));
+        let deadline = sent.unwrap_or(self.io.now) + pending.incoming.timeout;
         let deadline = self.response_due(&pending.incoming, Some(deadline)).unwrap_or(deadline);
         let Some(pending) = self.pending.get_mut(slot) else { return };
         self.io.deadlines.cancel(pending.deadline.take());
@@ -402,9 +407,36 @@
         self.forward_request_body(request);
         let Some(pending) = self.pending.get(RequestSlot::from_number(request.0)) else { return };
         let completed_now = pending.deadline.is_some_and(|deadline| deadline.due_at() > self.io.now);
-        if !completed_now {
-            self.end_unanswered(request);
+        if completed_now {
+            return;
         }
+        if pending.awaits_response() && pending.is_incomplete_upload() {
+            let due = self.upload_due(&pending.incoming, pending.client);
+            if due > self.io.now {
+                let timer = TimerEvent::RequestDeadline(request);
+                let Some(pending) = self.pending.get_mut(RequestSlot::from_number(request.0)) else { return };
+                pending.deadline = Some(self.io.deadlines.set(due, timer));
+                return;
+            }
+            let (id, attempts) = (pending.incoming.head.id.as_deref(), pending.attempts.len());
+            tracing::debug!(
+                id,
+                request = request.0,
+                attempts,
+                "upload waits for its backend beyond its time"
+            );
+            self.io.counters.uploads_overdue += 1;
+        }
+        self.end_unanswered(request);
+    }
+
+    /// When an incomplete upload has its response at the latest. Its time counts from its last byte, which the client
+    /// may have sent while the proxy does not read because the backend takes nothing. While all that has come was
+    /// passed on, its time has not begun.
+    pub(super) fn upload_due(&self, incoming: &IncomingRequest, client: Option<ClientSlot>) -> Time {
+        let waits_since = client.and_then(|client| self.clients.body_waits_since(client));
+        let due = waits_since.unwrap_or(self.io.now) + incoming.timeout;
+        self.response_due(incoming, None).map_or(due, |limit| due.min(limit))
     }
 
     /// Gives a request without a response its final one. It is refused where it cannot have run: no attempt was
--- a/crates/proxy/src/proxy/shutdown.rs
+++ b/crates/proxy/src/proxy/shutdown.rs
@@ -53,8 +53,11 @@
     fn limit_pending_requests(&mut self) {
         for slot in self.open_requests() {
             let Some(pending) = self.pending.get(slot) else { continue };
-            let deadline = pending.deadline.map(DeadlineId::due_at);
-            let due = self.response_due(&pending.incoming, deadline);
+            let due = if pending.is_incomplete_upload() {
+                Some(self.upload_due(&pending.incoming, pending.client))
+            } else {
+                self.response_due(&pending.incoming, pending.deadline.map(DeadlineId::due_at))
+            };
             let timer = TimerEvent::RequestDeadline(RequestId(slot.to_number()));
             let Some(pending) = self.pending.get_mut(slot) else { continue };
             self.io.deadlines.cancel(pending.deadline.take());
