--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -62,6 +62,7 @@
 const INTERRUPTED_WAIT_PAUSE: Duration = Duration::from_micros(100);
 const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(1);
 const LISTENER_DRAIN_PAUSE: Span = Span::from_millis(5); // between attempts to empty the accept queue
+const MAX_BODY_PIECES_PER_TURN: usize = 4; // of one body, before other sockets are handled
 const MAX_REPLAY_BYTES: usize = 512 * 1024; // of a streamed request that are kept so that it can be retried
 
 /// A request that has no response yet or still has running attempts.
--- a/crates/proxy/src/proxy/requests.rs
+++ b/crates/proxy/src/proxy/requests.rs
@@ -1,13 +1,13 @@
 //! The processing of a request in the proxy: it is received, attempted, given its response and removed.
 
-use super::{PendingRequest, Proxy, StreamedBody, MAX_REPLAY_BYTES};
+use super::{PendingRequest, Proxy, StreamedBody, MAX_BODY_PIECES_PER_TURN, MAX_REPLAY_BYTES};
 use crate::attempt_result::AttemptResult;
 use crate::buffered_stream::reserve_blocks;
 use crate::http::{self, HttpError};
 use crate::pool::OutgoingRequest;
 use crate::shared::{
-    ClientSlot, ConnSlot, IncomingRequest, JobResult, ProxyEvent, Purpose, RequestSlot, StartedResponse,
-    TimerEvent,
+    ClientSlot, ConnSlot, IncomingRequest, JobResult, Owner, ProxyEvent, Purpose, RequestSlot,
+    StartedResponse, TimerEvent,
 };
 use sparlug::event::{AttemptEnd, Event, Outcome, Reason, Request};
 use sparlug::id::{AttemptNo, BackendId, ClassId, RequestId};
@@ -150,7 +150,7 @@
 
     /// Forwards as much of a request's body as was received and fits into the backend's window.
     pub(super) fn forward_request_body(&mut self, request: RequestId) {
-        loop {
+        for _ in 0..MAX_BODY_PIECES_PER_TURN {
             let Some(conn) = self.active_connection(request) else { return };
             let capacity = self.pool.write_capacity(conn, &self.io);
             let Some(pending) = self.pending.get_mut(RequestSlot::from_number(request.0)) else { return };
@@ -188,6 +188,14 @@
                 return self.request_complete(request);
             }
         }
+        self.continue_body_next_turn(request);
+    }
+
+    /// Goes on with a body that was forwarded for long enough in this iteration of the loop.
+    fn continue_body_next_turn(&mut self, request: RequestId) {
+        if let Some(conn) = self.active_connection(request) {
+            self.io.deadlines.set(self.io.now, TimerEvent::Recheck(Owner::Conn(conn)));
+        }
     }
 
     /// The last byte of a streamed request was received: its deadline starts from here.
@@ -246,7 +254,7 @@
 
     /// Forwards as much of a response's body as was received and fits into the client's window.
     pub(super) fn forward_response_body(&mut self, request: RequestId) {
-        loop {
+        for _ in 0..MAX_BODY_PIECES_PER_TURN {
             let Some(conn) = self.active_connection(request) else { return };
             let Some(pending) = self.pending.get(RequestSlot::from_number(request.0)) else { return };
             let (Some(client), Some(head)) = (pending.client, &pending.streamed_response) else { return };
@@ -263,6 +271,7 @@
                 return self.finish(request);
             }
         }
+        self.continue_body_next_turn(request);
     }
 
     pub(super) fn send_check(&mut self, backend: BackendId) {
