Detect a client's close behind input that was not read before its request is sent on

Cause: a close is known by an event or by reading to the end; a connection accepted with more input than is read at once has had no event yet. Change: while a request waits and input is unread, the socket is asked whether the other side has closed, so also before an attempt starts.

--- a/crates/proxy/src/buffered_stream.rs
+++ b/crates/proxy/src/buffered_stream.rs
@@ -11,6 +11,7 @@
 use mio::event::Source;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use sparlug::time::{Span, Time};
 
 use crate::io_failures::Cause;
@@ -318,6 +319,15 @@
         }
     }
 
+    /// Whether the other side has closed its direction or the connection, also behind bytes that were not read yet.
+    pub fn is_closed_by_peer(&self) -> bool {
+        let Some(stream) = &self.stream else { return false };
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut poll_fds = [PollFd::new(stream, PollFlags::RDHUP)];
+        let no_wait = Timespec { tv_sec: 0, tv_nsec: 0 };
+        poll(&mut poll_fds, Some(&no_wait)).is_ok() && poll_fds[0].revents().intersects(closed)
+    }
+
     /// Shuts down the sending direction, so that the other side sees the end of the stream.
     pub fn shutdown_write(&mut self) {
         if let Some(stream) = &self.stream {
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -300,6 +300,10 @@
             io.counters.failures.count(SystemCall::Read, &e);
             return self.close(slot, CloseReason::ReadFailed, io);
         }
+        // The events of this iteration may not tell yet that a client has left behind more input than was read.
+        if matches!(client.state, ClientState::Waiting(_)) && client.stream.has_unread() {
+            client.hung_up |= client.stream.is_closed_by_peer();
+        }
         if (client.stream.ended || client.hung_up) && client.state != ClientState::Reading {
             return self.close(slot, CloseReason::ByClient, io);
         }
