Remember ids of at-most-once requests for 60 s, at both processes of an upgrade

Cause: an id was known only as long as its connection was, and only in its process. Change: accepted ids are remembered, 60 s and 32,768 at most; one that comes again gets 400, which does not say that a repeat is harmless. A refusal, which says so, forgets the id. The handover's state carries the ids (a new field, which older versions ignore), and during the overlap each new one is told at once. Open: an id that reaches the other process before that message does.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -5,7 +5,7 @@
 
 use mio::net::{TcpListener, TcpStream};
 use sparlug::id::RequestId;
-use sparlug::time::Span;
+use sparlug::time::{Span, Time};
 
 use crate::acceptor::{Accepted, Acceptor, MAX_ACCEPTS_PER_TURN};
 use crate::buffered_stream::{BufferSizes, BufferedStream};
@@ -19,12 +19,15 @@
 mod capacity;
 mod client;
 mod eviction;
+mod id_history;
 mod requests;
 mod responses;
 
 use crate::process_usage::descriptor_capacity;
 use client::{Client, ClientState};
 use eviction::{EvictionOrder, EvictionRank};
+pub use id_history::IdHash;
+use id_history::IdHistory;
 
 const FIRST_REQUEST_READ_TIMEOUT: Span = Span::from_millis(2_300); // from the accept to the complete request
 const REQUEST_READ_TIMEOUT: Span = Span::from_millis(2_300); // for a later request, from its first byte
@@ -56,6 +59,7 @@
     eviction_order: EvictionOrder,
     /// The ids of all requests that have no response yet.
     active_ids: BTreeSet<String>,
+    id_history: IdHistory,
     classes: Classes,
     pub budgets: Budgets,
     /// The connection limit where the process has fewer descriptors than the configuration allows.
@@ -73,13 +77,14 @@
         classes: Classes,
         budgets: Budgets,
     ) -> Clients {
-        let (connections, eviction_order, active_ids, full, ready) = Default::default();
+        let (connections, eviction_order, active_ids, id_history, full, ready) = Default::default();
         Clients {
             acceptor: Acceptor::new(listener, Owner::Listener),
             shares_listener,
             connections,
             eviction_order,
             active_ids,
+            id_history,
             classes,
             budgets,
             descriptor_limit: None,
@@ -122,6 +127,16 @@
         self.connections.iter().map(|(_, client)| client.stream.allocated_bytes()).sum()
     }
 
+    /// The at-most-once requests that were accepted lately, for the other process of a handover.
+    pub fn export_ids(&self) -> Vec<u64> {
+        self.id_history.export()
+    }
+
+    /// Remembers requests that the other process of a handover has accepted.
+    pub fn import_ids(&mut self, ids: &[u64], now: Time) {
+        ids.iter().for_each(|id| self.id_history.insert(IdHash(*id), now));
+    }
+
     /// Number of open connections.
     pub fn connection_count(&self) -> usize {
         self.connections.count()
--- a/crates/proxy/src/clients/requests.rs
+++ b/crates/proxy/src/clients/requests.rs
@@ -4,7 +4,7 @@
 use sparlug::time::{Span, Time};
 
 use super::client::{Client, ClientState};
-use super::{Clients, CONTINUE_RESPONSE, REQUEST_READ_TIMEOUT};
+use super::{Clients, IdHash, CONTINUE_RESPONSE, REQUEST_READ_TIMEOUT};
 use crate::body::MAX_BODY_BYTES;
 use crate::close_reason::CloseReason;
 use crate::http::{
@@ -138,8 +138,15 @@
         let tenant = self.classes.tenants.iter().position(is_tenant).map(|index| TenantId(index as u32));
         let longest_deadline = self.classes.deadlines[class];
         let timeout = head.timeout.as_deref().map_or(Some(longest_deadline), parse_timeout);
-        // A request must not pass for another client's request by carrying its id.
-        let id = head.id.clone().filter(|id| !self.active_ids.contains(id));
+        // A request must not pass for another client's request by carrying its id, and an at-most-once request must
+        // not run again under its own.
+        let may_repeat = head.is_repeatable();
+        let is_repeated = |id: &String| !may_repeat && self.id_history.contains(IdHash::of(id));
+        if head.id.as_ref().is_some_and(is_repeated) {
+            io.counters.repeated_ids += 1;
+            tracing::debug!(id = head.id, "the id of an earlier at-most-once request comes again");
+        }
+        let id = head.id.clone().filter(|id| !self.active_ids.contains(id) && !is_repeated(id));
         let (Some(timeout), Some(id)) = (timeout, id) else {
             io.counters.bad_input += 1;
             return self.respond(slot, 400, true, io);
@@ -150,6 +157,9 @@
         }
         if let Some(client) = self.connections.get_mut(slot) {
             client.state = ClientState::Waiting(None);
+            if !may_repeat {
+                self.id_history.insert(IdHash::of(&id), io.now);
+            }
             self.active_ids.insert(id.clone());
             client.request_id = Some(id);
         }
--- a/crates/proxy/src/clients/responses.rs
+++ b/crates/proxy/src/clients/responses.rs
@@ -1,12 +1,17 @@
 //! Writing responses to clients, and closing a connection after its last response.
 
-use super::{client::ClientState, Clients, IDLE_TIMEOUT, LINGER_TIMEOUT, RESPONSE_WRITE_TIMEOUT};
+use super::{client::ClientState, Clients, IdHash, IDLE_TIMEOUT, LINGER_TIMEOUT, RESPONSE_WRITE_TIMEOUT};
 use crate::close_reason::CloseReason;
 use crate::http::{self, STREAMED_STATUS};
 use crate::io_failures::SystemCall;
 use crate::shared::{ClientSlot, IoContext, Owner, ProxyEvent, TimerEvent};
 use sparlug::id::RequestId;
 
+/// Whether a response says that the request has not run.
+fn is_refusal(status: u16) -> bool {
+    matches!(status, 429 | 503)
+}
+
 impl Clients {
     /// Starts a streamed response.
     pub fn start_response(
@@ -74,6 +79,9 @@
         io.counters.count_response(client.open_class.take(), status);
         io.deadlines.cancel(client.deadline.take());
         if let Some(id) = client.request_id.take() {
+            if is_refusal(status) {
+                self.id_history.remove(IdHash::of(&id));
+            }
             self.active_ids.remove(&id);
         }
         client.state = ClientState::Answering { close };
--- a/crates/proxy/src/control_messages.rs
+++ b/crates/proxy/src/control_messages.rs
@@ -66,6 +66,9 @@
     /// What discovery said of backends that are not on the list; empty from older versions of the program.
     #[serde(default)]
     pub history: HandoverHistory,
+    /// Hashes of the ids of at-most-once requests that were accepted lately; empty from older versions.
+    #[serde(default)]
+    pub request_ids: Vec<u64>,
 }
 
 /// Removes the next message from `input`, once its line is complete.
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -16,6 +16,8 @@
     pub requests_received: u64,
     pub bad_input: u64,
     pub clients_gone: u64,
+    /// At-most-once requests that came again under the id of an earlier one and were rejected.
+    pub repeated_ids: u64,
     pub served: u64,
     pub refused: u64,
     /// Connections of clients that were closed for new ones.
@@ -84,6 +86,7 @@
         let _ = writeln!(text, "svc.clients.evicted:{}|c", self.evicted);
         let _ = writeln!(text, "svc.refused_for_memory:{}|c", self.refused_for_memory);
         let _ = writeln!(text, "svc.uploads_overdue:{}|c", self.uploads_overdue);
+        let _ = writeln!(text, "svc.repeated_ids:{}|c", self.repeated_ids);
         let _ = writeln!(text, "svc.lists.received:{}|c", self.lists_received);
         let _ = writeln!(text, "svc.lists.failed:{}|c", self.lists_failed);
         let _ = writeln!(text, "svc.lists.suspicious:{}|c", self.suspicious_lists);
@@ -108,7 +111,7 @@
         )?;
         write!(f, "honoured={} turned_back={} ", self.served, self.refused)?;
         write!(f, "refused_for_memory={} evicted={} ", self.refused_for_memory, self.evicted)?;
-        write!(f, "uploads_overdue={} ", self.uploads_overdue)?;
+        write!(f, "uploads_overdue={} repeated_ids={} ", self.uploads_overdue, self.repeated_ids)?;
         write!(f, "forfeited={} overdue={} left={} ", self.failed, self.overdue, self.clients_gone)?;
         write!(
             f,
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -162,12 +162,17 @@
 }
 
 /// The 64-bit FNV-1a hash of a key, which is the same in every proxy and every build.
-fn hash_key(key: &str) -> u64 {
+pub fn hash_key(key: &str) -> u64 {
     let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
     key.bytes().fold(0xcbf2_9ce4_8422_2325, step)
 }
 
 impl RequestHead {
+    /// Whether the request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        self.method == CLIENT_METHODS[0]
+    }
+
     /// The request as it is sent to a backend: as received, but with `remaining` as its `Request-Timeout`.
     /// Also returns the byte range of that timeout.
     pub fn for_backend(&self, message: &[u8], remaining: Span) -> (Vec<u8>, Range<usize>) {
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -242,7 +242,8 @@
         let methods = setup.settings.classes.iter().map(|class| method(class.effect)).collect();
         let (names, tenants) = (setup.class_names, setup.tenant_names);
         let classes = Classes { names, deadlines, methods, tenants };
-        let clients = Clients::new(Some(listener), shares_listener, classes, initial_budgets);
+        let mut clients = Clients::new(Some(listener), shares_listener, classes, initial_budgets);
+        clients.import_ids(&state.request_ids, now);
         let pool = Pool::new(initial_budgets, setup.connect_timeout, setup.backend_idle_timeout);
         let mut list_history = ListHistory::default();
         list_history.import(state.history, now);
@@ -527,6 +528,7 @@
                     self.set_disabled(control_messages::backend_id(backend), disabled)
                 }
                 ProxyEvent::HandoverMessage(HandoverMessage::State(state)) => {
+                    self.clients.import_ids(&state.request_ids, self.io.now);
                     self.apply_withdrawals(state.history)
                 }
             }
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -100,6 +100,7 @@
                 disabled: self.balancer.disabled().map(control_messages::backend_key).collect(),
                 list,
                 history: self.list_history.export(now),
+                request_ids: self.clients.export_ids(),
             }
         };
         self.handover.accept(self.clients.listener(), state, &mut self.io);
--- a/crates/proxy/src/proxy/requests.rs
+++ b/crates/proxy/src/proxy/requests.rs
@@ -3,6 +3,8 @@
 use super::{PendingRequest, Proxy, StreamedBody, MAX_BODY_PIECES_PER_TURN, MAX_REPLAY_BYTES};
 use crate::attempt_result::AttemptResult;
 use crate::buffered_stream::reserve_blocks;
+use crate::clients::IdHash;
+use crate::control_messages::{HandoverMessage, HandoverState};
 use crate::http::{self, HttpError};
 use crate::pool::OutgoingRequest;
 use crate::shared::{
@@ -16,6 +18,7 @@
 impl Proxy {
     pub(super) fn receive_request(&mut self, client: ClientSlot, incoming: IncomingRequest) {
         self.io.counters.requests_received += 1;
+        self.share_request_id(&incoming);
         let (class, deadline, complete) = (ClassId(incoming.class), incoming.deadline, incoming.complete);
         let (tenant, key, cost) = (incoming.tenant, incoming.head.key, None);
         // Large requests that wait must not fill the memory.
@@ -62,6 +65,15 @@
         }));
     }
 
+    /// Tells the other process of a handover of an at-most-once request, which its client may send there again.
+    fn share_request_id(&mut self, incoming: &IncomingRequest) {
+        let id = incoming.head.id.as_deref().filter(|_| !incoming.head.is_repeatable());
+        if let (Some(id), true) = (id, self.handover.is_overlapping()) {
+            let state = HandoverState { request_ids: vec![IdHash::of(id).0], ..HandoverState::default() };
+            self.handover.broadcast(&HandoverMessage::State(state), &mut self.io);
+        }
+    }
+
     pub(super) fn start_attempt(
         &mut self,
         request: RequestId,
