Take an address from the backend that another one has replaced

Cause: backends are told apart by name, and a list of changes that names the new one before the removal of the old left both at one address; an older list brought the old name back there. Change: the backend that the newest list names at an address has it; one that another list named there before is gone with that, and an older list takes no address. Two backends that one list names at one address stay, as before.

--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -43,6 +43,8 @@
     pub lists_ignored: u64,
     /// Lists of a version below the highest one of their agent.
     pub lists_older: u64,
+    /// Backends whose address another one has taken.
+    pub backends_replaced: u64,
     /// Entries of lists that name a backend as ready which a newer list has withdrawn.
     pub entries_withheld: u64,
     /// Attempts whose last byte was written.
@@ -92,6 +94,7 @@
         let _ = writeln!(text, "svc.lists.suspicious:{}|c", self.suspicious_lists);
         let _ = writeln!(text, "svc.lists.ignored:{}|c", self.lists_ignored);
         let _ = writeln!(text, "svc.lists.older:{}|c", self.lists_older);
+        let _ = writeln!(text, "svc.lists.backends_replaced:{}|c", self.backends_replaced);
         let _ = writeln!(text, "svc.lists.entries_withheld:{}|c", self.entries_withheld);
         let _ = writeln!(text, "svc.log_lines_left_out:{}|c", dropped_lines());
         text + &self.closed_unanswered.report() + &self.failures.report()
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -136,20 +136,30 @@
 
     /// The current list, for the process that replaces this one in an upgrade.
     pub fn current_list(&self) -> Vec<HandoverHost> {
+        self.listed().iter().map(HandoverHost::from_entry).collect()
+    }
+
+    /// The listed backends.
+    pub fn listed(&self) -> Vec<BackendEntry> {
         let listed = self.backends.values().filter(|entry| entry.listing.condition != Condition::Gone);
-        let handover_host = |entry: &PooledBackend| {
+        let entry = |backend: &PooledBackend| {
             let (host, address, listed_start) =
-                (entry.host.clone(), entry.process.address, entry.listed_start);
-            let (start_stated, listing) = (listed_start.is_some(), entry.listing);
-            HandoverHost::from_entry(&BackendEntry { host, address, listed_start, start_stated, listing })
+                (backend.host.clone(), backend.process.address, backend.listed_start);
+            let (start_stated, listing) = (listed_start.is_some(), backend.listing);
+            BackendEntry { host, address, listed_start, start_stated, listing }
         };
-        listed.map(handover_host).collect()
+        listed.map(entry).collect()
     }
 
     pub fn is_listed(&self, backend: BackendId) -> bool {
         self.backends.get(&backend).is_some_and(|entry| entry.listing.condition != Condition::Gone)
     }
 
+    /// Whether a backend is listed at this address.
+    pub fn is_listed_at(&self, backend: BackendId, address: SocketAddr) -> bool {
+        self.is_listed(backend) && self.address(backend) == Some(address)
+    }
+
     /// Number of backends that are listed as ready.
     pub fn ready_count(&self) -> usize {
         self.backends.values().filter(|entry| entry.listing.condition == Condition::Ready).count()
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -41,6 +41,7 @@
 use crate::start_times::StartTimes;
 use crate::startup::retry_transient;
 
+mod address_claims;
 mod admin;
 mod lifecycle;
 mod lists;
--- a/crates/proxy/src/proxy/lists.rs
+++ b/crates/proxy/src/proxy/lists.rs
@@ -2,11 +2,12 @@
 
 use sparlug::event::{Event, Listing};
 
+use super::address_claims::settle_addresses;
 use super::Proxy;
 use crate::control_messages::{HandoverMessage, HandoverState};
 use crate::discovery::AppliedList;
 use crate::list_history::{HandoverHistory, ListOrder, ListSource, MergedList};
-use crate::listing::BackendList;
+use crate::listing::{BackendEntry, BackendList};
 use crate::shared::ReceivedList;
 
 impl Proxy {
@@ -49,6 +50,7 @@
         if omissions_ignored {
             tracing::warn!(version, ?order, "backends that an old list omits are kept: it names no other");
         }
+        self.settle_addresses(&mut list, order);
         self.start_times.correct(&mut list, self.io.now);
         let listings: Vec<Listing> = list.entries.iter().map(|entry| entry.listing).collect();
         // A process that replaces a ready one is as ready as that, also where no backend is left.
@@ -61,6 +63,18 @@
         Some(AppliedList { order, needs_whole_list })
     }
 
+    /// Takes addresses from backends that another one has replaced, where the list names a backend at a new address.
+    fn settle_addresses(&mut self, list: &mut BackendList, order: ListOrder) {
+        let is_new = |entry: &BackendEntry| !self.pool.is_listed_at(entry.listing.backend, entry.address);
+        if !list.entries.iter().any(is_new) {
+            return;
+        }
+        for host in settle_addresses(list, order == ListOrder::Older, &self.pool.listed()) {
+            self.io.counters.backends_replaced += 1;
+            tracing::info!(host, version = list.version, "backend gone: another one has its address");
+        }
+    }
+
     /// Tells the other process of a handover what lists have withdrawn meanwhile: its own answers may be older.
     fn share_withdrawals(&mut self) {
         let (since, now) = (self.withdrawals_shared_at, self.io.now);
