--- a/crates/proxy/src/clients/eviction.rs
+++ b/crates/proxy/src/clients/eviction.rs
@@ -6,12 +6,12 @@
 
 use crate::shared::ClientSlot;
 
-/// Clients send soon after they have connected; one that has not for this long makes room for others.
+/// Clients send soon after they have connected, and what they send comes without long gaps; one that is silent for this
+/// long makes room for others. Requests that wait for room count from their arrival here, so that their wait has to be
+/// shorter than the tolerance of the times that backends are told.
 const MIN_SILENT_AGE: Span = Span::from_millis(100);
 /// Since the last response, before a connection in use is closed.
 const MIN_IDLE_AGE: Span = Span::from_millis(2_000);
-/// Since the last byte of an incomplete request.
-const MIN_INCOMPLETE_AGE: Span = Span::from_millis(500);
 
 /// The kinds of connections that may be closed: first lingering ones, then those without a request, last those with
 /// an incomplete one; of each the one that was not used for longest.
@@ -34,9 +34,8 @@
     fn min_age(self) -> Option<Span> {
         match self {
             EvictionRank::Lingering => None,
-            EvictionRank::Silent => Some(MIN_SILENT_AGE),
+            EvictionRank::Silent | EvictionRank::Incomplete => Some(MIN_SILENT_AGE),
             EvictionRank::Idle => Some(MIN_IDLE_AGE),
-            EvictionRank::Incomplete => Some(MIN_INCOMPLETE_AGE),
         }
     }
 }
