--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -20,7 +20,7 @@
 };
 use sparlug::time::Span;
 
-use crate::acceptor::{Accepted, Acceptor};
+use crate::acceptor::{Accepted, Acceptor, MAX_ACCEPTS_PER_TURN};
 use crate::buffered_stream::BufferedStream;
 use crate::control_messages::{encode_line, take_message, HandoverMessage, HandoverState, MAX_LINE_BYTES};
 use crate::io_failures::Cause;
@@ -239,7 +239,8 @@
         if self.enabled && !self.has_successor() && self.acceptor.listener().is_none() {
             self.wait_for_successor(io);
         }
-        while let Accepted::Connection(stream) = self.acceptor.accept(io) {
+        for _ in 0..MAX_ACCEPTS_PER_TURN {
+            let Accepted::Connection(stream) = self.acceptor.accept(io) else { return };
             if !is_same_user(&stream) || self.connections.count() >= MAX_CONNECTIONS {
                 tracing::warn!("handover refused: another user's process, or too many connections");
                 continue;
@@ -267,6 +268,7 @@
                 io.events.push_back(ProxyEvent::HandoverPeerChanged);
             }
         }
+        self.acceptor.continue_next_turn(io);
     }
 
     fn send(&mut self, slot: HandoverSlot, message: &HandoverMessage, io: &mut IoContext) {
