--- a/crates/proxy/tests/crowd_soak.rs
+++ b/crates/proxy/tests/crowd_soak.rs
@@ -18,14 +18,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use helper::crowd::texts::{
+    half_a_body_of_short_chunks, half_of_60_kb, half_of_90_kb, head_of_short_fields, nothing,
+    request_of_an_answer_of_1_mb, upload_of_2_mb,
+};
 use helper::crowd::{
-    partial_upload, peak_memory_kb, small_config, start_with_config, upload_head, Behaviour, Crowd,
-    FULL_SPEED, MEMORY_MB,
+    peak_memory_kb, small_config, start_with_config, Behaviour, Crowd, FULL_SPEED, MEMORY_MB,
 };
-use helper::{backend, handover_folder_and_address, request, settings, Proxy};
+use helper::{backend, handover_folder_and_address, settings, Proxy};
 use oorandom::Rand32;
 use soak::checks::{check_run, RunRecord};
 use soak::clients::Clients;
+use soak::runner::{run_seeds, selected_seeds};
 use soak::stub_servers;
 
 const SEEDS: std::ops::Range<u64> = 1..9;
@@ -45,45 +49,16 @@
 const RESTART_PAUSE: Duration = Duration::from_millis(1_000);
 const SAMPLE_PAUSE: Duration = Duration::from_millis(20);
 
-fn nothing() -> Vec<u8> {
-    Vec::new()
-}
-
-fn short_chunks() -> Vec<u8> {
-    [upload_head("Transfer-Encoding: chunked").as_bytes(), &b"1\r\nx\r\n".repeat(12_000)].concat()
-}
-
-fn half_of_60_kb() -> Vec<u8> {
-    partial_upload(60_000, 30_000)
-}
-
-fn half_of_90_kb() -> Vec<u8> {
-    partial_upload(90_000, 45_000)
-}
-
-fn upload_of_2_mb() -> Vec<u8> {
-    partial_upload(2_000_000, 2_000_000)
-}
-
-fn long_head() -> Vec<u8> {
-    let head = request("GET", "/read", "0.530");
-    [&head.as_bytes()[..head.len() - 2], &b"a:b\r\n".repeat(90), b"c:", &[b'd'; 14_000]].concat()
-}
-
-fn long_answer() -> Vec<u8> {
-    request("GET", "/read?size=1000000", "2").into_bytes()
-}
-
 /// What the clients of a crowd do: one to three kinds of behaviour.
 fn draw_crowd(rng: &mut Rand32, size: usize) -> Vec<Behaviour> {
     let mut draw = || match rng.rand_range(0..7) {
         0 => Behaviour::writing(nothing, FULL_SPEED),
-        1 => Behaviour::writing(short_chunks, FULL_SPEED),
+        1 => Behaviour::writing(half_a_body_of_short_chunks, FULL_SPEED),
         2 => Behaviour::writing(half_of_60_kb, 64 * 1024),
         3 => Behaviour::writing(half_of_90_kb, FULL_SPEED),
         4 => Behaviour::writing(upload_of_2_mb, 64 * 1024),
-        5 => Behaviour::writing(long_head, FULL_SPEED),
-        _ => Behaviour::reading(long_answer, 8 * 1024),
+        5 => Behaviour::writing(head_of_short_fields, FULL_SPEED),
+        _ => Behaviour::reading(request_of_an_answer_of_1_mb, 8 * 1024),
     };
     let kinds = [draw(), draw(), draw()];
     kinds.iter().cycle().take(size).cloned().collect()
@@ -171,28 +146,7 @@
     clients.control.no_new_connections.store(true, Ordering::SeqCst);
 }
 
-fn seeds() -> std::ops::Range<u64> {
-    let Ok(text) = std::env::var("CROWD_SOAK_SEEDS") else { return SEEDS };
-    let (from, to) = text.split_once("..").expect("CROWD_SOAK_SEEDS=FROM..TO");
-    from.parse().unwrap()..to.parse().unwrap()
-}
-
 #[test]
 fn requests_are_lost_or_limits_passed_beside_a_crowd() {
-    let seeds: Vec<u64> = seeds().collect();
-    let failed = std::sync::Mutex::new(Vec::new());
-    for batch in seeds.chunks(PARALLEL_RUNS) {
-        std::thread::scope(|scope| {
-            for seed in batch {
-                let failed = &failed;
-                scope.spawn(move || {
-                    if std::panic::catch_unwind(|| run_seed(*seed)).is_err() {
-                        failed.lock().unwrap().push(*seed);
-                    }
-                });
-            }
-        });
-    }
-    let failed = failed.into_inner().unwrap();
-    assert!(failed.is_empty(), "seeds {failed:?} of {}", seeds.len());
+    run_seeds(&selected_seeds("CROWD_SOAK_SEEDS", SEEDS), PARALLEL_RUNS, run_seed);
 }
--- a/crates/proxy/tests/discovery_soak.rs
+++ b/crates/proxy/tests/discovery_soak.rs
@@ -24,6 +24,7 @@
 use soak::checks::{check_run, RunRecord};
 use soak::clients::Clients;
 use soak::discovery::{serve_lists, SharedWorld, World};
+use soak::runner::{run_seeds, selected_seeds};
 use soak::stub_servers;
 
 const SEEDS: std::ops::Range<u64> = 1..25;
@@ -157,28 +158,7 @@
     }
 }
 
-fn seeds() -> std::ops::Range<u64> {
-    let Ok(text) = std::env::var("DISCOVERY_SOAK_SEEDS") else { return SEEDS };
-    let (from, to) = text.split_once("..").expect("DISCOVERY_SOAK_SEEDS=FROM..TO");
-    from.parse().unwrap()..to.parse().unwrap()
-}
-
 #[test]
 fn no_request_goes_to_a_withdrawn_backend_while_discovery_answers_with_errors() {
-    let seeds: Vec<u64> = seeds().collect();
-    let failed = Mutex::new(Vec::new());
-    for batch in seeds.chunks(PARALLEL_RUNS) {
-        std::thread::scope(|scope| {
-            for seed in batch {
-                let failed = &failed;
-                scope.spawn(move || {
-                    if std::panic::catch_unwind(|| run_seed(*seed)).is_err() {
-                        failed.lock().unwrap().push(*seed);
-                    }
-                });
-            }
-        });
-    }
-    let failed = failed.into_inner().unwrap();
-    assert!(failed.is_empty(), "seeds {failed:?} of {}", seeds.len());
+    run_seeds(&selected_seeds("DISCOVERY_SOAK_SEEDS", SEEDS), PARALLEL_RUNS, run_seed);
 }
--- a/crates/proxy/tests/fault_soak.rs
+++ b/crates/proxy/tests/fault_soak.rs
@@ -34,6 +34,7 @@
 use soak::checks::{check_run, cpu_time_s, RunRecord};
 use soak::clients::Clients;
 use soak::faults::{self, InjectedFault};
+use soak::runner::{run_seeds, selected_seeds};
 use soak::stub_servers;
 
 const SEEDS: std::ops::Range<u64> = 1..31;
@@ -125,28 +126,7 @@
     clients.control.no_new_connections.store(true, Ordering::SeqCst);
 }
 
-fn seeds() -> std::ops::Range<u64> {
-    let Ok(text) = std::env::var("SOAK_SEEDS") else { return SEEDS };
-    let (from, to) = text.split_once("..").expect("SOAK_SEEDS=FROM..TO");
-    from.parse().unwrap()..to.parse().unwrap()
-}
-
 #[test]
 fn no_request_is_lost_while_system_calls_fail() {
-    let seeds: Vec<u64> = seeds().collect();
-    let failed = std::sync::Mutex::new(Vec::new());
-    for batch in seeds.chunks(PARALLEL_RUNS) {
-        std::thread::scope(|scope| {
-            for seed in batch {
-                let failed = &failed;
-                scope.spawn(move || {
-                    if std::panic::catch_unwind(|| run_seed(*seed)).is_err() {
-                        failed.lock().unwrap().push(*seed);
-                    }
-                });
-            }
-        });
-    }
-    let failed = failed.into_inner().unwrap();
-    assert!(failed.is_empty(), "seeds {failed:?} of {}", seeds.len());
+    run_seeds(&selected_seeds("SOAK_SEEDS", SEEDS), PARALLEL_RUNS, run_seed);
 }
--- a/crates/proxy/tests/helper/crowd.rs
+++ b/crates/proxy/tests/helper/crowd.rs
@@ -1,6 +1,8 @@
 //! Many clients at once that write slowly, stop, read slowly or stay silent, usual clients beside them, and what
 //! the proxy's process holds meanwhile.
 
+pub mod texts;
+
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
--- a/crates/proxy/tests/resource_limits.rs
+++ b/crates/proxy/tests/resource_limits.rs
@@ -8,11 +8,14 @@
 use std::time::Duration;
 
 use helper::backend;
+use helper::crowd::texts::{
+    half_a_body_of_short_chunks, half_of_4_mb, half_of_60_kb, half_of_90_kb, head_of_short_fields,
+    head_of_too_many_fields, nothing, request_of_an_answer_of_1_mb, request_of_an_answer_of_60_kb,
+    upload_of_2_mb,
+};
 use helper::crowd::{
-    observe, one_at_a_time, partial_upload, sound_backend, start_small_proxy, upload_head, Behaviour, Crowd,
-    DESCRIPTORS, FULL_SPEED,
+    observe, one_at_a_time, sound_backend, start_small_proxy, Behaviour, Crowd, DESCRIPTORS, FULL_SPEED,
 };
-use helper::request;
 
 const BACKENDS: usize = 4;
 const CROWD_TIME: Duration = Duration::from_millis(6_000);
@@ -30,51 +33,6 @@
     observation.check(case, descriptors);
 }
 
-fn half_a_body_of_short_chunks() -> Vec<u8> {
-    let head = upload_head("Transfer-Encoding: chunked");
-    [head.as_bytes(), &b"1\r\nx\r\n".repeat(12_000)].concat()
-}
-
-fn half_of_90_kb() -> Vec<u8> {
-    partial_upload(90_000, 45_000)
-}
-
-fn half_of_60_kb() -> Vec<u8> {
-    partial_upload(60_000, 30_000)
-}
-
-fn half_of_4_mb() -> Vec<u8> {
-    partial_upload(4_000_000, 2_000_000)
-}
-
-fn upload_of_2_mb() -> Vec<u8> {
-    partial_upload(2_000_000, 2_000_000)
-}
-
-/// A head that stays incomplete, with as many fields as one may have.
-fn head_of_short_fields() -> Vec<u8> {
-    let head = request("GET", "/read", "0.530");
-    [&head.as_bytes()[..head.len() - 2], &b"a:b\r\n".repeat(90), b"c:", &[b'd'; 14_000]].concat()
-}
-
-/// A head of more fields than are allowed.
-fn head_of_too_many_fields() -> Vec<u8> {
-    let head = request("GET", "/read", "0.530");
-    [&head.as_bytes()[..head.len() - 2], &b"a:b\r\n".repeat(2_400)].concat()
-}
-
-fn request_of_an_answer_of_60_kb() -> Vec<u8> {
-    request("GET", "/read?size=60000", "2").into_bytes()
-}
-
-fn request_of_an_answer_of_1_mb() -> Vec<u8> {
-    request("GET", "/read?size=1000000", "2").into_bytes()
-}
-
-fn nothing() -> Vec<u8> {
-    Vec::new()
-}
-
 #[test]
 fn memory_passes_its_limit_beside_bodies_of_short_chunks_that_stop() {
     let crowd = vec![Behaviour::writing(half_a_body_of_short_chunks, FULL_SPEED); 600];
--- a/crates/proxy/tests/soak/mod.rs
+++ b/crates/proxy/tests/soak/mod.rs
@@ -6,4 +6,5 @@
 pub mod clients;
 pub mod discovery;
 pub mod faults;
+pub mod runner;
 pub mod stub_servers;
