--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -50,7 +50,7 @@
 mod shutdown;
 
 const OVERSLEEP_TOLERANCE: Span = Span::from_millis(3); // more than the timer's resolution
-const LISTEN_BACKLOG: i32 = 1024;
+const LISTEN_BACKLOG: i32 = 4096;
 const FLEET_JOIN_RETRY_PAUSE: Span = Span::from_millis(1_000);
 const RELOAD_RETRY_TIME: Span = Span::from_millis(30_000); // how long a failed reload is retried
 const MIN_RELOAD_RETRY_PAUSE: Span = Span::from_millis(50);
