Tell requests that arrived during a long iteration, and accept before reading

Cause, by trace: after an iteration of 0.1 s and more, with hundreds of sockets ready, the next wait took over 0.05 ms only to hand its long list over; that passed for a sleep, and what it found for new. Requests also waited for other connections' requests while the queue was accepted in parts. Change: after an iteration of over 1 ms what is ready is collected without a wait, and counts as arrived during the iteration; the listener takes up to 1,024 connections, which are read at the end of the iteration.

--- a/crates/proxy/src/acceptor.rs
+++ b/crates/proxy/src/acceptor.rs
@@ -13,9 +13,9 @@
 
 const CAPACITY_PAUSE: Span = Span::from_millis(20); // while the connection limit is reached
 const FAILURE_PAUSE: Span = Span::from_millis(5); // after a call that lacked a resource
-/// Connections that are accepted before other sockets are handled: each is read and perhaps answered at once, and clients
-/// that connect again as soon as they are refused would otherwise hold the loop for as long as they come.
-pub const MAX_ACCEPTS_PER_TURN: usize = 128;
+/// Connections that are accepted before other sockets are handled. Clients that connect again as soon as they are refused
+/// would otherwise hold the loop for as long as they come.
+pub const MAX_ACCEPTS_PER_TURN: usize = 1_024;
 const MAX_FAILURES_PER_ACCEPT: usize = 64; // of single connections in a row, before other sockets are handled
 
 /// A listening TCP or Unix socket.
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -234,7 +234,10 @@
         if let Some(slot) = slot {
             io.counters.connections += 1;
             io.connections.client_opened();
-            self.handle_ready(slot, io);
+            // Read at the end of this iteration of the loop: the connections behind it in the queue would wait meanwhile,
+            // and that wait would not count as a part of their requests' time.
+            io.deadlines.set(io.now, TimerEvent::Recheck(Owner::Client(slot)));
+            self.update_indexes(slot, io);
         }
     }
 
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -50,6 +50,8 @@
 mod shutdown;
 
 const OVERSLEEP_TOLERANCE: Span = Span::from_millis(3); // more than the timer's resolution
+/// What arrived during a longer iteration of the loop is told from what arrives after it.
+const LONG_ITERATION: Span = Span::from_millis(1);
 const LISTEN_BACKLOG: i32 = 4096;
 const FLEET_JOIN_RETRY_PAUSE: Span = Span::from_millis(1_000);
 const RELOAD_RETRY_TIME: Span = Span::from_millis(30_000); // how long a failed reload is retried
@@ -343,9 +345,12 @@
             }
             let wait_start = self.clock.now();
             let wait = self.io.deadlines.time_to_next(wait_start);
-            match self.poll.poll(&mut events, wait) {
-                Err(e) => self.handle_failed_wait(e, wait_start)?,
-                Ok(()) => self.failed_waits = 0,
+            let found_pending = self.collect_pending(&mut events, wait_start);
+            if !found_pending {
+                match self.poll.poll(&mut events, wait) {
+                    Err(e) => self.handle_failed_wait(e, wait_start)?,
+                    Ok(()) => self.failed_waits = 0,
+                }
             }
             self.io.now = self.clock.now();
             // After a wait of almost no time, the data may have arrived at any time since the previous wait;
@@ -353,7 +358,7 @@
             let waited = self.io.now.since(wait_start);
             let planned = wait.map_or(waited, |wait| Span::from_ms(wait.as_secs_f64() * 1000.0));
             let overslept = waited > planned + OVERSLEEP_TOLERANCE;
-            self.io.earliest_arrival = match waited > Span::from_ms(0.05) {
+            self.io.earliest_arrival = match !found_pending && waited > Span::from_ms(0.05) {
                 true if overslept => wait_start + planned,
                 true => self.io.now,
                 false => self.last_wait_end,
@@ -389,6 +394,13 @@
         Ok(())
     }
 
+    /// Collects, without a wait, what became ready during an iteration that took long. Taking a long list of events out
+    /// of the kernel can take as long as a short wait, and would pass for one.
+    fn collect_pending(&mut self, events: &mut Events, now: Time) -> bool {
+        let was_long = now.since(self.last_wait_end) > LONG_ITERATION;
+        was_long && self.poll.poll(events, Some(Duration::ZERO)).is_ok() && !events.is_empty()
+    }
+
     /// The order in which ready sockets are handled. Operators come first, so that their requests do not wait
     /// behind a flood of clients. Clients that have closed come next, so that capacity that becomes free in
     /// the same iteration is not given to a request whose client has closed its connection.
