Keep a connection whose reads fail when idle ones are closed for a shutdown

Change: it is read again until that succeeds, as after any failed read. The test is deterministic, failed before and passes.

--- a/crates/proxy/src/clients/requests.rs
+++ b/crates/proxy/src/clients/requests.rs
@@ -221,6 +221,10 @@
     /// get its response before the process ends.
     fn refuse_further_requests(&mut self, slot: ClientSlot, io: &mut IoContext) {
         let Some(client) = self.connections.get(slot) else { return };
+        // A request may have arrived that cannot be read yet.
+        if client.stream.read_failed() {
+            return;
+        }
         if client.stream.input.is_empty() {
             self.linger(slot, io);
         } else {
--- a/crates/proxy/tests/transfer_failures.rs
+++ b/crates/proxy/tests/transfer_failures.rs
@@ -168,3 +168,22 @@
     write(&mut client, rest);
     assert!(read_message(&mut client).ends_with("fine"));
 }
+
+/// Guards against closing a connection as idle while reads of it fail (fault_soak, seed 137).
+#[test]
+fn request_that_cannot_be_read_when_idle_connections_are_closed_is_lost() {
+    let listener = backend();
+    let (proxy, shim) = Shim::start(&[&listener], &settings(500, ""));
+    serve(listener);
+    let port = proxy.address.rsplit(':').next().unwrap().parse().unwrap();
+    let mut client = proxy.connect();
+    write(&mut client, &keep_alive_request("GET", "/read"));
+    assert!(read_message(&mut client).ends_with("fine"));
+    proxy.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(450));
+    shim.inject(Fault::with_error(SystemCall::Read, errno::EINTR, u32::MAX).on_port(port));
+    write(&mut client, &keep_alive_request("GET", "/read"));
+    std::thread::sleep(Duration::from_millis(250));
+    shim.clear(SystemCall::Read);
+    assert!(read_message(&mut client).starts_with("HTTP/1.1 "), "the connection ended without a response");
+}
