Close what was silent for longest once new connections have waited for 50 ms

With no connection silent for 0.1 s, new ones waited until one was, and the proxy counts from the accept. Change: after 50 ms at the limit age protects only connections in use.

--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -64,8 +64,8 @@
     pub budgets: Budgets,
     /// The connection limit where the process has fewer descriptors than the configuration allows.
     descriptor_limit: Option<usize>,
-    /// New connections wait because the limit is reached.
-    full: bool,
+    /// Since when new connections wait because the limit is reached.
+    full_since: Option<Time>,
     pub ready: bool,
 }
 
@@ -77,7 +77,7 @@
         classes: Classes,
         budgets: Budgets,
     ) -> Clients {
-        let (connections, eviction_order, active_ids, id_history, full, ready) = Default::default();
+        let (connections, eviction_order, active_ids, id_history, full_since, ready) = Default::default();
         Clients {
             acceptor: Acceptor::new(listener, Owner::Listener),
             shares_listener,
@@ -88,7 +88,7 @@
             classes,
             budgets,
             descriptor_limit: None,
-            full,
+            full_since,
             ready,
         }
     }
@@ -118,7 +118,8 @@
 
     /// The metrics of open connections, their limit, and whether new ones wait for one to end.
     pub fn report(&self) -> String {
-        let (open, limit, waiting) = (self.connections.count(), self.limit(), u8::from(self.full));
+        let (open, limit, waiting) =
+            (self.connections.count(), self.limit(), u8::from(self.full_since.is_some()));
         format!("svc.clients.open:{open}|g\nsvc.clients.limit:{limit}|g\nsvc.clients.waiting:{waiting}|g\n")
     }
 
@@ -172,7 +173,7 @@
         }
         for _ in 0..MAX_ACCEPTS_PER_TURN {
             if !self.make_room(io) {
-                self.set_full(true);
+                self.set_full(true, io.now);
                 // The process's limit may have been raised.
                 self.budgets.apply_to(&mut io.connections);
                 if self.descriptor_limit.is_some() {
@@ -182,7 +183,7 @@
             }
             match self.acceptor.accept(io) {
                 Accepted::Connection(stream) => self.add_connection(stream, io),
-                Accepted::Empty => return self.set_full(false),
+                Accepted::Empty => return self.set_full(false, io.now),
                 Accepted::Failed(error) if is_descriptor_limit(&error) => {
                     return self.limit_by_descriptors(io)
                 }
--- a/crates/proxy/src/clients/capacity.rs
+++ b/crates/proxy/src/clients/capacity.rs
@@ -1,5 +1,7 @@
 //! The limit of client connections, and which connection is evicted for a new one.
 
+use sparlug::time::Time;
+
 use super::client::ClientState;
 use super::Clients;
 use crate::close_reason::CloseReason;
@@ -41,14 +43,14 @@
         while self.connections.count() >= self.limit() || !io.connections.has_client_room() {
             // Recently used connections are not evicted: a new connection is about to send a request, and
             // closing it would lose that request.
-            let Some(slot) = self.eviction_order.candidate(io.now) else {
+            let Some(slot) = self.eviction_order.candidate(io.now, self.full_since) else {
                 // A few connections beyond the limit are accepted, so that requests already sent on
                 // connections that the kernel has accepted do not stay unread.
                 return self.connections.count() < self.limit() + self.limit() / 8
                     && io.connections.has_client_room();
             };
             self.handle_ready(slot, io);
-            if self.eviction_order.candidate(io.now) == Some(slot) {
+            if self.eviction_order.candidate(io.now, self.full_since) == Some(slot) {
                 self.evict(slot, io);
             }
         }
@@ -68,8 +70,9 @@
     }
 
     /// Records whether the limit is reached, and logs each change of that, not each connection.
-    pub(super) fn set_full(&mut self, full: bool) {
-        if std::mem::replace(&mut self.full, full) != full {
+    pub(super) fn set_full(&mut self, full: bool, now: Time) {
+        if self.full_since.is_some() != full {
+            self.full_since = full.then_some(now);
             let (clients, unfinished) = (self.connections.count(), self.unfinished_count());
             let message = if full {
                 "client limit reached, new connections wait"
--- a/crates/proxy/src/clients/eviction.rs
+++ b/crates/proxy/src/clients/eviction.rs
@@ -10,6 +10,8 @@
 /// long makes room for others. Requests that wait for room count from their arrival here, so that their wait has to be
 /// shorter than the tolerance of the times that backends are told.
 const MIN_SILENT_AGE: Span = Span::from_millis(100);
+/// How long new connections wait before age protects only those in use.
+const MAX_WAIT: Span = Span::from_millis(50);
 /// Since the last response, before a connection in use is closed.
 const MIN_IDLE_AGE: Span = Span::from_millis(2_000);
 
@@ -69,11 +71,14 @@
         self.by_rank[rank as usize].len()
     }
 
-    /// The connection that is closed next, if any may be.
-    pub(super) fn candidate(&self, now: Time) -> Option<ClientSlot> {
+    /// The connection that is closed next, if any may be. Where new connections have waited since `waiting_since` for long,
+    /// the one that was silent for longest goes, whatever its age.
+    pub(super) fn candidate(&self, now: Time, waiting_since: Option<Time>) -> Option<ClientSlot> {
+        let is_urgent = waiting_since.is_some_and(|since| now > since + MAX_WAIT);
         let first = |rank: EvictionRank| {
             let (last_used, slot) = self.by_rank[rank as usize].first()?;
-            rank.min_age().is_none_or(|age| now > *last_used + age).then_some((*last_used, *slot))
+            let min_age = rank.min_age().filter(|_| !is_urgent || rank == EvictionRank::Idle);
+            min_age.is_none_or(|age| now > *last_used + age).then_some((*last_used, *slot))
         };
         let unused = [EvictionRank::Silent, EvictionRank::Idle].into_iter().filter_map(first).min();
         let next = first(EvictionRank::Lingering).or(unused).or_else(|| first(EvictionRank::Incomplete));
