--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,133 +1,158 @@
-//! Some answers are followed, some milliseconds later, by a second copy, while nothing else waits on that connection at
-//! the backend. The way to the backends takes 2 ms in each direction.
+//! Numbered requests fail at a backend shortly before the end of the time for which its group drops their repeats. The
+//! proxy is held up for 0.14 s at that moment.
 
 #[path = "../common-2/mod.rs"]
 mod common;
 
 use common::{answer, ms, Agent, Client, Host, Proxy, Reader, Run};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::collections::HashMap;
+use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
-use std::sync::{mpsc, Arc};
+use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 const BACKENDS: u8 = 4;
-const CLIENTS: u64 = 8;
-/// One answer in so many is followed by a second copy.
-const ONE_IN: u64 = 50;
-/// From the end of an answer to its second copy.
-const COPY_DELAY: Duration = Duration::from_millis(5);
-const ONE_WAY: Duration = Duration::from_millis(2);
-const SECONDS: f64 = 20.0;
+/// The group drops a repeat for so long.
+const WINDOW: f64 = 1.5;
+const SLACK: f64 = 0.05;
+/// A failing backend answers 500 so long after it has begun a request.
+const FAILS_AFTER: Duration = Duration::from_millis(1_465);
+const HOLD_UP: Duration = Duration::from_millis(140);
+const SECONDS: f64 = 38.0;
 
-/// Passes bytes on in one direction, each piece `ONE_WAY` after it came.
-fn pass_on(mut from: TcpStream, mut to: TcpStream) {
-    let (sender, receiver) = mpsc::channel::<(Instant, Vec<u8>)>();
-    thread::spawn(move || {
-        for (due, bytes) in receiver {
-            thread::sleep(due.saturating_duration_since(Instant::now()));
-            if to.write_all(&bytes).is_err() {
-                return;
-            }
-        }
-        let _ = to.shutdown(std::net::Shutdown::Write);
-    });
-    let mut piece = [0; 16 * 1024];
-    while let Ok(length) = from.read(&mut piece) {
-        if length == 0 || sender.send((Instant::now() + ONE_WAY, piece[..length].to_vec())).is_err() {
-            return;
-        }
-    }
+/// When each request began to run last, and each run: request, backend, time.
+#[derive(Default)]
+struct Group {
+    remembered: HashMap<String, f64>,
+    runs: Vec<(String, u8, f64)>,
 }
 
-/// The way to a backend: a forwarder in front of it.
-fn forwarder(number: u8, backend: SocketAddr) -> SocketAddr {
-    let listener = common::backend_listener(number);
-    let address = listener.local_addr().unwrap();
-    common::serve(listener, move |near| {
-        let Ok(far) = TcpStream::connect(backend) else { return };
-        let _ = (near.set_nodelay(true), far.set_nodelay(true));
-        let (Ok(near_copy), Ok(far_copy)) = (near.try_clone(), far.try_clone()) else { return };
-        thread::spawn(move || pass_on(far_copy, near_copy));
-        pass_on(near, far);
-    });
-    address
-}
-
-fn backend(run: &Run, served: &AtomicU64, stream: TcpStream) {
-    let mut reader = Reader::new(stream);
-    while let Ok(request) = reader.message(Instant::now() + ms(120_000)) {
-        let id = request.header("request-id").to_string();
-        thread::sleep(ms(8));
-        let text = answer("200 OK", "", &format!("answer to {id}"));
-        if reader.stream.write_all(&text).is_err() {
-            return;
-        }
-        if run.trouble && served.fetch_add(1, Relaxed) % ONE_IN == ONE_IN - 1 {
-            // A second copy, unless a request comes before it is due.
-            let waits = matches!(reader.read_more(Instant::now() + COPY_DELAY), Ok(true));
-            if !waits && reader.buffer.is_empty() {
-                run.note(&format!("backend: second copy of the answer to {id}"));
-                if reader.stream.write_all(&text).is_err() {
-                    return;
-                }
-            }
-        }
+fn spin(time: Duration) {
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        std::hint::spin_loop();
     }
 }
 
 fn main() {
-    let run = Run::begin("second-answer");
-    let served = Arc::new(AtomicU64::new(0));
+    let run = Run::begin("held-up");
+    let group = Arc::new(Mutex::new(Group::default()));
+    let (failed, failures) = mpsc::channel::<()>();
     let mut hosts = Vec::new();
     for number in 1..=BACKENDS {
         let listener = common::backend_listener(number);
-        let address = listener.local_addr().unwrap();
-        let (run, served) = (run.clone(), served.clone());
-        common::serve(listener, move |stream| backend(&run, &served, stream));
-        hosts.push(Host::new(&format!("s-{number}"), forwarder(100 + number, address)));
+        hosts.push(Host::new(&format!("s-{number}"), listener.local_addr().unwrap()));
+        let (run, group, failed) = (run.clone(), group.clone(), Mutex::new(failed.clone()));
+        common::serve(listener, move |stream| {
+            let failed = failed.lock().unwrap().clone();
+            let mut reader = Reader::new(stream);
+            while let Ok(request) = reader.message(Instant::now() + ms(120_000)) {
+                let (id, at, begun) = (request.header("request-id").to_string(), run.now(), Instant::now());
+                let mut status = "200 OK";
+                if request.path() == "/place-hold" {
+                    let mut group = group.lock().unwrap();
+                    let first = group.remembered.get(&id).copied();
+                    if first.is_some_and(|first| at < first + WINDOW) {
+                        run.note(&format!("s-{number}: repeat of {id} dropped"));
+                    } else {
+                        run.note(&format!("s-{number}: {id} runs"));
+                        group.remembered.insert(id.clone(), at);
+                        group.runs.push((id.clone(), number, at));
+                    }
+                    if first.is_none() {
+                        status = "500 Internal Server Error";
+                    }
+                }
+                if status.starts_with("500") {
+                    drop(request);
+                    thread::sleep(FAILS_AFTER.saturating_sub(begun.elapsed()));
+                } else {
+                    thread::sleep(ms(10));
+                }
+                if reader.stream.write_all(&answer(status, "", &id)).is_err() {
+                    return;
+                }
+                if status.starts_with("500") {
+                    let _ = failed.send(());
+                }
+            }
+        });
     }
     let agent = Agent::start(&run, &hosts);
-    let settings = common::settings(&common::tariff("point-status", 1200, 3000, "pure", ""), r#","dialTimeoutMs":100.0"#);
-    let proxy = Proxy::start(&run, agent.address, &agent.known(), &settings);
-    let (listen, numbers) = (proxy.listen, Arc::new(AtomicU64::new(1)));
-    let (foreign, stop) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|_| {
-            let (run, numbers, foreign, stop) = (run.clone(), numbers.clone(), foreign.clone(), stop.clone());
+    let tariffs = [
+        common::tariff("point-status", 1500, 4000, "pure", ""),
+        common::tariff("place-hold", 1500, 4000, "token", r#","lateValue":0.2,"group":"cell","windowMs":1500.0"#),
+    ];
+    let proxy = Proxy::start(&run, agent.address, &agent.known(), &common::settings(&tariffs.join(","), ""));
+    let (listen, stop, holds) = (proxy.listen, Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    // Usual traffic, which keeps connections to the backends in use.
+    let mut threads: Vec<_> = (0..8)
+        .map(|client_number| {
+            let stop = stop.clone();
             thread::spawn(move || {
-                let mut client = None;
+                let (mut client, mut number) = (None, 0);
                 while !stop.load(Relaxed) {
-                    let number = numbers.fetch_add(1, Relaxed);
+                    number += 1;
                     let text = format!(
-                        "GET /point-status HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: q{number}\r\nRequest-Class: point-status\r\nRequest-Timeout: 2.0\r\n\r\n"
+                        "GET /point-status HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: g{client_number}-{number}\r\nRequest-Class: point-status\r\nRequest-Timeout: 4.0\r\n\r\n"
                     );
                     let Ok(mut open) = client.take().map_or_else(|| Client::connect(listen), Ok) else { continue };
-                    let answered = open.send(text.as_bytes()).and_then(|()| open.receive(ms(3_000)));
-                    if let Ok(answer) = &answered {
-                        let body = String::from_utf8_lossy(&answer.body).into_owned();
-                        if answer.status == 200 && body != format!("answer to q{number}") {
-                            foreign.fetch_add(1, Relaxed);
-                            run.note(&format!("client: q{number} -> 200 with the body {body:?}: FOREIGN"));
-                        }
-                    }
-                    let status = answered.as_ref().map(|answer| answer.status);
-                    if !matches!(status, Ok(200)) {
-                        run.note(&format!("client: q{number} -> {status:?}"));
-                    }
-                    if answered.is_ok_and(|answer| !answer.has_token("connection", "close")) {
-                        client = Some(open);
-                    }
-                    thread::sleep(ms(number % 17));
+                    let answered = open.send(text.as_bytes()).and_then(|()| open.receive(ms(5_000)));
+                    client = answered.is_ok().then_some(open);
+                    thread::sleep(ms(60));
                 }
             })
         })
         .collect();
-    thread::sleep(Duration::from_secs_f64(SECONDS));
+    thread::sleep(ms(4_000));
+    // One hold-up for each failure, at a moment that differs by some microseconds each time.
+    let (holder_run, holder_holds, proxy) = (run.clone(), holds.clone(), Arc::new(proxy));
+    let held = proxy.clone();
+    threads.push(thread::spawn(move || {
+        let mut turn = 0;
+        while failures.recv().is_ok() {
+            spin(Duration::from_micros(turn * 7 % 120));
+            turn += 1;
+            if holder_run.trouble {
+                held.signal(common::SIGSTOP);
+                thread::sleep(HOLD_UP);
+                held.signal(common::SIGCONT);
+                holder_holds.fetch_add(1, Relaxed);
+            }
+        }
+    }));
+    drop(failed);
+    let mut number = 0;
+    while run.now() < SECONDS {
+        number += 1;
+        let run = run.clone();
+        threads.push(thread::spawn(move || {
+            let text = format!(
+                "POST /place-hold HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: hold-{number}\r\nRequest-Class: place-hold\r\nRequest-Timeout: 4.0\r\nContent-Length: 4\r\n\r\nhold"
+            );
+            let answered = Client::connect(listen).and_then(|mut client| {
+                client.send(text.as_bytes())?;
+                client.receive(ms(6_000))
+            });
+            run.note(&format!("client: hold-{number} -> {:?}", answered.map(|answer| answer.status)));
+        }));
+        thread::sleep(ms(400));
+    }
+    thread::sleep(ms(5_000));
     stop.store(true, Relaxed);
-    clients.into_iter().for_each(|client| drop(client.join()));
-    proxy.end(&run);
-    let (foreign, sent) = (foreign.load(Relaxed), numbers.load(Relaxed) - 1);
-    run.finish(foreign > 0, &format!("{foreign} of {sent} requests got the answer to another request"))
+    thread::sleep(ms(300));
+    let runs = std::mem::take(&mut group.lock().unwrap().runs);
+    let mut twice = 0;
+    for hold in 1..=number {
+        let id = format!("hold-{hold}");
+        let times: Vec<f64> = runs.iter().filter(|(other, ..)| *other == id).map(|(_, _, at)| *at).collect();
+        if let [first, second, ..] = times[..] {
+            run.note(&format!("{id} ran {} times, the second {:.3} s after the first", times.len(), second - first));
+            twice += u32::from(second - first > WINDOW + SLACK);
+        }
+    }
+    let holds = holds.load(Relaxed);
+    proxy.kill();
+    run.finish(twice > 0, &format!("{twice} of {number} requests ran twice, {} s or more apart; {holds} hold-ups", WINDOW + SLACK))
 }
--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 const BACKENDS: u8 = 4;
-const CLIENTS: u64 = 6;
+const CLIENTS: u64 = 12;
 const ANSWER_DELAY: Duration = Duration::from_millis(2_000);
 const SLOW_FROM: f64 = 4.0;
 const DRAIN_AT: f64 = 6.0;
@@ -21,12 +21,13 @@
 fn main() {
     let run = Run::begin("slow-discovery");
     let ended = Arc::new(AtomicBool::new(false)); // the draining backend has left
-    let sends = Arc::new(Mutex::new(Vec::<(u8, f64, String)>::new()));
+    let sends = Arc::new(Mutex::new(Vec::<(u8, f64)>::new()));
+    let cut_off = Arc::new(AtomicU64::new(0)); // requests that it had begun when it left
     let mut hosts = Vec::new();
     for number in 1..=BACKENDS {
         let listener = common::backend_listener(number);
         hosts.push(Host::new(&format!("s-{number}"), listener.local_addr().unwrap()));
-        let (run, sends, ended) = (run.clone(), sends.clone(), ended.clone());
+        let (run, sends, ended, cut_off) = (run.clone(), sends.clone(), ended.clone(), cut_off.clone());
         common::serve(listener, move |stream| {
             let mut reader = Reader::new(stream);
             while let Ok(request) = reader.message(Instant::now() + ms(120_000)) {
@@ -35,9 +36,11 @@
                     return common::reset_on_close(&reader.stream); // its process is gone
                 }
                 run.note(&format!("s-{number}: request {}", request.header("request-id")));
-                sends.lock().unwrap().push((number, at, request.header("request-id").to_string()));
+                sends.lock().unwrap().push((number, at));
                 thread::sleep(ms(50));
                 if number == 1 && ended.load(Relaxed) {
+                    cut_off.fetch_add(1, Relaxed);
+                    run.note(&format!("s-1: {} is cut off by the end of the process", request.header("request-id")));
                     return common::reset_on_close(&reader.stream);
                 }
                 let sent = std::io::Write::write_all(&mut reader.stream, &answer("200 OK", "", "done"));
@@ -99,13 +102,14 @@
     clients.into_iter().for_each(|client| drop(client.join()));
     proxy.end(&run);
     let sends = sends.lock().unwrap();
-    let after: Vec<_> = sends.iter().filter(|(number, at, _)| *number == 1 && *at > drained_at).collect();
-    let late = after.iter().filter(|(_, at, _)| *at > drained_at + LIMIT).count();
-    let last = after.last().map_or(0.0, |(_, at, _)| at - drained_at);
+    let after: Vec<_> = sends.iter().filter(|(number, at)| *number == 1 && *at > drained_at).collect();
+    let late = after.iter().filter(|(_, at)| *at > drained_at + LIMIT).count();
+    let last = after.last().map_or(0.0, |(_, at)| at - drained_at);
     let summary = format!(
-        "{} requests in all, {} at s-1 after its drain, {late} of them more than {LIMIT:.2} s after it; the last one {last:.2} s after it",
+        "{} requests in all, {} at s-1 after its drain, {late} of them more than {LIMIT:.2} s after it; the last one {last:.2} s after it; {} cut off by its end",
         sends.len(),
-        after.len()
+        after.len(),
+        cut_off.load(Relaxed)
     );
     run.finish(late > 0, &summary)
 }
