--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -81,7 +81,7 @@
                     if answered.is_ok_and(|answer| !answer.has_token("connection", "close")) {
                         client = Some(open);
                     }
-                    thread::sleep(ms(60));
+                    thread::sleep(ms(40 + number * 13 % 41));
                 }
             })
         })
--- a/review/common-2/mod.rs
+++ b/review/common-2/mod.rs
@@ -19,8 +19,6 @@
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const u8, length: u32) -> i32;
 }
 
-pub const SIGTERM: i32 = 15;
-pub const SIGHUP: i32 = 1;
 // These two have the same numbers on x86-64 and on arm64.
 pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
@@ -92,6 +90,11 @@
     pub listen: SocketAddr,
 }
 
+/// Sends a signal to a process that the case has started.
+pub fn signal_process(id: u32, signal: i32) {
+    unsafe { kill(id as i32, signal) };
+}
+
 /// The line `run` of the deploy file.
 fn run_command() -> String {
     let text = fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|e| could_not_run(&e.to_string()));
@@ -161,12 +164,8 @@
         }
     }
 
-    pub fn signal(&self, signal: i32) {
-        unsafe { kill(self.child.id() as i32, signal) };
-    }
-
-    pub fn kill(&self) {
-        self.signal(9);
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 
     pub fn is_running(&mut self) -> bool {
