--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,106 +1,115 @@
-//! Clients send much at once and go. What they sent fills the socket's buffer, so that the end of the connection waits
-//! behind bytes that the proxy does not read; their first requests wait for a backend meanwhile.
+//! Discovery is slow: each answer takes 2 s more. A backend begins to drain meanwhile.
 
 #[path = "../common-2/mod.rs"]
 mod common;
 
 use common::{answer, ms, Agent, Client, Host, Proxy, Reader, Run};
-use std::collections::HashMap;
-use std::io::{ErrorKind, Write};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-const BACKENDS: u8 = 3;
-const ROUNDS: u32 = 8;
-/// Clients of a round, which send at the same time.
-const CLIENTS: u32 = 24;
-const REQUESTS_AT_ONCE: u32 = 200;
-/// An attempt that begins later than this after the close breaks the rule; on sockets, 50 ms more.
-const LIMIT: f64 = 0.1 + 0.05;
-
-fn request(name: &str) -> String {
-    format!(
-        "GET /lookup HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: {name}\r\nRequest-Class: lookup\r\nRequest-Timeout: 2.0\r\nUser-Agent: {}\r\n\r\n",
-        "kiosk ".repeat(600)
-    )
-}
+const BACKENDS: u8 = 4;
+const CLIENTS: u64 = 12;
+const ANSWER_DELAY: Duration = Duration::from_millis(2_000);
+const SLOW_FROM: f64 = 4.0;
+const DRAIN_AT: f64 = 6.0;
+const DRAIN_LASTS: f64 = 14.0;
+/// 6 s until the change counts as told, the grace of the settings, and the 50 ms more that hold on sockets.
+const LIMIT: f64 = 6.0 + 0.4 + 0.05;
 
 fn main() {
-    let run = Run::begin("left-client");
-    let attempts = Arc::new(Mutex::new(Vec::<(String, f64)>::new()));
+    let run = Run::begin("slow-discovery");
+    let ended = Arc::new(AtomicBool::new(false)); // the draining backend has left
+    let sends = Arc::new(Mutex::new(Vec::<(u8, f64)>::new()));
+    let cut_off = Arc::new(AtomicU64::new(0)); // requests that it had begun when it left
     let mut hosts = Vec::new();
     for number in 1..=BACKENDS {
         let listener = common::backend_listener(number);
         hosts.push(Host::new(&format!("s-{number}"), listener.local_addr().unwrap()));
-        let (run, attempts) = (run.clone(), attempts.clone());
+        let (run, sends, ended, cut_off) = (run.clone(), sends.clone(), ended.clone(), cut_off.clone());
         common::serve(listener, move |stream| {
             let mut reader = Reader::new(stream);
             while let Ok(request) = reader.message(Instant::now() + ms(120_000)) {
-                let id = request.header("request-id").to_string();
-                run.note(&format!("s-{number}: attempt of {id}"));
-                attempts.lock().unwrap().push((id, run.now()));
-                thread::sleep(ms(260));
-                if reader.stream.write_all(&answer("200 OK", "", "done")).is_err() {
+                let at = run.now();
+                if number == 1 && ended.load(Relaxed) {
+                    return common::reset_on_close(&reader.stream); // its process is gone
+                }
+                run.note(&format!("s-{number}: request {}", request.header("request-id")));
+                sends.lock().unwrap().push((number, at));
+                thread::sleep(ms(50));
+                if number == 1 && ended.load(Relaxed) {
+                    cut_off.fetch_add(1, Relaxed);
+                    run.note(&format!("s-1: {} is cut off by the end of the process", request.header("request-id")));
+                    return common::reset_on_close(&reader.stream);
+                }
+                let sent = std::io::Write::write_all(&mut reader.stream, &answer("200 OK", "", "done"));
+                if sent.is_err() {
                     return;
                 }
             }
         });
     }
     let agent = Agent::start(&run, &hosts);
-    let settings = common::settings(&common::tariff("lookup", 2000, 5000, "pure", ""), "");
+    let tariffs = [
+        common::tariff("check-free", 210, 530, "pure", ""),
+        common::tariff("book-slot", 210, 530, "side_effect", ""),
+    ];
+    let settings = common::settings(&tariffs.join(","), r#","dialTimeoutMs":100.0"#);
     let proxy = Proxy::start(&run, agent.address, &agent.known(), &settings);
-    let listen = proxy.listen;
-    let closed = Arc::new(Mutex::new(HashMap::<String, f64>::new()));
-    for round in 1..=ROUNDS {
-        let clients: Vec<_> = (1..=CLIENTS)
-            .map(|number| {
-                let (run, closed) = (run.clone(), closed.clone());
-                thread::spawn(move || {
-                    let name = format!("c{round}-{number}");
-                    let Ok(mut client) = Client::connect(listen) else { return };
-                    if !run.trouble {
-                        // The same load from clients that stay: one request each, and its answer is awaited.
-                        let answered =
-                            client.send(request(&format!("{name}-1")).as_bytes()).and_then(|()| client.receive(ms(3_000)));
-                        return run.note(&format!("client: {name} -> {:?}", answered.map(|answer| answer.status)));
+    let (listen, stop) = (proxy.listen, Arc::new(AtomicBool::new(false)));
+    let numbers = Arc::new(AtomicU64::new(1));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            let (run, stop, numbers) = (run.clone(), stop.clone(), numbers.clone());
+            thread::spawn(move || {
+                let mut client = None;
+                while !stop.load(Relaxed) {
+                    let number = numbers.fetch_add(1, Relaxed);
+                    let (method, class) = if number % 2 == 0 { ("GET", "check-free") } else { ("POST", "book-slot") };
+                    let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
+                    let text = format!(
+                        "{method} /{class} HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: r{number}\r\nRequest-Class: {class}\r\nRequest-Timeout: 0.4\r\n{length}\r\n"
+                    );
+                    let mut open = match client.take().map_or_else(|| Client::connect(listen), Ok) {
+                        Ok(open) => open,
+                        Err(_) => continue,
+                    };
+                    let answered = open.send(text.as_bytes()).and_then(|()| open.receive(ms(900)));
+                    let status = answered.as_ref().map(|answer| answer.status);
+                    run.note(&format!("client: {class} r{number} -> {status:?}"));
+                    if answered.is_ok_and(|answer| !answer.has_token("connection", "close")) {
+                        client = Some(open);
                     }
-                    let text: String = (1..=REQUESTS_AT_ONCE).map(|n| request(&format!("{name}-{n}"))).collect();
-                    let _ = client.reader.stream.set_nonblocking(true);
-                    let mut sent = 0;
-                    loop {
-                        match client.reader.stream.write(&text.as_bytes()[sent..]) {
-                            Ok(0) => break,
-                            Ok(more) => sent += more,
-                            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                            Err(_) => break,
-                        }
-                    }
-                    drop(client);
-                    let at = run.now();
-                    run.note(&format!("client: {name} sent {sent} bytes and closed its connection"));
-                    closed.lock().unwrap().insert(name, at);
-                })
+                    thread::sleep(ms(40 + number * 13 % 41));
+                }
             })
-            .collect();
-        clients.into_iter().for_each(|client| drop(client.join()));
-        thread::sleep(ms(2_500));
+        })
+        .collect();
+    let wait_until = |at: f64| thread::sleep(Duration::from_secs_f64((at - run.now()).max(0.0)));
+    wait_until(SLOW_FROM);
+    if run.trouble {
+        agent.set_answer_delay(ANSWER_DELAY);
     }
+    wait_until(DRAIN_AT);
+    let drained_at = run.now();
+    agent.set_health("s-1", "Terminating");
+    wait_until(drained_at + DRAIN_LASTS);
+    ended.store(true, Relaxed);
+    run.note("s-1: its drain is over, the process ends");
+    wait_until(drained_at + DRAIN_LASTS + 2.0);
+    stop.store(true, Relaxed);
+    clients.into_iter().for_each(|client| drop(client.join()));
     proxy.end(&run);
-    let (attempts, closed) = (attempts.lock().unwrap(), closed.lock().unwrap());
-    let (mut late, mut latest) = (0, 0.0_f64);
-    for (id, at) in attempts.iter() {
-        let client = id.rsplit_once('-').map_or("", |(client, _)| client);
-        let Some(after) = closed.get(client).map(|closed| at - closed) else { continue };
-        if after > LIMIT {
-            late += 1;
-            run.note(&format!("attempt of {id} began {after:.3} s after its client had closed the connection"));
-        }
-        latest = latest.max(after);
-    }
+    let sends = sends.lock().unwrap();
+    let after: Vec<_> = sends.iter().filter(|(number, at)| *number == 1 && *at > drained_at).collect();
+    let late = after.iter().filter(|(_, at)| *at > drained_at + LIMIT).count();
+    let last = after.last().map_or(0.0, |(_, at)| at - drained_at);
     let summary = format!(
-        "{} attempts, {late} began more than {LIMIT:.2} s after their client had closed; the latest {latest:.2} s after",
-        attempts.len()
+        "{} requests in all, {} at s-1 after its drain, {late} of them more than {LIMIT:.2} s after it; the last one {last:.2} s after it; {} cut off by its end",
+        sends.len(),
+        after.len(),
+        cut_off.load(Relaxed)
     );
     run.finish(late > 0, &summary)
 }
--- a/review/common-2/mod.rs
+++ b/review/common-2/mod.rs
@@ -389,6 +389,7 @@
     /// The version in which each host last changed.
     changed: BTreeMap<String, u64>,
     answer_delay: Duration,
+    always_whole: bool,
 }
 
 /// The discovery agent: whole lists and watches, answered after `answer_delay`.
@@ -412,6 +413,7 @@
             changed: hosts.iter().map(|host| (host.host.clone(), 41)).collect(),
             hosts: hosts.iter().map(|host| (host.host.clone(), host.clone())).collect(),
             answer_delay: ms(0),
+            always_whole: false,
         };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let (shared, agent_run) = (state.clone(), run.clone());
@@ -450,6 +452,7 @@
         drop(state);
         thread::sleep(delay);
         let state = lock.lock().unwrap();
+        let index = index.filter(|_| !state.always_whole);
         let newer = |host: &&Host| index.is_none_or(|index| state.changed[&host.host] > index);
         let hosts: Vec<Host> = state.hosts.values().filter(newer).cloned().collect();
         let gone = |host: &Host| index.is_none() && host.health == "Gone";
@@ -463,6 +466,22 @@
         self.run.note(&format!("discovery: each answer takes {} ms more from now on", delay.as_millis()));
     }
 
+    /// Answers watches with whole lists from now on.
+    pub fn answer_whole_lists(&self) {
+        self.state.0.lock().unwrap().always_whole = true;
+    }
+
+    /// Lists a new backend.
+    pub fn add(&self, host: Host) {
+        let mut state = self.state.0.lock().unwrap();
+        state.version += 1;
+        let version = state.version;
+        self.run.note(&format!("discovery: {} at {} is listed from version {version} on", host.host, host.dial));
+        state.changed.insert(host.host.clone(), version);
+        state.hosts.insert(host.host.clone(), host);
+        self.state.1.notify_all();
+    }
+
     pub fn set_health(&self, host: &str, health: &'static str) {
         let mut state = self.state.0.lock().unwrap();
         state.version += 1;
