A repeat reaches its backend within its window, or its connection is reset

Cause: the time that a repeat carries limited when its first byte was written. The kernel takes a whole body at once and goes on sending it for as long as the backend takes to read, also after a close.

Change: the time is that of the last byte at the backend (deliver_by). The kernel is asked what is not acknowledged; a repeat that is not there after half of the time left is reset, which drops the bytes. Related paths: every close over unacknowledged bytes resets the connection, and a client's leaving cancels an attempt whose last byte is not acknowledged.

--- a/crates/proxy/src/attempt_result.rs
+++ b/crates/proxy/src/attempt_result.rs
@@ -35,6 +35,9 @@
     Withdrawn,
     /// The connection was not established before it was too late to start the attempt.
     TooLate,
+    /// The last byte of a repeat had not reached the backend when it was too late for that; `written` tells whether
+    /// the backend may have got it meanwhile.
+    NotDelivered { written: bool },
     /// No descriptor was left for a connection.
     NoRoom,
     /// The connection was idle: until its timeout, until the backend closed it, or until another connection
@@ -43,6 +46,11 @@
 }
 
 impl AttemptResult {
+    /// Whether a repeat was given up because its last byte would have reached the backend too late.
+    pub fn is_undelivered_repeat(self) -> bool {
+        matches!(self, AttemptResult::TooLate | AttemptResult::NotDelivered { .. })
+    }
+
     /// The outcome that this result is for the balancer.
     pub fn outcome(self) -> Outcome {
         match self {
@@ -54,10 +62,13 @@
             AttemptResult::Refused | AttemptResult::NeverUp | AttemptResult::BrokeBefore => {
                 Outcome::ConnectFailed
             }
-            AttemptResult::Withdrawn | AttemptResult::NoWay | AttemptResult::KeptBroke { written: false } => {
-                Outcome::Withdrawn
+            AttemptResult::Withdrawn
+            | AttemptResult::NoWay
+            | AttemptResult::KeptBroke { written: false }
+            | AttemptResult::NotDelivered { written: false } => Outcome::Withdrawn,
+            AttemptResult::KeptBroke { written: true } | AttemptResult::NotDelivered { written: true } => {
+                Outcome::Lost
             }
-            AttemptResult::KeptBroke { written: true } => Outcome::Lost,
             AttemptResult::BrokeAfter | AttemptResult::CutShort | AttemptResult::Garbled => Outcome::Broken,
             AttemptResult::OutOfTime { written: true } => Outcome::TimedOut,
             AttemptResult::CalledOff { written: true } => Outcome::Cancelled,
--- a/crates/proxy/src/buffered_stream.rs
+++ b/crates/proxy/src/buffered_stream.rs
@@ -7,14 +7,17 @@
 use std::iter::Sum;
 use std::net::{Shutdown, SocketAddr};
 use std::ops::Range;
+use std::time::Duration;
 
 use mio::event::Source;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use socket2::SockRef;
 use sparlug::time::{Span, Time};
 
 use crate::io_failures::Cause;
+use crate::send_queue;
 
 const MAX_INTERRUPTED_CALLS: u32 = 16; // in a row, before other sockets are handled
 const CHUNK_BYTES: usize = 16 * 1024; // read per call; also the least number of written bytes to free early
@@ -328,6 +331,19 @@
         poll(&mut poll_fds, Some(&no_wait)).is_ok() && poll_fds[0].revents().intersects(closed)
     }
 
+    /// Number of written bytes that the other side's kernel has not acknowledged yet; `None` if that cannot be told.
+    pub fn unacknowledged_bytes(&self) -> Option<usize> {
+        send_queue::unacknowledged_bytes(self.stream.as_ref()?).ok()
+    }
+
+    /// Makes the close reset the connection and drop what the kernel has not sent yet. Otherwise the kernel goes on
+    /// sending it for as long as the other side takes to read.
+    pub fn drop_unsent_on_close(&self) {
+        if let Some(stream) = &self.stream {
+            let _: io::Result<()> = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+
     /// Shuts down the sending direction, so that the other side sees the end of the stream.
     pub fn shutdown_write(&mut self) {
         if let Some(stream) = &self.stream {
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -49,6 +49,8 @@
     pub entries_withheld: u64,
     /// Attempts whose last byte was written.
     pub attempts_sent: u64,
+    /// Repeats that were given up because their last byte would have reached the backend too late.
+    pub repeats_undelivered: u64,
     /// Responses that were given before the request's body was read, which end their connections.
     pub responses_before_body: u64,
     pub failures: IoFailures,
@@ -88,6 +90,7 @@
         let _ = writeln!(text, "svc.clients.evicted:{}|c", self.evicted);
         let _ = writeln!(text, "svc.refused_for_memory:{}|c", self.refused_for_memory);
         let _ = writeln!(text, "svc.uploads_overdue:{}|c", self.uploads_overdue);
+        let _ = writeln!(text, "svc.repeats_undelivered:{}|c", self.repeats_undelivered);
         let _ = writeln!(text, "svc.repeated_ids:{}|c", self.repeated_ids);
         let _ = writeln!(text, "svc.lists.received:{}|c", self.lists_received);
         let _ = writeln!(text, "svc.lists.failed:{}|c", self.lists_failed);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod pool;
 pub mod process_usage;
 pub mod proxy;
+pub mod send_queue;
 pub mod shared;
 pub mod shutdown_schedule;
 pub mod signals;
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -63,8 +63,8 @@
     pub repeatable: bool,
     /// Position of the timeout header's value, which is set to the time left when the message is written.
     pub timeout_range: Option<Range<usize>>,
-    /// Writing must not start at or after this time.
-    pub start_by: Option<Time>,
+    /// The last byte must have reached the backend before this time.
+    pub deliver_by: Option<Time>,
 }
 
 /// The listed backends and the connections to them.
@@ -254,7 +254,7 @@
         conn.job = Some(Job { purpose, sent_at: io.now, deadline, complete: message.complete });
         conn.last_used = io.now;
         conn.timeout_header = message.timeout_range.map(|range| (range, until));
-        conn.start_by = message.start_by;
+        conn.deliver_by = message.deliver_by;
         conn.stream.queue(message.bytes);
         self.handle_ready(slot, io);
         Some(slot)
@@ -374,8 +374,8 @@
                 }
             }
         }
-        if conn.missed_start_limit(io.now) {
-            return self.close(slot, AttemptResult::TooLate, io);
+        if let Some(result) = conn.missed_delivery(io.now) {
+            return self.close(slot, result, io);
         }
         conn.update_timeout_header(io.now);
         if !matches!(conn.stage, Stage::Busy { .. }) {
@@ -387,7 +387,7 @@
             return;
         }
         let flushed = conn.stream.flush();
-        conn.clear_start_limit();
+        conn.begin_delivery(slot, io);
         let Stage::Busy { written } = &mut conn.stage else { return };
         let request_complete = conn.job.as_ref().is_none_or(|job| job.complete);
         if let (Ok(all_written), Some(job)) = (&flushed, &mut conn.job) {
@@ -607,6 +607,9 @@
                 self.backends.remove(&conn.backend);
             }
         }
+        if conn.has_unacknowledged_bytes() {
+            conn.stream.drop_unsent_on_close();
+        }
         conn.stream.close(&io.registry);
     }
 
@@ -615,21 +618,32 @@
         self.close(slot, AttemptResult::CalledOff { written }, io);
     }
 
-    /// Cancels an attempt that has not been written to its last byte, and so cannot have run.
-    pub fn cancel_unwritten(&mut self, slot: ConnSlot, io: &mut IoContext) {
-        if self.conns.get(slot).is_some_and(|conn| !conn.is_written()) {
+    /// Cancels an attempt whose last byte has not reached its backend, and so does not run yet.
+    pub fn cancel_undelivered(&mut self, slot: ConnSlot, io: &mut IoContext) {
+        if self.conns.get(slot).is_some_and(|conn| !conn.is_delivered()) {
             self.cancel(slot, io);
         }
     }
 
+    /// Handles the time limit for the last byte of a repeat to reach its backend. A response that has arrived by now
+    /// still counts.
+    pub fn delivery_timed_out(&mut self, slot: ConnSlot, io: &mut IoContext) {
+        self.handle_ready(slot, io);
+        let Some(conn) = self.conns.get(slot) else { return };
+        if conn.job.is_some() && !conn.is_delivered() {
+            let result = AttemptResult::NotDelivered { written: conn.is_written() };
+            self.close(slot, result, io);
+        }
+    }
+
     pub fn close_idle(&mut self, backend: BackendId, io: &mut IoContext) {
         let idle = self.backends.get(&backend).map(|entry| entry.idle_conns.clone()).unwrap_or_default();
         idle.into_iter().for_each(|slot| self.close(slot, AttemptResult::Idle, io));
     }
 
     pub fn connect_timed_out(&mut self, slot: ConnSlot, io: &mut IoContext) {
-        let start_by = self.conns.get(slot).and_then(|conn| conn.start_by);
-        let too_late = start_by.is_some_and(|start_by| io.now >= start_by);
+        let deliver_by = self.conns.get(slot).and_then(|conn| conn.deliver_by);
+        let too_late = deliver_by.is_some_and(|deliver_by| io.now >= deliver_by);
         let result = match self.conns.get(slot) {
             Some(conn) if conn.connect_failure.is_none() => AttemptResult::NeverUp,
             // Other connections were established meanwhile, so the network path to this backend is at fault.
--- a/crates/proxy/src/pool/conn.rs
+++ b/crates/proxy/src/pool/conn.rs
@@ -19,6 +19,9 @@
 use crate::memory_limit::MemoryLimit;
 use crate::shared::{ConnSlot, IoContext, JobResult, ProxyEvent, Purpose, TimerEvent};
 
+/// The part of the time until a repeat may run again in which the backend's kernel has to have it.
+const DELIVERY_TIME_RATIO: f64 = 0.5;
+
 pub(super) enum Stage {
     Connecting,
     /// A request is being written or its response awaited.
@@ -43,8 +46,10 @@
     pub(super) streaming: bool,
     /// Until writing starts: position of the timeout header's value in the message, and the end of that time.
     pub(super) timeout_header: Option<(Range<usize>, Time)>,
-    /// Until writing starts: when it is too late for that.
-    pub(super) start_by: Option<Time>,
+    /// When it is too late for the last byte of the message to reach the backend.
+    pub(super) deliver_by: Option<Time>,
+    /// The deadline for that, once writing has begun.
+    delivery_deadline: Option<DeadlineId>,
     /// When its socket was created.
     pub(super) connect_started: Time,
     /// Why the socket could not be created, and when the next try is due.
@@ -81,7 +86,8 @@
 impl Conn {
     /// A connection whose socket is still to be created.
     pub(super) fn unconnected(backend: BackendId, process: BackendProcess, now: Time) -> Conn {
-        let (job, head, timeout_header, start_by, connect_failure, deadline) = Default::default();
+        let (job, head, timeout_header, deliver_by, connect_failure) = Default::default();
+        let (delivery_deadline, deadline) = Default::default();
         Conn {
             stream: BufferedStream::unconnected(),
             backend,
@@ -93,7 +99,8 @@
             reused: false,
             streaming: false,
             timeout_header,
-            start_by,
+            deliver_by,
+            delivery_deadline,
             connect_started: now,
             connect_failure,
             retry_at: now,
@@ -102,18 +109,21 @@
         }
     }
 
-    /// Sets the time at which connecting is given up, `start_by` at the latest.
+    /// Sets the time at which connecting is given up, `deliver_by` at the latest.
     pub(super) fn set_connect_deadline(&mut self, slot: ConnSlot, until: Option<Time>, io: &mut IoContext) {
         io.deadlines.cancel(self.deadline.take());
-        let until = until.into_iter().chain(self.start_by).min();
+        let until = until.into_iter().chain(self.deliver_by).min();
         self.deadline = until.map(|until| io.deadlines.set(until, TimerEvent::ConnectTimeout(slot)));
     }
 
-    /// Whether nothing of the message has been written and it is too late to start.
-    pub(super) fn missed_start_limit(&self, now: Time) -> bool {
-        self.job.is_some()
-            && !self.stream.has_begun_writing()
-            && self.start_by.is_some_and(|start_by| now >= start_by)
+    /// The result of a message that it is too late to write more of, if so.
+    pub(super) fn missed_delivery(&self, now: Time) -> Option<AttemptResult> {
+        let deliver_by = self.deliver_by.filter(|_| self.job.is_some() && !self.is_written())?;
+        let result = match self.delivery_deadline {
+            Some(_) => AttemptResult::NotDelivered { written: false },
+            None => AttemptResult::TooLate,
+        };
+        (now >= deliver_by).then_some(result)
     }
 
     /// Sets the timeout header to the time that is left now, as connecting or a failed write may have used up
@@ -127,10 +137,17 @@
         range.end = range.start + time_left.len();
     }
 
-    /// Once writing has started, the message is not changed any more and only the attempt's timeout applies.
-    pub(super) fn clear_start_limit(&mut self) {
-        if self.stream.has_begun_writing() {
-            (self.timeout_header, self.start_by) = (None, None);
+    /// Once writing has begun, the message is not changed any more, and its delivery has a deadline. A backend that
+    /// reads slowly may be as far behind its kernel as the kernel is behind the proxy, so half of the time is for each.
+    pub(super) fn begin_delivery(&mut self, slot: ConnSlot, io: &mut IoContext) {
+        if !self.stream.has_begun_writing() {
+            return;
+        }
+        self.timeout_header = None;
+        if let (Some(deliver_by), None) = (self.deliver_by, self.delivery_deadline) {
+            let deliver_by = io.now + deliver_by.since(io.now).scaled(DELIVERY_TIME_RATIO);
+            self.deliver_by = Some(deliver_by);
+            self.delivery_deadline = Some(io.deadlines.set(deliver_by, TimerEvent::DeliveryTimeout(slot)));
         }
     }
 
@@ -138,6 +155,16 @@
         matches!(self.stage, Stage::Busy { written: true })
     }
 
+    /// Whether the backend's kernel has all of the message, as far as can be told.
+    pub(super) fn is_delivered(&self) -> bool {
+        self.is_written() && !self.has_unacknowledged_bytes()
+    }
+
+    /// Whether the kernel would go on sending a part of the message after a close.
+    pub(super) fn has_unacknowledged_bytes(&self) -> bool {
+        self.stream.unacknowledged_bytes().is_some_and(|bytes| bytes > 0)
+    }
+
     /// Whether nothing has arrived: no bytes and no end of the stream.
     pub(super) fn is_quiet(&mut self) -> bool {
         self.stream.fill(1).is_ok() && !self.stream.ended && self.stream.input.is_empty()
@@ -221,6 +248,9 @@
     ) {
         let Some(Job { purpose, sent_at, deadline, .. }) = self.job.take() else { return };
         io.deadlines.cancel(Some(deadline));
+        io.deadlines.cancel(self.delivery_deadline.take());
+        self.deliver_by = None;
+        io.counters.repeats_undelivered += u64::from(result.is_undelivered_repeat());
         let job_result =
             JobResult { backend: self.backend, purpose, result, took: io.now.since(sent_at), load, response };
         io.events.push_back(ProxyEvent::JobEnded(job_result));
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -448,6 +448,7 @@
             TimerEvent::ClientTimeout(slot) => self.clients.handle_timer(slot, &mut self.io),
             TimerEvent::Recheck(owner) => self.handle_ready(owner),
             TimerEvent::ConnectTimeout(slot) => self.pool.connect_timed_out(slot, &mut self.io),
+            TimerEvent::DeliveryTimeout(slot) => self.pool.delivery_timed_out(slot, &mut self.io),
             TimerEvent::StartStreaming(slot) => self.pool.start_streaming_due(slot, &mut self.io),
             TimerEvent::AttemptTimeout(slot) => self.pool.attempt_timed_out(slot, &mut self.io),
             TimerEvent::IdleTimeout(slot) => self.pool.idle_timed_out(slot, &mut self.io),
@@ -557,8 +558,8 @@
     fn perform_actions(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
-                Action::Attempt { request, backend, timeout, start_by } => {
-                    self.start_attempt(request, backend, timeout, start_by);
+                Action::Attempt { request, backend, timeout, deliver_by } => {
+                    self.start_attempt(request, backend, timeout, deliver_by);
                 }
                 Action::Refuse { request, backoff, reason } => {
                     self.io.counters.refused += 1;
--- a/crates/proxy/src/proxy/requests.rs
+++ b/crates/proxy/src/proxy/requests.rs
@@ -79,7 +79,7 @@
         request: RequestId,
         backend: BackendId,
         timeout: Span,
-        start_by: Option<Time>,
+        deliver_by: Option<Time>,
     ) {
         // The client may have closed its connection without the proxy having read that yet; reading now
         // avoids sending a request whose client has gone.
@@ -129,7 +129,7 @@
             complete,
             repeatable,
             timeout_range: complete.then_some(timeout_range),
-            start_by,
+            deliver_by,
         };
         let slot = self.pool.send(backend, purpose, message, until, &mut self.io);
         pending.attempts[usize::from(number.0)] = slot;
@@ -153,8 +153,8 @@
         self.finish(request);
         match conn {
             Some(slot) if streaming => self.pool.cancel(slot, &mut self.io),
-            // Allowed even where running attempts may not be cancelled: an unwritten one is not running yet.
-            Some(slot) => self.pool.cancel_unwritten(slot, &mut self.io),
+            // Allowed even where running attempts may not be cancelled: an undelivered one is not running yet.
+            Some(slot) => self.pool.cancel_undelivered(slot, &mut self.io),
             None => {}
         }
         self.handle_event(Event::ClientGone(request));
@@ -296,7 +296,7 @@
             complete: true,
             repeatable: true,
             timeout_range: None,
-            start_by: None,
+            deliver_by: None,
         };
         self.pool.send(backend, Purpose::Check, message, until, &mut self.io);
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -188,8 +188,8 @@
         request: RequestId,
         backend: BackendId,
         timeout: Span,
-        /// The attempt must not start at or after this time, because its repeats are no longer dropped then.
-        start_by: Option<Time>,
+        /// The last byte must have reached the backend before this time, because repeats are no longer dropped then.
+        deliver_by: Option<Time>,
     },
     Refuse {
         request: RequestId,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -912,12 +912,12 @@
             * f64::from(u8::from(pending.attempts == 0));
         pending.running = Some((self.backends[&backend].listing, self.now));
         pending.attempts += 1;
-        let start_by = pending.repeats_dropped_until();
+        let deliver_by = pending.repeats_dropped_until();
         actions.push(Action::Attempt {
             request: id,
             backend,
             timeout: pending.respond_by.since(self.now),
-            start_by,
+            deliver_by,
         });
         if pending.complete {
             self.send_message(backend, BackendMessage::AttemptSent);
