No repeat is sent in the last 0.15 s of its window

Cause: a repeat was decided by a clock that was read before the write, up to the last moment of the window.

Related: a request that cannot be repeated any more is answered at once and no longer waits for its target time.

--- a/crates/proxy/tests/late_repeats.rs
+++ b/crates/proxy/tests/late_repeats.rs
@@ -5,7 +5,9 @@
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -152,3 +154,56 @@
     assert!(read_message(&mut client).starts_with("HTTP/1.1 50"));
     assert!(!complete.recv().unwrap(), "the backend got all of the request");
 }
+
+/// Serves a connection of a backend that fails its first request so long after that has arrived.
+fn serve_connection(mut conn: TcpStream, arrivals: &AtomicUsize, fails_after: Duration) {
+    while !read_message(&mut conn).is_empty() {
+        let is_first = arrivals.fetch_add(1, Relaxed) == 0;
+        if is_first {
+            thread::sleep(fails_after);
+        }
+        let status = if is_first { "500 Late" } else { "200 OK" };
+        let _ = conn.write_all(response(status, "", "fine").as_bytes());
+    }
+}
+
+/// Plays a request that fails so long after it has begun, and whose repeat is served. Returns how many times it arrived,
+/// how long its answer took, and the answer.
+fn play_late_failure(fails_after: Duration) -> (usize, Duration, String) {
+    let listener = backend();
+    let settings = with_effect(&patient_settings(), &keyed_effect());
+    let proxy = Proxy::start_with(&[&listener], 1024, &settings);
+    let arrivals = Arc::new(AtomicUsize::new(0));
+    let counted = arrivals.clone();
+    thread::spawn(move || {
+        while let Ok((conn, _)) = listener.accept() {
+            let arrivals = counted.clone();
+            thread::spawn(move || serve_connection(conn, &arrivals, fails_after));
+        }
+    });
+    let (mut client, sent) = (proxy.connect(), Instant::now());
+    client.write_all(helper::request("POST", "/read", "15").as_bytes()).unwrap();
+    let answer = read_message(&mut client);
+    let took = sent.elapsed();
+    thread::sleep(WINDOW);
+    (arrivals.load(Relaxed), took, answer)
+}
+
+/// Guards against an effect that happens twice: a process that is held up for 0.15 s between reading its clock and writing
+/// writes a repeat after its window. What is not repeated any more is answered at once.
+#[test]
+fn request_that_fails_just_before_its_window_ends_is_not_repeated() {
+    let fails_after = WINDOW - Duration::from_millis(100);
+    let (arrivals, took, answer) = play_late_failure(fails_after);
+    assert_eq!(arrivals, 1, "{answer}");
+    assert!(answer.starts_with("HTTP/1.1 50"), "{answer}");
+    assert!(took < fails_after + 2 * SLACK, "answered after {took:?}");
+}
+
+/// A request that fails earlier is repeated.
+#[test]
+fn request_that_fails_earlier_in_its_window_is_repeated() {
+    let (arrivals, took, answer) = play_late_failure(WINDOW - Duration::from_millis(300));
+    assert!(arrivals > 1, "{answer}");
+    assert!(took < WINDOW + 2 * SLACK, "answered after {took:?}");
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -679,7 +679,7 @@
         let may_have_run = end.outcome.may_have_run(&self.settings);
         pending.first_run = pending.first_run.or(pending.running.filter(|_| may_have_run));
         (pending.running, pending.last_backend) = (None, Some(end.backend));
-        let may_repeat = pending.first_run.is_none() || pending.class.effect != Effect::AtMostOnce;
+        let may_repeat = pending.may_be_sent(self.now);
         let cost = f64::from(u8::from(may_have_run));
         let can_resend = pending.attempts < self.settings.max_attempts
             && end.outcome != Outcome::NotSent
@@ -736,11 +736,13 @@
         // Before the first list no backend is known, and requests wait for it.
         let unavailable = unavailability(&self.backends, &self.disabled)
             .filter(|reason| self.list_received || *reason != Reason::NoBackend);
+        let cannot_be_sent =
+            |id: &&RequestId| unavailable.is_some() || !self.queue.pending[*id].may_be_sent(self.now);
         let is_late = |id: &&RequestId| {
             let pending = &self.queue.pending[id];
             let time_needed =
                 times_needed[usize::from(pending.attempts > 0 && pending.class.effect == Effect::AtMostOnce)];
-            unavailable.is_some()
+            cannot_be_sent(id)
                 || self.now + time_needed.min(pending.target.since(pending.arrived).scaled(0.9))
                     >= pending.target
         };
@@ -749,7 +751,7 @@
             .first_attempts
             .iter()
             .chain(&self.queue.retries)
-            .chain(self.queue.awaiting_reports.iter().filter(|_| unavailable.is_some()))
+            .chain(self.queue.awaiting_reports.iter().filter(cannot_be_sent))
             .filter(is_late)
             .copied()
             .collect::<Vec<_>>()
@@ -813,17 +815,14 @@
     fn is_eligible(&self, id: RequestId, excluded: Option<BackendId>) -> impl Fn(BackendId) -> bool + '_ {
         let pending = &self.queue.pending[&id];
         // Keeps an effect from happening twice.
+        let may_be_sent = pending.may_be_sent(self.now);
         let may_run = |b: &Backend| match (pending.class.effect, pending.first_run) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::AtMostOnce, Some(_)) => false,
-            (Effect::Keyed { group, .. }, Some((first, _))) => {
-                pending.repeats_dropped_until() > Some(self.now)
-                    && first.shares_repeat_group(&b.listing, group)
-            }
+            (Effect::Keyed { group, .. }, Some((first, _))) => first.shares_repeat_group(&b.listing, group),
+            _ => true,
         };
         move |backend: BackendId| {
             let b = &self.backends[&backend];
-            Some(backend) != excluded && b.is_ready(self.now, &self.settings) && may_run(b)
+            may_be_sent && Some(backend) != excluded && b.is_ready(self.now, &self.settings) && may_run(b)
         }
     }
 
@@ -912,7 +911,7 @@
             * f64::from(u8::from(pending.attempts == 0));
         pending.running = Some((self.backends[&backend].listing, self.now));
         pending.attempts += 1;
-        let deliver_by = pending.repeats_dropped_until();
+        let deliver_by = pending.repeat_before();
         actions.push(Action::Attempt {
             request: id,
             backend,
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -142,6 +142,45 @@
     assert_eq!(choose(&mut balancer), None);
 }
 
+/// Guards against an effect that happens twice: a process that is held up between reading its clock and writing writes a
+/// repeat after the window.
+#[test]
+fn a_keyed_repeat_is_sent_so_early_that_a_held_up_process_writes_it_within_its_window() {
+    let mut balancer = balancer(by_pod(), 6);
+    balancer
+        .queue
+        .pending
+        .insert(RequestId(1), PendingRequest { first_run: Some((listing(2), START)), ..pending(by_pod()) });
+    balancer.now = START + ms(849);
+    assert!(choose(&mut balancer).is_some());
+    balancer.now = START + ms(850);
+    assert_eq!(choose(&mut balancer), None);
+}
+
+/// Nothing is gained by waiting for a repeat that may not be sent any more.
+#[test]
+fn a_keyed_request_fails_at_once_when_its_window_is_over() {
+    let (mut balancer, mut actions) = (balancer(by_pod(), 6), Vec::new());
+    balancer.queue.pending.insert(RequestId(1), running(by_pod()));
+    balancer.now = START + ms(900);
+    balancer.attempt_ended(attempt_end(Outcome::Error), &mut actions);
+    assert_eq!(actions, [Action::Fail { request: RequestId(1), reason: Reason::MayHaveRun }]);
+}
+
+/// The same for one whose window ends while it waits to be repeated.
+#[test]
+fn a_waiting_keyed_repeat_fails_when_its_window_ends() {
+    let (mut balancer, mut actions) = (balancer(by_pod(), 6), Vec::new());
+    let (target, respond_by) = (START + ms(5000), START + ms(5000));
+    let first_run = Some((listing(2), START));
+    let waiting = PendingRequest { attempts: 1, first_run, target, respond_by, ..pending(by_pod()) };
+    balancer.queue.pending.insert(RequestId(1), waiting);
+    balancer.queue.retries.push(RequestId(1));
+    balancer.now = START + ms(900);
+    assert!(!balancer.send_next(&mut actions));
+    assert_eq!(actions, [Action::Fail { request: RequestId(1), reason: Reason::TooLate }]);
+}
+
 #[test]
 fn a_draining_backend_gets_no_requests() {
     let mut balancer = balancer(Effect::Safe, 2);
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,7 +8,10 @@
 use crate::peer_message::{Observation, MAX_OBSERVATION_AGE};
 use crate::settings::{Class, Effect, Settings};
 use crate::stats::{Correlation, FailureTally, KeyFrequencies, Mean, SampleWindow};
-use crate::time::Time;
+use crate::time::{Span, Time};
+
+/// How long a process may be held up between reading its clock and writing.
+const MAX_HOLD_UP: Span = Span::from_millis(150);
 
 /// The state of a backend.
 #[derive(Default)]
@@ -263,13 +266,25 @@
 }
 
 impl PendingRequest {
-    /// Until when its repeats are dropped, if it may have run and its class has them dropped.
-    pub fn repeats_dropped_until(&self) -> Option<Time> {
+    /// The time from which on it must not be sent again, if it may have run and its class has repeats dropped. A
+    /// process that decides before it and is held up then writes before the window ends.
+    pub fn repeat_before(&self) -> Option<Time> {
         match (self.class.effect, self.first_run) {
-            (Effect::Keyed { window, .. }, Some((_, since))) => Some(since + window),
+            (Effect::Keyed { window, .. }, Some((_, since))) => {
+                Some((since + window) - MAX_HOLD_UP.min(window))
+            }
             _ => None,
         }
     }
+
+    /// Whether it may be sent now, after earlier attempts that may have run.
+    pub fn may_be_sent(&self, now: Time) -> bool {
+        match self.class.effect {
+            Effect::Safe => true,
+            Effect::AtMostOnce => self.first_run.is_none(),
+            Effect::Keyed { .. } => self.repeat_before().is_none_or(|before| now < before),
+        }
+    }
 }
 
 impl RequestQueue {
