No attempt begins for a client whose close would be hidden

Cause: while a request waits, 16 KiB of what follows it are read. The kernel passes on a close only behind all bytes before it.

Change: more is read behind a waiting request, within the memory limit. Since nothing bounds what a client sends, no attempt begins more than 50 ms after the client was last known to be there if unread bytes would hide its close. A client that does not reset a response is there.

--- a/crates/proxy/src/attempt_result.rs
+++ b/crates/proxy/src/attempt_result.rs
@@ -38,6 +38,8 @@
     /// The last byte of a repeat had not reached the backend when it was too late for that; `written` tells whether
     /// the backend may have got it meanwhile.
     NotDelivered { written: bool },
+    /// The attempt was not started: its client may have left some time ago, behind further requests that are unread.
+    ClientUnseen,
     /// No descriptor was left for a connection.
     NoRoom,
     /// The connection was idle: until its timeout, until the backend closed it, or until another connection
@@ -74,6 +76,7 @@
             AttemptResult::CalledOff { written: true } => Outcome::Cancelled,
             // A request that was still being written when it timed out says nothing about the backend.
             AttemptResult::NoRoom
+            | AttemptResult::ClientUnseen
             | AttemptResult::TooLate
             | AttemptResult::Idle
             | AttemptResult::OutOfTime { written: false }
--- a/crates/proxy/src/buffered_stream.rs
+++ b/crates/proxy/src/buffered_stream.rs
@@ -324,11 +324,19 @@
 
     /// Whether the other side has closed its direction or the connection, also behind bytes that were not read yet.
     pub fn is_closed_by_peer(&self) -> bool {
+        self.has_event(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+    }
+
+    /// Whether bytes, or the end of the stream, can be read now.
+    pub fn has_readable_bytes(&self) -> bool {
+        self.has_event(PollFlags::IN)
+    }
+
+    fn has_event(&self, events: PollFlags) -> bool {
         let Some(stream) = &self.stream else { return false };
-        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-        let mut poll_fds = [PollFd::new(stream, PollFlags::RDHUP)];
+        let mut poll_fds = [PollFd::new(stream, events)];
         let no_wait = Timespec { tv_sec: 0, tv_nsec: 0 };
-        poll(&mut poll_fds, Some(&no_wait)).is_ok() && poll_fds[0].revents().intersects(closed)
+        poll(&mut poll_fds, Some(&no_wait)).is_ok() && poll_fds[0].revents().intersects(events)
     }
 
     /// Number of written bytes that the other side's kernel has not acknowledged yet; `None` if that cannot be told.
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -20,6 +20,7 @@
 mod client;
 mod eviction;
 mod id_history;
+mod presence;
 mod requests;
 mod responses;
 
@@ -28,6 +29,7 @@
 use eviction::{EvictionOrder, EvictionRank};
 pub use id_history::IdHash;
 use id_history::IdHistory;
+use presence::Presence;
 
 const FIRST_REQUEST_READ_TIMEOUT: Span = Span::from_millis(2_300); // from the accept to the complete request
 const REQUEST_READ_TIMEOUT: Span = Span::from_millis(2_300); // for a later request, from its first byte
@@ -206,6 +208,9 @@
     fn add_connection(&mut self, stream: TcpStream, io: &mut IoContext) {
         let mut stream = Some(stream);
         let read_failed_since = self.acceptor.delayed_since;
+        // It may have waited in the listener's queue.
+        let connected_at =
+            [read_failed_since, self.full_since].into_iter().flatten().fold(io.earliest_arrival, Time::min);
         // The timer names the slot, so the connection is built once its slot is known.
         let (deadlines, now) = (&mut io.deadlines, io.now);
         let slot = self.connections.insert_with(|slot| {
@@ -230,6 +235,7 @@
                 hung_up: false,
                 has_sent: false,
                 sent_not_before: now,
+                presence: Presence::new(connected_at),
             })
         });
         if let Some(slot) = slot {
@@ -285,6 +291,11 @@
         self.connections.get(slot).is_some()
     }
 
+    /// Whether the client may have gone some time ago, its close being hidden behind further requests that are unread.
+    pub fn may_have_left(&self, slot: ClientSlot, now: Time) -> bool {
+        self.connections.get(slot).is_some_and(|client| client.may_have_left(now))
+    }
+
     /// Notes that the client has closed its side, perhaps after bytes that were not read yet.
     pub fn mark_hung_up(&mut self, slot: ClientSlot) {
         if let Some(client) = self.connections.get_mut(slot) {
@@ -292,6 +303,17 @@
         }
     }
 
+    /// Closes the connection if the client has closed its side, and tells whether it has.
+    pub fn close_if_left(&mut self, slot: ClientSlot, io: &mut IoContext) -> bool {
+        let Some(client) = self.connections.get_mut(slot) else { return true };
+        client.hung_up |= client.stream.ended || client.stream.is_closed_by_peer();
+        let has_left = client.hung_up;
+        if has_left {
+            self.close(slot, CloseReason::ByClient, io);
+        }
+        has_left
+    }
+
     /// Continues a connection that may be readable or writable, or may have ended.
     pub fn handle_ready(&mut self, slot: ClientSlot, io: &mut IoContext) {
         self.advance(slot, io);
@@ -300,10 +322,13 @@
 
     fn advance(&mut self, slot: ClientSlot, io: &mut IoContext) {
         let Some(client) = self.connections.get_mut(slot) else { return };
-        // A client's pipelined requests must not fill the memory while the first awaits its response.
+        // A client's pipelined requests must not fill the memory while the first awaits its response. Some are read all
+        // the same, since the end of the connection is seen only behind them.
         let max_bytes = match (client.state, &client.incoming_body) {
-            (ClientState::Reading, _) => io.memory.buffer_limit(MAX_BUFFERED_MESSAGE_BYTES),
             (ClientState::Waiting(_), Some(_)) => io.memory.window(),
+            (ClientState::Reading | ClientState::Waiting(_), _) => {
+                io.memory.buffer_limit(MAX_BUFFERED_MESSAGE_BYTES)
+            }
             _ => io.memory.buffer_limit(MAX_HEAD_BYTES),
         };
         let read = client.read(max_bytes, io);
@@ -328,7 +353,10 @@
         }
         match client.state {
             ClientState::Answering { .. } | ClientState::Streaming { .. } => self.flush(slot, io),
-            ClientState::Reading => self.read_request(slot, max_bytes, io),
+            ClientState::Reading => match client.reset_awaited_until(io.now) {
+                Some(until) => drop(io.deadlines.set(until, TimerEvent::Recheck(Owner::Client(slot)))),
+                None => self.read_request(slot, max_bytes, io),
+            },
             ClientState::Waiting(Some(request)) if client.incoming_body.is_some() => {
                 io.events.push_back(ProxyEvent::RequestBodyReady(request));
             }
--- a/crates/proxy/src/clients/client.rs
+++ b/crates/proxy/src/clients/client.rs
@@ -1,6 +1,7 @@
 //! One connection from a client, and the body that is being received on it.
 
 use super::eviction::EvictionRank;
+use super::presence::Presence;
 use super::{BODY_CHECK_INTERVAL, BODY_GRACE_TIME, BODY_SILENCE_TIMEOUT, MIN_BODY_BYTES_PER_MS};
 use crate::body::Body;
 use crate::buffered_stream::BufferedStream;
@@ -64,6 +65,7 @@
     /// The earliest time at which the client can have sent its latest byte: when it was last known that more was to
     /// come. While the proxy does not read, the client may have sent everything.
     pub(super) sent_not_before: Time,
+    pub(super) presence: Presence,
     /// Its rank and time of last use in the eviction order.
     pub(super) eviction_key: Option<(EvictionRank, Time)>,
     /// The deadline limits the reading of a request: one has started to arrive, or the first is awaited.
@@ -114,6 +116,7 @@
         if !self.stream.has_unread() && !self.stream.read_failed() {
             // Everything that had come was read before; what there is now has come since.
             self.sent_not_before = io.earliest_arrival;
+            self.presence.record_seen(io.earliest_arrival);
         }
         let result = self.stream.fill(max_bytes);
         if self.more_to_come_than_sockets_hold() {
@@ -146,6 +149,27 @@
         unread.is_some_and(|unread| unread > MAX_SOCKET_BUFFER_BYTES)
     }
 
+    /// Whether the end of its connection would be hidden behind bytes that are unread.
+    fn hides_its_close(&self) -> bool {
+        self.incoming_body.is_none() && self.stream.has_unread() && self.stream.has_readable_bytes()
+    }
+
+    /// Whether its kernel has acknowledged all that was written.
+    fn has_acknowledged_all(&self) -> bool {
+        self.stream.unacknowledged_bytes() == Some(0)
+    }
+
+    /// Until when its next request waits for a reset in answer to the last response, if a close would be hidden.
+    pub(super) fn reset_awaited_until(&self, now: Time) -> Option<Time> {
+        self.presence.reset_awaited_until(false, now).filter(|_| self.hides_its_close())?;
+        self.presence.reset_awaited_until(self.has_acknowledged_all(), now)
+    }
+
+    /// Whether it may have gone some time ago without a sign of it.
+    pub(super) fn may_have_left(&self, now: Time) -> bool {
+        self.hides_its_close() && self.presence.is_stale(self.has_acknowledged_all(), now)
+    }
+
     /// Whether bytes of the client wait for a backend to take them, or for the proxy to read them.
     pub(super) fn has_waiting_bytes(&self) -> bool {
         self.stream.has_unread() || !self.stream.input.is_empty()
--- a/crates/proxy/src/clients/responses.rs
+++ b/crates/proxy/src/clients/responses.rs
@@ -120,6 +120,7 @@
         };
         io.deadlines.cancel(client.deadline.take());
         client.last_used = io.now;
+        client.presence.record_response(io.now);
         if let Some(id) = client.request_id.take() {
             self.active_ids.remove(&id);
         }
--- a/crates/proxy/src/counters.rs
+++ b/crates/proxy/src/counters.rs
@@ -16,6 +16,8 @@
     pub requests_received: u64,
     pub bad_input: u64,
     pub clients_gone: u64,
+    /// Attempts that were not started because their client may have left, behind further requests that are unread.
+    pub clients_unseen: u64,
     /// At-most-once requests that came again under the id of an earlier one and were rejected.
     pub repeated_ids: u64,
     pub served: u64,
@@ -87,6 +89,7 @@
         }
         let _ = writeln!(text, "svc.attempts:{}|c", self.attempts_sent);
         let _ = writeln!(text, "svc.responses_before_body:{}|c", self.responses_before_body);
+        let _ = writeln!(text, "svc.clients.unseen:{}|c", self.clients_unseen);
         let _ = writeln!(text, "svc.clients.evicted:{}|c", self.evicted);
         let _ = writeln!(text, "svc.refused_for_memory:{}|c", self.refused_for_memory);
         let _ = writeln!(text, "svc.uploads_overdue:{}|c", self.uploads_overdue);
--- a/crates/proxy/src/proxy/requests.rs
+++ b/crates/proxy/src/proxy/requests.rs
@@ -88,20 +88,23 @@
         {
             self.clients.handle_ready(client, &mut self.io);
         }
-        let clients = &self.clients;
+        let (clients, now) = (&self.clients, self.io.now);
+        let may_have_left = |pending: &PendingRequest| {
+            pending.client.is_some_and(|client| clients.may_have_left(client, now))
+        };
         let body_discarded =
             |pending: &PendingRequest| pending.streamed_body.as_ref().is_some_and(|body| body.discarded);
         let is_waiting =
             |pending: &PendingRequest| pending.client.is_some_and(|client| clients.is_connected(client));
         let can_be_sent = |pending: &&mut PendingRequest| is_waiting(pending) && !body_discarded(pending);
-        let Some(pending) = self.pending.get_mut(RequestSlot::from_number(request.0)).filter(can_be_sent)
-        else {
-            // Every attempt is reported as ended, even one for a request that is already finished.
-            let (purpose, result) = (Purpose::Attempt(request, AttemptNo(u16::MAX)), AttemptResult::NoRoom);
-            let (took, load, response) = Default::default();
-            let job = JobResult { backend, purpose, result, took, load, response };
-            return self.io.events.push_back(ProxyEvent::JobEnded(job));
+        let pending = self.pending.get_mut(RequestSlot::from_number(request.0)).filter(can_be_sent);
+        let Some(pending) = pending else {
+            return self.end_unstarted_attempt(request, backend, AttemptResult::NoRoom);
         };
+        if may_have_left(pending) {
+            self.io.counters.clients_unseen += 1;
+            return self.end_unstarted_attempt(request, backend, AttemptResult::ClientUnseen);
+        }
         self.io.counters.attempts_started += 1;
         let id = pending.incoming.head.id.as_deref();
         let (number, host) = (AttemptNo(pending.attempts.len() as u16), self.pool.host(backend));
@@ -138,6 +141,15 @@
         }
     }
 
+    /// Reports an attempt that is not started. Every attempt is reported as ended, even one for a request that is already
+    /// finished.
+    fn end_unstarted_attempt(&mut self, request: RequestId, backend: BackendId, result: AttemptResult) {
+        let purpose = Purpose::Attempt(request, AttemptNo(u16::MAX));
+        let (took, load, response) = Default::default();
+        let job = JobResult { backend, purpose, result, took, load, response };
+        self.io.events.push_back(ProxyEvent::JobEnded(job));
+    }
+
     /// The connection of a request's last attempt, if that is still running.
     pub(super) fn active_connection(&self, request: RequestId) -> Option<ConnSlot> {
         *self.pending.get(RequestSlot::from_number(request.0))?.attempts.last()?
@@ -186,6 +198,9 @@
                 Ok(read) => read,
                 Err(error) => return self.reject_body(request, client, error),
             };
+            if last && self.clients.close_if_left(client, &mut self.io) {
+                return;
+            }
             body.complete = last;
             let kept = message.len() + bytes.len();
             if !body.discarded && kept <= self.io.memory.replay_limit(MAX_REPLAY_BYTES) {
--- a/crates/proxy/tests/unit.rs
+++ b/crates/proxy/tests/unit.rs
@@ -84,6 +84,7 @@
         AttemptResult::KeptBroke { written: false },
         AttemptResult::NotDelivered { written: false },
         AttemptResult::NoRoom,
+        AttemptResult::ClientUnseen,
         AttemptResult::TooLate,
         answered(503, true),
         answered(504, true),
