No two backends are used at one address, whatever lists name there

Cause: an address was taken from a backend only by a list that did not name it as well. The same held for changes, for two new backends in one list of any age, for a late list with the earlier start, and for the first answer to a successor.

Change: address_claims.rs settles each list before it is applied: the later start by the proxy's own clock, else what was named last. The other one is remembered while lists name it, and handed over. Where changes withdraw the one in use, the whole list is requested. Withdrawals shared in a handover go the same way.

--- a/crates/proxy/src/control_messages.rs
+++ b/crates/proxy/src/control_messages.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sparlug::id::BackendId;
 
+use crate::address_claims::HandoverClaim;
 use crate::list_history::HandoverHistory;
 use crate::listing::HandoverList;
 
@@ -66,6 +67,9 @@
     /// What discovery said of backends that are not on the list; empty from older versions of the program.
     #[serde(default)]
     pub history: HandoverHistory,
+    /// Backends that lists name and that are not used, since another one has their address; empty from older versions.
+    #[serde(default)]
+    pub displaced: Vec<HandoverClaim>,
     /// Hashes of the ids of at-most-once requests that were accepted lately; empty from older versions.
     #[serde(default)]
     pub request_ids: Vec<u64>,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions.
 
 pub mod acceptor;
+pub mod address_claims;
 pub mod attempt_result;
 pub mod body;
 pub mod buffered_stream;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -14,6 +14,7 @@
 use sparlug::settings::Effect;
 use sparlug::time::{Span, Time};
 
+use crate::address_claims::AddressClaims;
 use crate::clients::{Classes, Clients};
 use crate::config::{
     Budgets, Config, ConfigSource, ImmutableSettings, RESERVED_DISCOVERY_SOCKETS, RESERVED_SOCKETS,
@@ -41,7 +42,6 @@
 use crate::start_times::StartTimes;
 use crate::startup::retry_transient;
 
-mod address_claims;
 mod admin;
 mod lifecycle;
 mod lists;
@@ -124,6 +124,7 @@
     /// Until when withdrawals were shared with the other process of a handover.
     withdrawals_shared_at: Time,
     start_times: StartTimes,
+    address_claims: AddressClaims,
     management: ManagementServer,
     handover: Handover,
     peers: Peers,
@@ -293,6 +294,7 @@
             list_history,
             withdrawals_shared_at: now,
             start_times: StartTimes::default(),
+            address_claims: AddressClaims::default(),
             management,
             handover,
             peers,
@@ -314,6 +316,8 @@
         };
         proxy.perform_actions();
         proxy.dispatch_events();
+        // After the predecessor's list, which does not name these backends.
+        proxy.address_claims.import(state.displaced);
         for backend in state.disabled {
             proxy.set_disabled(control_messages::backend_id(backend), true);
         }
--- a/crates/proxy/src/proxy/lifecycle.rs
+++ b/crates/proxy/src/proxy/lifecycle.rs
@@ -100,6 +100,7 @@
                 disabled: self.balancer.disabled().map(control_messages::backend_key).collect(),
                 list,
                 history: self.list_history.export(now),
+                displaced: self.address_claims.export(),
                 request_ids: self.clients.export_ids(),
             }
         };
--- a/crates/proxy/src/proxy/lists.rs
+++ b/crates/proxy/src/proxy/lists.rs
@@ -1,13 +1,16 @@
 //! Applies lists of backends: to the list history first, then to the pool and to the balancer.
 
+use std::collections::BTreeSet;
+
 use sparlug::event::{Event, Listing};
+use sparlug::id::BackendId;
 
-use super::address_claims::settle_addresses;
 use super::Proxy;
+use crate::address_claims::SettledAddresses;
 use crate::control_messages::{HandoverMessage, HandoverState};
 use crate::discovery::AppliedList;
 use crate::list_history::{HandoverHistory, ListOrder, ListSource, MergedList};
-use crate::listing::{BackendEntry, BackendList};
+use crate::listing::{backend_id, BackendEntry, BackendList};
 use crate::shared::ReceivedList;
 
 impl Proxy {
@@ -50,7 +53,8 @@
         if omissions_ignored {
             tracing::warn!(version, ?order, "backends that an old list omits are kept: it names no other");
         }
-        self.settle_addresses(&mut list, order);
+        let withheld = withheld.iter().map(|backend| backend_id(&backend.host)).collect();
+        let address_freed = self.settle_addresses(&mut list, order, &withheld);
         self.start_times.correct(&mut list, self.io.now);
         let listings: Vec<Listing> = list.entries.iter().map(|entry| entry.listing).collect();
         // A process that replaces a ready one is as ready as that, also where no backend is left.
@@ -60,19 +64,30 @@
         self.pool.update_list(list.full, &list.entries, list.version, &mut self.io);
         self.handle_event(Event::ListReceived { full: list.full, listings });
         self.share_withdrawals();
-        Some(AppliedList { order, needs_whole_list })
+        Some(AppliedList { order, needs_whole_list: needs_whole_list || address_freed })
     }
 
-    /// Takes addresses from backends that another one has replaced, where the list names a backend at a new address.
-    fn settle_addresses(&mut self, list: &mut BackendList, order: ListOrder) {
+    /// Leaves one backend at each address that the list names. Returns whether the address of one that is not used may
+    /// be free again.
+    fn settle_addresses(
+        &mut self,
+        list: &mut BackendList,
+        order: ListOrder,
+        withheld: &BTreeSet<BackendId>,
+    ) -> bool {
         let is_new = |entry: &BackendEntry| !self.pool.is_listed_at(entry.listing.backend, entry.address);
-        if !list.entries.iter().any(is_new) {
-            return;
+        if self.address_claims.is_empty() && !list.entries.iter().any(is_new) {
+            return false;
         }
-        for host in settle_addresses(list, order == ListOrder::Older, &self.pool.listed()) {
+        self.start_times.estimate(list, self.io.now);
+        let is_older = order == ListOrder::Older;
+        let SettledAddresses { replaced, freed } =
+            self.address_claims.settle(list, is_older, &self.pool.listed(), withheld);
+        for host in replaced {
             self.io.counters.backends_replaced += 1;
             tracing::info!(host, version = list.version, "backend gone: another one has its address");
         }
+        freed
     }
 
     /// Tells the other process of a handover what lists have withdrawn meanwhile: its own answers may be older.
@@ -98,6 +113,7 @@
         tracing::info!(entries = entries.len(), "backends withdrawn as the other process was told");
         let version = self.discovery.agent_and_version().1.unwrap_or_default();
         let mut list = BackendList { version, full: false, entries };
+        self.settle_addresses(&mut list, ListOrder::Older, &BTreeSet::new());
         self.start_times.correct(&mut list, self.io.now);
         let listings = list.entries.iter().map(|entry| entry.listing).collect();
         self.pool.update_list(false, &list.entries, version, &mut self.io);
--- a/crates/proxy/src/start_times.rs
+++ b/crates/proxy/src/start_times.rs
@@ -7,7 +7,7 @@
 use sparlug::id::BackendId;
 use sparlug::time::{Span, Time};
 
-use crate::listing::BackendList;
+use crate::listing::{BackendEntry, BackendList};
 
 /// A backend that is new to the list may have started this long before the last list without it. An earlier
 /// start is not believed.
@@ -38,13 +38,7 @@
     pub fn correct(&mut self, list: &mut BackendList, now: Time) {
         for entry in &mut list.entries {
             let listed_start = entry.listed_start;
-            let started = match self.records.get(&entry.listing.backend) {
-                Some(record) if record.listed_start == listed_start => record.started,
-                record => {
-                    let earliest = self.earliest(record, listed_start);
-                    listed_start.map(|listed_start| listed_start.max(earliest).min(now))
-                }
-            };
+            let started = self.started(entry, now);
             if let (Some(listed_start), Some(started)) = (listed_start, started) {
                 let differs =
                     listed_start.since(started).max(started.since(listed_start)) > Span::from_millis(1_000);
@@ -62,6 +56,24 @@
         self.forget(list.entries.len());
     }
 
+    /// Does the same without a record of the list.
+    pub fn estimate(&self, list: &mut BackendList, now: Time) {
+        for entry in &mut list.entries {
+            entry.listing.started = self.started(entry, now);
+        }
+    }
+
+    /// When the process of an entry started, on the proxy's own clock.
+    fn started(&self, entry: &BackendEntry, now: Time) -> Option<Time> {
+        match self.records.get(&entry.listing.backend) {
+            Some(record) if record.listed_start == entry.listed_start => record.started,
+            record => {
+                let earliest = self.earliest(record, entry.listed_start);
+                entry.listed_start.map(|listed_start| listed_start.max(earliest).min(now))
+            }
+        }
+    }
+
     /// The earliest time at which a process with a new listed start can have started.
     fn earliest(&self, record: Option<&StartRecord>, listed_start: Option<Time>) -> Time {
         match (record, self.last_list, listed_start) {
