A client's leaving gives a written attempt 80 ms to be acknowledged

Change: it gets the delivery deadline of a repeat, 80 ms from the client's leaving, and counts as called off if it passes. An attempt still begins within 0.1 s of the close or never.

--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -618,20 +618,23 @@
         self.close(slot, AttemptResult::CalledOff { written }, io);
     }
 
-    /// Cancels an attempt whose last byte has not reached its backend, and so does not run yet.
+    /// Cancels an attempt whose last byte does not reach its backend, and so does not run. Its client is gone.
     pub fn cancel_undelivered(&mut self, slot: ConnSlot, io: &mut IoContext) {
-        if self.conns.get(slot).is_some_and(|conn| !conn.is_delivered()) {
+        let Some(conn) = self.conns.get_mut(slot) else { return };
+        if !conn.is_written() {
             self.cancel(slot, io);
+        } else if conn.has_unacknowledged_bytes() {
+            conn.limit_delivery(slot, io);
         }
     }
 
-    /// Handles the time limit for the last byte of a repeat to reach its backend. A response that has arrived by now
+    /// Handles the time limit for the last byte of a message to reach its backend. A response that has arrived by now
     /// still counts.
     pub fn delivery_timed_out(&mut self, slot: ConnSlot, io: &mut IoContext) {
         self.handle_ready(slot, io);
         let Some(conn) = self.conns.get(slot) else { return };
         if conn.job.is_some() && !conn.is_delivered() {
-            let result = AttemptResult::NotDelivered { written: conn.is_written() };
+            let result = conn.undelivered_result();
             self.close(slot, result, io);
         }
     }
--- a/crates/proxy/src/pool/conn.rs
+++ b/crates/proxy/src/pool/conn.rs
@@ -4,7 +4,7 @@
 
 use sparlug::event::Load;
 use sparlug::id::BackendId;
-use sparlug::time::Time;
+use sparlug::time::{Span, Time};
 
 use super::{BackendProcess, MAX_INTERIM_RESPONSES};
 use crate::attempt_result::AttemptResult;
@@ -22,6 +22,9 @@
 /// The part of the time until a repeat may run again in which the backend's kernel has to have it.
 const DELIVERY_TIME_RATIO: f64 = 0.5;
 
+/// A kernel sends an acknowledgement within this time.
+const MAX_ACKNOWLEDGEMENT_DELAY: Span = Span::from_millis(80);
+
 pub(super) enum Stage {
     Connecting,
     /// A request is being written or its response awaited.
@@ -50,6 +53,8 @@
     pub(super) deliver_by: Option<Time>,
     /// The deadline for that, once writing has begun.
     delivery_deadline: Option<DeadlineId>,
+    /// Nobody waits for the response any more.
+    client_gone: bool,
     /// When its socket was created.
     pub(super) connect_started: Time,
     /// Why the socket could not be created, and when the next try is due.
@@ -101,6 +106,7 @@
             timeout_header,
             deliver_by,
             delivery_deadline,
+            client_gone: false,
             connect_started: now,
             connect_failure,
             retry_at: now,
@@ -120,7 +126,7 @@
     pub(super) fn missed_delivery(&self, now: Time) -> Option<AttemptResult> {
         let deliver_by = self.deliver_by.filter(|_| self.job.is_some() && !self.is_written())?;
         let result = match self.delivery_deadline {
-            Some(_) => AttemptResult::NotDelivered { written: false },
+            Some(_) => self.undelivered_result(),
             None => AttemptResult::TooLate,
         };
         (now >= deliver_by).then_some(result)
@@ -146,8 +152,32 @@
         self.timeout_header = None;
         if let (Some(deliver_by), None) = (self.deliver_by, self.delivery_deadline) {
             let deliver_by = io.now + deliver_by.since(io.now).scaled(DELIVERY_TIME_RATIO);
-            self.deliver_by = Some(deliver_by);
-            self.delivery_deadline = Some(io.deadlines.set(deliver_by, TimerEvent::DeliveryTimeout(slot)));
+            self.set_delivery_deadline(slot, deliver_by, io);
+        }
+    }
+
+    fn set_delivery_deadline(&mut self, slot: ConnSlot, deliver_by: Time, io: &mut IoContext) {
+        io.deadlines.cancel(self.delivery_deadline.take());
+        self.deliver_by = Some(deliver_by);
+        self.delivery_deadline = Some(io.deadlines.set(deliver_by, TimerEvent::DeliveryTimeout(slot)));
+    }
+
+    /// The client of a written message is gone. The backend's kernel may have the last byte, and its acknowledgement
+    /// be on the way; otherwise the message must not reach the backend much later.
+    pub(super) fn limit_delivery(&mut self, slot: ConnSlot, io: &mut IoContext) {
+        let until = io.now + MAX_ACKNOWLEDGEMENT_DELAY;
+        let until = self.deliver_by.map_or(until, |deliver_by| deliver_by.min(until));
+        self.client_gone = true;
+        self.set_delivery_deadline(slot, until, io);
+    }
+
+    /// The result of a message that has not reached the backend in time.
+    pub(super) fn undelivered_result(&self) -> AttemptResult {
+        let written = self.is_written();
+        if self.client_gone {
+            AttemptResult::CalledOff { written }
+        } else {
+            AttemptResult::NotDelivered { written }
         }
     }
 
@@ -249,7 +279,7 @@
         let Some(Job { purpose, sent_at, deadline, .. }) = self.job.take() else { return };
         io.deadlines.cancel(Some(deadline));
         io.deadlines.cancel(self.delivery_deadline.take());
-        self.deliver_by = None;
+        (self.deliver_by, self.client_gone) = (None, false);
         io.counters.repeats_undelivered += u64::from(result.is_undelivered_repeat());
         let job_result =
             JobResult { backend: self.backend, purpose, result, took: io.now.since(sent_at), load, response };
--- a/crates/proxy/src/shared.rs
+++ b/crates/proxy/src/shared.rs
@@ -100,7 +100,7 @@
     ConnectTimeout(ConnSlot),
     /// The time limit of the attempt or check that a connection carries.
     AttemptTimeout(ConnSlot),
-    /// The time limit for the last byte of a repeat to reach its backend.
+    /// The time limit for the last byte of a message to reach its backend.
     DeliveryTimeout(ConnSlot),
     /// A response of unknown length is streamed from now on, even if it is short.
     StartStreaming(ConnSlot),
