A suspicious list is told by the backends that lists name, used or not

Cause: since only one backend is used at an address, a list was compared with the backends in use. One that names less than half of those that the list before named at few addresses was not logged as suspicious.

Change: backends without their address count as well. The test is as it was and passes, and so does address_claims.rs.

--- a/crates/proxy/src/address_claims.rs
+++ b/crates/proxy/src/address_claims.rs
@@ -99,6 +99,11 @@
         self.displaced.is_empty()
     }
 
+    /// Number of backends that lists name and that are not used.
+    pub fn displaced_count(&self) -> usize {
+        self.displaced.len()
+    }
+
     /// Settles whose each address is, so that no two backends are used at one. `known` are the backends that are used so
     /// far; the starts in all entries are by the proxy's own clock. Backends of the list that have no address are
     /// removed from it. Such as were used so far are added as gone. What the list said of `withheld` backends was removed
--- a/crates/proxy/src/proxy/lists.rs
+++ b/crates/proxy/src/proxy/lists.rs
@@ -17,7 +17,8 @@
     /// Applies a list. Returns how, or `None` if the list is ignored.
     pub(super) fn apply_list(&mut self, received: ReceivedList) -> Option<AppliedList> {
         let ReceivedList { list, source, previous_version } = received;
-        let ready = self.pool.ready_count();
+        // A list is compared with what earlier ones named, used or not.
+        let ready = self.pool.ready_count() + self.address_claims.displaced_count();
         let anomalies = list.anomalies(ready, previous_version);
         if !anomalies.is_empty() {
             self.io.counters.suspicious_lists += 1;
